--- /dev/null
+++ b/packages/core/src/knapweedspring_core/__init__.py
@@ -0,0 +1,127 @@
+"""Parts that knapweedspring's programs share."""
+
+from knapweedspring_core._calls import (
+    Header,
+    Outcome,
+    Reason,
+    Refusal,
+)
+from knapweedspring_core._codec import (
+    decode,
+    encode,
+)
+from knapweedspring_core._declarations import (
+    DECLARATION_TYPES,
+    Declaration,
+    Intent,
+    ObjectKey,
+    ObjectRecord,
+    Policy,
+    PolicyMode,
+    RequestClass,
+    RouteRule,
+    Service,
+    UpstreamIntent,
+    parse_declaration,
+)
+from knapweedspring_core._errors import (
+    CodecError,
+    DeclarationError,
+    PlatformConflict,
+    PlatformError,
+    PlatformUnavailable,
+    PlatformVersionTooOld,
+    SettingsError,
+)
+from knapweedspring_core._events import (
+    Event,
+    EventLog,
+    HybridClock,
+    Stamp,
+)
+from knapweedspring_core._members import (
+    AnnouncedUpstream,
+    FixedView,
+    Member,
+    MembershipView,
+    MemberState,
+    UpstreamState,
+)
+from knapweedspring_core._metrics import (
+    Counters,
+    MetricsPage,
+)
+from knapweedspring_core._platform import (
+    Changes,
+    HttpPlatform,
+    Platform,
+)
+from knapweedspring_core._settings import (
+    load_settings,
+    parse_settings,
+)
+from knapweedspring_core._store import (
+    DeclarationStore,
+    InvalidObject,
+)
+from knapweedspring_core._supervisor import (
+    Child,
+    Supervisor,
+    ThreadChild,
+)
+from knapweedspring_core._timer import (
+    Subscription,
+    TimerService,
+)
+
+__all__ = [
+    "AnnouncedUpstream",
+    "Changes",
+    "Child",
+    "CodecError",
+    "Counters",
+    "DECLARATION_TYPES",
+    "Declaration",
+    "DeclarationError",
+    "DeclarationStore",
+    "Event",
+    "EventLog",
+    "FixedView",
+    "Header",
+    "HttpPlatform",
+    "HybridClock",
+    "Intent",
+    "InvalidObject",
+    "Member",
+    "MemberState",
+    "MembershipView",
+    "MetricsPage",
+    "ObjectKey",
+    "ObjectRecord",
+    "Outcome",
+    "Platform",
+    "PlatformConflict",
+    "PlatformError",
+    "PlatformUnavailable",
+    "PlatformVersionTooOld",
+    "Policy",
+    "PolicyMode",
+    "Reason",
+    "Refusal",
+    "RequestClass",
+    "RouteRule",
+    "Service",
+    "SettingsError",
+    "Stamp",
+    "Subscription",
+    "Supervisor",
+    "ThreadChild",
+    "TimerService",
+    "UpstreamIntent",
+    "UpstreamState",
+    "decode",
+    "encode",
+    "load_settings",
+    "parse_declaration",
+    "parse_settings",
+]
--- /dev/null
+++ b/packages/core/src/knapweedspring_core/_declarations.py
@@ -0,0 +1,208 @@
+"""Declarations: the versioned objects through which operators drive the system.
+
+An object is valid or invalid by its own content alone, so that every node
+judges it alike whatever else it has heard.
+"""
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any, TypeAlias
+
+import msgspec
+from result import Err, Ok, Result
+
+from knapweedspring_core._errors import DeclarationError
+
+__all__ = [
+    "DECLARATION_TYPES",
+    "Declaration",
+    "Intent",
+    "ObjectKey",
+    "ObjectRecord",
+    "Policy",
+    "PolicyMode",
+    "RequestClass",
+    "RouteRule",
+    "Service",
+    "UpstreamIntent",
+    "parse_declaration",
+]
+
+MAX_DEADLINE_MS = 600_000
+MAX_RETRY_BUDGET = 100
+
+
+class Intent(StrEnum):
+    """What an operator wants of an upstream."""
+
+    JOINING = "joining"
+    LEAVING = "leaving"
+
+
+class PolicyMode(StrEnum):
+    """How nodes treat calls."""
+
+    PROTECT = "protect"
+    PASSTHROUGH = "passthrough"
+
+
+@dataclass(frozen=True, slots=True)
+class RouteRule:
+    """Assigns a request class to matching calls of a service."""
+
+    #: Request class that matching calls get.
+    request_class: str
+    #: HTTP method, or ``*`` for any.
+    method: str = "*"
+    #: Prefix of the path below the service's name.
+    path_prefix: str = "/"
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """A service and how its calls are classified.
+
+    The first matching rule decides; then a class named by the caller, when it
+    is declared; then ``default_class``.
+    """
+
+    #: Class of calls that no rule matches and that name none.
+    default_class: str
+    #: Rules in order of precedence.
+    rules: tuple[RouteRule, ...] = ()
+    #: The upstreams' own 503 answers mean that nothing ran.
+    sheds_before_running: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class RequestClass:
+    """A kind of request: its importance and what may be done with it."""
+
+    #: Importance; a higher number is shed later.
+    priority: int
+    #: Whether the request may run more than once.
+    repeatable: bool = True
+    #: Time allowed for the whole request when the caller names none, in ms.
+    deadline_ms: int = 2_000
+    #: Attempts beyond the first that the whole chain may make.
+    retry_budget: int = 2
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamIntent:
+    """Tells the node named by the object that its upstream joins or leaves."""
+
+    #: What the operator wants.
+    intent: Intent
+    #: Time for in-flight work and live tickets before a stop, in ms.
+    stop_deadline_ms: int = 30_000
+
+
+@dataclass(frozen=True, slots=True)
+class Policy:
+    """Mesh-wide behaviour; only the object named ``mesh`` is in force."""
+
+    #: Whether the overload control is on.
+    mode: PolicyMode = PolicyMode.PROTECT
+
+
+Declaration: TypeAlias = Service | RequestClass | UpstreamIntent | Policy
+
+#: The data class of each kind.
+DECLARATION_TYPES: dict[str, type[Declaration]] = {
+    "Service": Service,
+    "RequestClass": RequestClass,
+    "UpstreamIntent": UpstreamIntent,
+    "Policy": Policy,
+}
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class ObjectKey:
+    """Identity of an object on the platform."""
+
+    #: Kind, such as ``RequestClass``.
+    kind: str
+    #: Name, unique within the kind.
+    name: str
+
+    def __str__(self) -> str:
+        return f"{self.kind}/{self.name}"
+
+
+@dataclass(frozen=True, slots=True)
+class ObjectRecord:
+    """One version of one object, as the platform stored it."""
+
+    #: Identity of the object.
+    key: ObjectKey
+    #: Revision of the platform at the write; grows with every write.
+    version: int
+    #: Whether this version records a deletion.
+    deleted: bool = False
+    #: Who wrote it; lets a writer recognise its own write after a lost answer.
+    writer: str = ""
+    #: JSON text of the content; empty for a deletion.
+    content: str = ""
+
+
+def parse_declaration(kind: str, content: str) -> Result[Declaration, DeclarationError]:
+    """Parse and validate the content of a declaration.
+
+    :param kind: a key of :data:`DECLARATION_TYPES`.
+    :param content: JSON text.
+    :return: the declaration, or what to change and where.
+    """
+    declaration_type: Any = DECLARATION_TYPES.get(kind)
+    if declaration_type is None:
+        known = ", ".join(sorted(DECLARATION_TYPES))
+        return Err(DeclarationError("$.kind", f"use one of {known}, not {kind!r}"))
+    try:
+        declaration = msgspec.json.decode(content, type=declaration_type)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Err(_decode_error(error))
+    problem = _validate(declaration)
+    if problem is not None:
+        return Err(problem)
+    return Ok(declaration)
+
+
+def _decode_error(error: Exception) -> DeclarationError:
+    message, _, path = str(error).partition(" - at `")
+    return DeclarationError(path.rstrip("`") or "$", message)
+
+
+def _validate(declaration: Declaration) -> DeclarationError | None:
+    """Check the rules that types alone cannot express."""
+    if isinstance(declaration, RequestClass):
+        return _validate_request_class(declaration)
+    if isinstance(declaration, Service):
+        return _validate_service(declaration)
+    if isinstance(declaration, UpstreamIntent) and declaration.stop_deadline_ms < 0:
+        return DeclarationError("$.stop_deadline_ms", "write 0 or more milliseconds")
+    return None
+
+
+def _validate_request_class(declaration: RequestClass) -> DeclarationError | None:
+    if not 1 <= declaration.deadline_ms <= MAX_DEADLINE_MS:
+        advice = f"write milliseconds from 1 to {MAX_DEADLINE_MS}"
+        return DeclarationError("$.deadline_ms", advice)
+    if not 0 <= declaration.retry_budget <= MAX_RETRY_BUDGET:
+        advice = f"write a number of attempts from 0 to {MAX_RETRY_BUDGET}"
+        return DeclarationError("$.retry_budget", advice)
+    if not 0 <= declaration.priority <= 1_000:
+        return DeclarationError("$.priority", "write a number from 0 to 1000")
+    return None
+
+
+def _validate_service(declaration: Service) -> DeclarationError | None:
+    if not declaration.default_class:
+        return DeclarationError("$.default_class", "name a RequestClass")
+    for index, rule in enumerate(declaration.rules):
+        if not rule.path_prefix.startswith("/"):
+            path = f"$.rules[{index}].path_prefix"
+            return DeclarationError(path, "begin the prefix with '/'")
+        if not rule.request_class:
+            path = f"$.rules[{index}].request_class"
+            return DeclarationError(path, "name a RequestClass")
+    return None
--- /dev/null
+++ b/packages/core/src/knapweedspring_core/_errors.py
@@ -0,0 +1,76 @@
+"""Errors of the core layer, returned inside ``result.Err``."""
+
+from dataclasses import dataclass
+
+__all__ = [
+    "CodecError",
+    "DeclarationError",
+    "PlatformConflict",
+    "PlatformError",
+    "PlatformUnavailable",
+    "PlatformVersionTooOld",
+    "SettingsError",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class CodecError:
+    """Bytes that do not hold the expected message."""
+
+    #: What the decoder found, with the path of the field.
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class SettingsError:
+    """A settings file that cannot be used."""
+
+    #: Path of the file.
+    file: str
+    #: What is wrong and where, such as ``Expected `int` - at `$.slots```.
+    detail: str
+
+    def __str__(self) -> str:
+        return f"{self.file}: {self.detail}"
+
+
+@dataclass(frozen=True, slots=True)
+class DeclarationError:
+    """A declaration whose content breaks a rule."""
+
+    #: Path inside the object, such as ``$.retry_budget``.
+    path: str
+    #: What the operator should write instead.
+    advice: str
+
+    def __str__(self) -> str:
+        return f"{self.path}: {self.advice}"
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformError:
+    """Base of the failures of the platform's object API."""
+
+    #: Description for logs and operators.
+    detail: str
+
+    def __str__(self) -> str:
+        return f"{type(self).__name__}: {self.detail}"
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformUnavailable(PlatformError):
+    """No answer arrived; a write may or may not have taken effect."""
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformConflict(PlatformError):
+    """A conditional write found another version than the caller expected."""
+
+    #: Version now stored, 0 when the object does not exist.
+    current_version: int
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformVersionTooOld(PlatformError):
+    """The watch asks for changes that the platform no longer holds."""
--- /dev/null
+++ b/packages/core/src/knapweedspring_core/_events.py
@@ -0,0 +1,94 @@
+"""Event log: state changes with a hybrid logical clock, kept in a bounded ring."""
+
+import threading
+import time
+from collections import deque
+from dataclasses import dataclass
+
+import eliot
+
+__all__ = ["Event", "EventLog", "HybridClock", "Stamp"]
+
+RING_CAPACITY = 4_096
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Stamp:
+    """Time of an event: wall clock first, then a logical counter."""
+
+    #: Microseconds since the epoch, never behind a stamp received before.
+    wall_us: int
+    #: Orders events of the same microsecond, and those of lagging clocks.
+    counter: int
+
+
+class HybridClock:
+    """Hybrid logical clock: stamps respect causality between processes."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._last = Stamp(0, 0)
+
+    def now(self) -> Stamp:
+        """Stamp a local event or a message to be sent."""
+        return self.observe(Stamp(0, 0))
+
+    def observe(self, received: Stamp) -> Stamp:
+        """Move past a stamp that came with a message."""
+        wall_us = time.time_ns() // 1_000
+        with self._lock:
+            latest = max(self._last, received)
+            if wall_us > latest.wall_us:
+                self._last = Stamp(wall_us, 0)
+            else:
+                self._last = Stamp(latest.wall_us, latest.counter + 1)
+            return self._last
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """One change of state of one process."""
+
+    #: When it happened.
+    stamp: Stamp
+    #: Node or program that it happened to.
+    process: str
+    #: Kind, such as ``upstream:state``.
+    kind: str
+    #: Details, as text fields.
+    fields: dict[str, str]
+
+
+class EventLog:
+    """Records state changes in a ring and as eliot messages.
+
+    :param process: name of this process in the time line.
+    :param clock: clock shared with the messages that the process sends.
+    """
+
+    def __init__(self, process: str, clock: HybridClock | None = None) -> None:
+        self._process = process
+        self._clock = clock or HybridClock()
+        self._ring: deque[Event] = deque(maxlen=RING_CAPACITY)
+
+    @property
+    def clock(self) -> HybridClock:
+        """The clock that stamps the events."""
+        return self._clock
+
+    @property
+    def events(self) -> tuple[Event, ...]:
+        """The newest events, oldest first."""
+        return tuple(self._ring)
+
+    def record(self, kind: str, **fields: object) -> Event:
+        """Record a change of state.
+
+        :param kind: what changed, such as ``upstream:state``.
+        :param fields: details; each is kept as text.
+        """
+        details = {name: str(value) for name, value in fields.items()}
+        event = Event(self._clock.now(), self._process, kind, details)
+        self._ring.append(event)
+        eliot.log_message(message_type=kind, process=self._process, **details)
+        return event
--- /dev/null
+++ b/packages/core/src/knapweedspring_core/_metrics.py
@@ -0,0 +1,87 @@
+"""Counters and gauges, exported through OpenTelemetry with a pull page.
+
+Hot paths add to plain integers; OpenTelemetry reads them when the page is
+pulled, so that a call pays for an addition and not for the library.
+"""
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import CallbackOptions, Observation
+from opentelemetry.sdk.metrics import MeterProvider
+from prometheus_client import REGISTRY, generate_latest
+
+__all__ = ["Counters", "MetricsPage"]
+
+
+class Counters:
+    """Named counters with one label value each.
+
+    Additions from several threads may in rare cases lose one count; exact
+    accounting, as of retry budgets, lives elsewhere.
+    """
+
+    def __init__(self) -> None:
+        self._values: dict[tuple[str, str], int] = defaultdict(int)
+
+    @property
+    def values(self) -> dict[tuple[str, str], int]:
+        """A copy of the counts by name and label value."""
+        return dict(self._values)
+
+    def add(self, name: str, label: str = "", amount: int = 1) -> None:
+        """Add to a counter.
+
+        :param name: metric name, such as ``calls_refused``.
+        :param label: value of the label ``of``, such as a reason.
+        :param amount: how much to add.
+        """
+        self._values[(name, label)] += amount
+
+    def get(self, name: str, label: str = "") -> int:
+        """Return a counter's value."""
+        return self._values.get((name, label), 0)
+
+
+class MetricsPage:
+    """Registers counters and gauges with OpenTelemetry and renders the page."""
+
+    def __init__(self, counters: Counters) -> None:
+        self._counters = counters
+        self._provider = MeterProvider(metric_readers=[PrometheusMetricReader()])
+        self._meter = self._provider.get_meter("knapweedspring")
+        self._known: set[str] = set()
+
+    def add_gauge(self, name: str, read: Callable[[], float], unit: str = "1") -> None:
+        """Register a gauge that is read when the page is pulled."""
+
+        def observe(_: CallbackOptions) -> Iterable[Observation]:
+            return [Observation(read())]
+
+        self._meter.create_observable_gauge(name, callbacks=[observe], unit=unit)
+
+    def render(self) -> bytes:
+        """Return the page in the text format that scrapers pull."""
+        self._register_new_counters()
+        return generate_latest(REGISTRY)
+
+    def _register_new_counters(self) -> None:
+        names = {name for name, _ in self._counters.values}
+        for name in names - self._known:
+            self._known.add(name)
+            self._meter.create_observable_counter(
+                name, callbacks=[self._observer_of(name)]
+            )
+
+    def _observer_of(
+        self, name: str
+    ) -> Callable[[CallbackOptions], Iterable[Observation]]:
+        def observe(_: CallbackOptions) -> Iterable[Observation]:
+            return [
+                Observation(value, {"of": label})
+                for (key, label), value in self._counters.values.items()
+                if key == name
+            ]
+
+        return observe
--- /dev/null
+++ b/packages/core/src/knapweedspring_core/_platform.py
@@ -0,0 +1,174 @@
+"""Client of the platform's object API; the protocol is in docs/PLATFORM.md."""
+
+import json
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+from typing import Any
+
+import urllib3
+from result import Err, Ok, Result
+
+from knapweedspring_core._declarations import ObjectKey, ObjectRecord
+from knapweedspring_core._errors import (
+    PlatformConflict,
+    PlatformError,
+    PlatformUnavailable,
+    PlatformVersionTooOld,
+)
+
+__all__ = ["Changes", "HttpPlatform", "Platform"]
+
+REQUEST_TIMEOUT_S = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class Changes:
+    """Objects changed since a version, and the version to go on from."""
+
+    #: Changed objects, oldest first; deletions are tombstones.
+    records: tuple[ObjectRecord, ...]
+    #: Version for the next watch.
+    version: int
+
+
+class Platform(ABC):
+    """The platform's object API, as the rest of the code sees it."""
+
+    @abstractmethod
+    def get(self, key: ObjectKey) -> Result[ObjectRecord | None, PlatformError]:
+        """Read one object; None when it does not exist."""
+
+    @abstractmethod
+    def list_all(self) -> Result[Changes, PlatformError]:
+        """Read every object, and the version that the list stands for."""
+
+    @abstractmethod
+    def watch(self, version: int, wait_s: float) -> Result[Changes, PlatformError]:
+        """Wait for changes after ``version``.
+
+        :param version: from :meth:`list_all` or an earlier watch.
+        :param wait_s: seconds after which no change is answered with none.
+        """
+
+    @abstractmethod
+    def put(
+        self, key: ObjectKey, content: str, writer: str, expected_version: int
+    ) -> Result[ObjectRecord, PlatformError]:
+        """Write an object if its version is still ``expected_version``.
+
+        :param expected_version: 0 to create it.
+        :return: the stored record; :class:`PlatformConflict` when another
+            write came first; :class:`PlatformUnavailable` when no answer
+            arrived and the write may have taken effect.
+        """
+
+    @abstractmethod
+    def delete(
+        self, key: ObjectKey, writer: str, expected_version: int
+    ) -> Result[ObjectRecord, PlatformError]:
+        """Delete an object if its version is still ``expected_version``."""
+
+
+class HttpPlatform(Platform):
+    """The object API over HTTP.
+
+    :param address: ``ip:port`` of the platform.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._base = f"http://{address}/objects"
+        self._pool = urllib3.PoolManager(maxsize=2, retries=False)
+        self._n_calls = 0
+
+    @property
+    def n_calls(self) -> int:
+        """Calls made so far, a waiting watch counted as one."""
+        return self._n_calls
+
+    def get(self, key: ObjectKey) -> Result[ObjectRecord | None, PlatformError]:
+        """Read one object; None when it does not exist."""
+        answer = self._request("GET", f"{self._base}/{key.kind}/{key.name}")
+        if isinstance(answer, Err):
+            return answer
+        status, body = answer.ok_value
+        if status == 404:
+            return Ok(None)
+        return _as_record(status, body)
+
+    def list_all(self) -> Result[Changes, PlatformError]:
+        """Read every object, and the version that the list stands for."""
+        answer = self._request("GET", self._base)
+        return answer.and_then(lambda pair: _as_changes(*pair))
+
+    def watch(self, version: int, wait_s: float) -> Result[Changes, PlatformError]:
+        """Wait for changes after ``version``."""
+        url = f"{self._base}?watch={version}&wait_ms={int(wait_s * 1000)}"
+        answer = self._request("GET", url, timeout_s=wait_s + REQUEST_TIMEOUT_S)
+        return answer.and_then(lambda pair: _as_changes(*pair))
+
+    def put(
+        self, key: ObjectKey, content: str, writer: str, expected_version: int
+    ) -> Result[ObjectRecord, PlatformError]:
+        """Write an object if its version is still ``expected_version``."""
+        body = json.dumps({"content": content, "writer": writer})
+        answer = self._write("PUT", key, expected_version, body)
+        return answer.and_then(lambda pair: _as_record(*pair))
+
+    def delete(
+        self, key: ObjectKey, writer: str, expected_version: int
+    ) -> Result[ObjectRecord, PlatformError]:
+        """Delete an object if its version is still ``expected_version``."""
+        body = json.dumps({"writer": writer})
+        answer = self._write("DELETE", key, expected_version, body)
+        return answer.and_then(lambda pair: _as_record(*pair))
+
+    def _write(
+        self, method: str, key: ObjectKey, expected_version: int, body: str
+    ) -> Result[tuple[int, Any], PlatformError]:
+        url = f"{self._base}/{key.kind}/{key.name}"
+        return self._request(method, url, body, {"If-Match": str(expected_version)})
+
+    def _request(
+        self,
+        method: str,
+        url: str,
+        body: str | None = None,
+        headers: dict[str, str] | None = None,
+        timeout_s: float = REQUEST_TIMEOUT_S,
+    ) -> Result[tuple[int, Any], PlatformError]:
+        self._n_calls += 1
+        try:
+            answer = self._pool.request(
+                method, url, body=body, headers=headers, timeout=timeout_s
+            )
+            return Ok((answer.status, answer.json()))
+        except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+            return Err(PlatformUnavailable(f"{method} {url}: {error}"))
+
+
+def _as_record(status: int, body: Any) -> Result[ObjectRecord, PlatformError]:
+    if status == 409:
+        detail = f"the object has version {body['version']}"
+        return Err(PlatformConflict(detail, body["version"]))
+    if status != 200:
+        return Err(PlatformUnavailable(f"status {status}"))
+    return Ok(_record(body))
+
+
+def _as_changes(status: int, body: Any) -> Result[Changes, PlatformError]:
+    if status == 410:
+        return Err(PlatformVersionTooOld("list the objects again"))
+    if status != 200:
+        return Err(PlatformUnavailable(f"status {status}"))
+    records = tuple(_record(item) for item in body["items"])
+    return Ok(Changes(records, body["version"]))
+
+
+def _record(body: Any) -> ObjectRecord:
+    return ObjectRecord(
+        key=ObjectKey(body["kind"], body["name"]),
+        version=body["version"],
+        deleted=body["deleted"],
+        writer=body["writer"],
+        content=body["content"],
+    )
--- /dev/null
+++ b/packages/core/src/knapweedspring_core/_timer.py
@@ -0,0 +1,107 @@
+"""Timer service: one thread that calls its subscribers back periodically."""
+
+import heapq
+import itertools
+import threading
+import time
+from collections.abc import Callable
+
+__all__ = ["Subscription", "TimerService"]
+
+
+class Subscription:
+    """Handle of one subscriber; :meth:`cancel` ends the callbacks."""
+
+    def __init__(self, interval_s: float, callback: Callable[[], None]) -> None:
+        self._interval_s = interval_s
+        self._callback = callback
+        self._cancelled = False
+
+    @property
+    def cancelled(self) -> bool:
+        """Whether the subscriber has left."""
+        return self._cancelled
+
+    @property
+    def interval_s(self) -> float:
+        """Seconds between two callbacks."""
+        return self._interval_s
+
+    def cancel(self) -> None:
+        """End the callbacks; one that is running finishes."""
+        self._cancelled = True
+
+    def fire(self) -> None:
+        """Call the subscriber back."""
+        self._callback()
+
+
+class TimerService:
+    """Calls subscribers back from one thread, on the monotonic clock.
+
+    A callback must return quickly. An exception of a callback is handed to
+    ``on_error`` and the subscriber keeps its place, so that one faulty part
+    does not stop the others.
+
+    >>> timers = TimerService(on_error=print)
+    >>> subscription = timers.every(1.0, lambda: None)
+    >>> subscription.cancel()
+    """
+
+    def __init__(self, on_error: Callable[[BaseException], None]) -> None:
+        self._on_error = on_error
+        self._condition = threading.Condition()
+        self._heap: list[tuple[float, int, Subscription]] = []
+        self._counter = itertools.count()
+        self._stopping = False
+
+    def every(self, interval_s: float, callback: Callable[[], None]) -> Subscription:
+        """Subscribe ``callback`` to be called every ``interval_s`` seconds.
+
+        :param interval_s: seconds between callbacks, also before the first.
+        :param callback: called from the timer thread.
+        """
+        subscription = Subscription(interval_s, callback)
+        with self._condition:
+            self._push(subscription, time.monotonic() + interval_s)
+            self._condition.notify()
+        return subscription
+
+    def run(self) -> None:
+        """Serve subscribers until :meth:`stop`; the body of the timer thread."""
+        while True:
+            subscription = self._wait_for_next()
+            if subscription is None:
+                return
+            try:
+                subscription.fire()
+            except Exception as error:  # noqa: BLE001
+                self._on_error(error)
+
+    def stop(self) -> None:
+        """Make :meth:`run` return."""
+        with self._condition:
+            self._stopping = True
+            self._condition.notify()
+
+    def _push(self, subscription: Subscription, due: float) -> None:
+        heapq.heappush(self._heap, (due, next(self._counter), subscription))
+
+    def _wait_for_next(self) -> Subscription | None:
+        with self._condition:
+            while not self._stopping:
+                if not self._heap:
+                    self._condition.wait()
+                    continue
+                due, _, subscription = self._heap[0]
+                now = time.monotonic()
+                if due > now and not subscription.cancelled:
+                    self._condition.wait(due - now)
+                    continue
+                heapq.heappop(self._heap)
+                if subscription.cancelled:
+                    continue
+                # Late ticks are dropped rather than fired in a burst.
+                self._push(subscription, max(due, now) + subscription.interval_s)
+                return subscription
+            return None
--- /dev/null
+++ b/packages/core/tests/test_declarations.py
@@ -0,0 +1,30 @@
+"""Declarations are judged by their own content and errors name the path."""
+
+import pytest
+
+from knapweedspring_core import RequestClass, parse_declaration
+
+
+def test_defaults_fill_what_is_left_out():
+    parsed = parse_declaration("RequestClass", '{"priority": 9, "repeatable": false}')
+    assert parsed.unwrap() == RequestClass(priority=9, repeatable=False)
+
+
+@pytest.mark.parametrize(
+    ("kind", "content", "path"),
+    [
+        ("Recipe", "{}", "$.kind"),
+        ("RequestClass", "{", "$"),
+        ("RequestClass", '{"priority": "high"}', "$.priority"),
+        ("RequestClass", '{"priority": 1, "retry_budget": -1}', "$.retry_budget"),
+        ("RequestClass", '{"priority": 1, "deadline_ms": 0}', "$.deadline_ms"),
+        ("Service", '{"default_class": ""}', "$.default_class"),
+        (
+            "Service",
+            '{"default_class": "a", "rules": [{"request_class": ""}]}',
+            "$.rules[0].request_class",
+        ),
+    ],
+)
+def test_error_names_the_path(kind, content, path):
+    assert parse_declaration(kind, content).unwrap_err().path == path
--- /dev/null
+++ b/packages/ctl/src/knapweedspring_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""knapweedspring ctl."""
