Add the call path's bookkeeping: seal, requests, tickets, ledger, exchanges

Written before the flow that uses it: sealed header texts, checked request heads, bodies held or streamed, kept-alive exchanges watched for the caller leaving, the gate side of a hop, tickets with one owner process, and the ledger that decides once between starting and revoking a run. Not wired yet, so nothing is measured.

--- a/packages/core/src/knapweedspring_core/_calls.py
+++ b/packages/core/src/knapweedspring_core/_calls.py
@@ -25,6 +25,10 @@
     BUDGET_LEFT = "Kws-Budget-Left"
     #: Load and admission level of the answering gate, between nodes.
     LOAD = "Kws-Load"
+    #: Start of the answering gate's process, between nodes.
+    GATE_EPOCH = "Kws-Gate-Epoch"
+    #: Mark of a call that a node passed on to the owner of its ticket or id.
+    FORWARDED = "Kws-Forwarded"
 
 
 class Outcome(StrEnum):
@@ -58,6 +62,7 @@
     TICKET_SPENT = "ticket-spent"
     OWNER_UNREACHABLE = "owner-unreachable"
     REVOKED = "revoked"
+    GATE_RESTARTED = "gate-restarted"
     UPSTREAM_UNREACHABLE = "upstream-unreachable"
     UPSTREAM_BROKE_OFF = "upstream-broke-off"
     UPSTREAM_SHED = "upstream-shed"
--- /dev/null
+++ b/packages/node/src/knapweedspring_node/_calls/_gate_side.py
@@ -0,0 +1,267 @@
+"""The gate side of a hop: admission, the upstream's work, its answer."""
+
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+
+from result import Err
+
+from knapweedspring_core import (
+    Counters,
+    DeclarationStore,
+    EventLog,
+    Header,
+    Outcome,
+    Reason,
+    Refusal,
+)
+from knapweedspring_node._calls._admission import Admission, Ask, Rank
+from knapweedspring_node._calls._context import HopContext
+from knapweedspring_node._calls._errors import (
+    CallerLeft,
+    DeadlinePassed,
+    OutboundError,
+    PeerUnreachable,
+)
+from knapweedspring_node._calls._in_flight import InFlightTable, RunningCall
+from knapweedspring_node._calls._outbound import Answer, ConnectionPools, OutboundCall
+from knapweedspring_node._calls._reply import Refused, Relayed, Reply, refused
+from knapweedspring_node._calls._request import CallRequest
+from knapweedspring_node._calls._run_ledger import RunLedger, RunState
+from knapweedspring_node._calls._upstreams import LocalUpstream, LocalUpstreams
+
+__all__ = ["GateSide"]
+
+STATUS_SHED = 503
+_DROPPED_ANSWER_HEADERS = frozenset(
+    {"connection", "keep-alive", "transfer-encoding", "trailer", "upgrade"}
+)
+
+
+@dataclass(slots=True)
+class _Run:
+    """One call's hold on the gate while the upstream works on it."""
+
+    upstream: LocalUpstream
+    admission: Admission
+    call: RunningCall
+    started_at: float
+
+
+class GateSide:
+    """Runs calls at the upstreams on this VM.
+
+    :param epoch: start of this process.
+    """
+
+    def __init__(
+        self,
+        upstreams: LocalUpstreams,
+        pools: ConnectionPools,
+        in_flight: InFlightTable,
+        ledger: RunLedger,
+        store: DeclarationStore,
+        events: EventLog,
+        counters: Counters,
+        epoch: int,
+    ) -> None:
+        self._upstreams = upstreams
+        self._pools = pools
+        self._in_flight = in_flight
+        self._ledger = ledger
+        self._store = store
+        self._events = events
+        self._counters = counters
+        self._epoch = epoch
+
+    @property
+    def epoch(self) -> int:
+        """Start of this process."""
+        return self._epoch
+
+    def run(self, request: CallRequest, hop: HopContext) -> Reply:
+        """Run a call at the upstream of its service, or refuse it.
+
+        :param request: the call; its link is watched while it waits.
+        :param hop: authenticated context of the call.
+        """
+        upstream = self._upstreams.find(request.service)
+        if upstream is None:
+            return self._refuse(hop, None, Refusal(Outcome.NOT_RUN, Reason.NO_UPSTREAM))
+        if hop.run_key is not None and hop.gate_epoch != self._epoch:
+            refusal = Refusal(Outcome.NOT_RUN, Reason.GATE_RESTARTED)
+            return self._refuse(hop, upstream, refusal)
+        deadline_at = time.monotonic() + hop.time_left_ms / 1_000
+        ask = Ask(
+            rank=Rank(hop.priority, hop.started, hop.draw),
+            class_name=hop.class_name,
+            deadline_at=deadline_at,
+            has_left=request.link.has_left,
+        )
+        admitted = upstream.gate.admit(ask)
+        if isinstance(admitted, Err):
+            return self._refuse(hop, upstream, admitted.err_value)
+        admission = admitted.ok_value
+        refusal_of_run = self._start_run(hop)
+        if refusal_of_run is not None:
+            admission.finish(0.0, succeeded=True)
+            return self._refuse(hop, upstream, refusal_of_run)
+        call = self._in_flight.begin(hop, deadline_at)
+        run = _Run(upstream, admission, call, time.monotonic())
+        try:
+            return self._exchange(request, run)
+        except BaseException:
+            self._end(run, succeeded=False)
+            raise
+
+    def _start_run(self, hop: HopContext) -> Refusal | None:
+        """Decide a run that may happen once; None when it may start."""
+        if hop.run_key is None:
+            return None
+        if self._ledger.is_full():
+            return Refusal(Outcome.NOT_RUN, Reason.OVERLOADED, 1_000, "ledger is full")
+        earlier = self._ledger.start(hop.run_key)
+        if earlier is RunState.REVOKED:
+            return Refusal(Outcome.NOT_RUN, Reason.REVOKED)
+        if earlier is RunState.STARTED:
+            return Refusal(Outcome.UNKNOWN, Reason.TICKET_SPENT)
+        self._events.record("gate:started", run=_run_text(hop))
+        return None
+
+    def _exchange(self, request: CallRequest, run: _Run) -> Reply:
+        hop = run.call.hop
+        exchanged = self._pools.exchange(
+            OutboundCall(
+                address=run.upstream.announced.address,
+                method=request.method,
+                target=request.target,
+                headers=request.headers + _upstream_headers(run.call),
+                body=request.body,
+                deadline_at=run.call.deadline_at,
+                link=request.link,
+            )
+        )
+        if isinstance(exchanged, Err):
+            return self._failed(run, exchanged.err_value)
+        answer = exchanged.ok_value
+        if self._was_shed(request.service, run.call, answer):
+            answer.release(answer.body is not None)
+            return self._never_ran(run, Reason.UPSTREAM_SHED)
+        if not answer.framed:
+            answer.release(False)
+            self._end(run, succeeded=False)
+            return self._after_run(run, Outcome.RAN, Reason.ANSWER_UNFRAMED, hop)
+        return self._relay(run, answer)
+
+    def _relay(self, run: _Run, answer: Answer) -> Relayed:
+        n_tokens_left = run.call.budget.close()
+        headers = tuple(
+            (name, value)
+            for name, value in answer.headers
+            if name.lower() not in _DROPPED_ANSWER_HEADERS
+            and not name.lower().startswith("kws-")
+        )
+        relayed = Relayed(
+            status=answer.status,
+            phrase=answer.phrase,
+            headers=headers,
+            body=answer.body,
+            length=answer.length,
+            n_tokens_left=n_tokens_left,
+            gate_epoch=self._epoch,
+        )
+        if answer.body is not None:
+            answer.release(True)
+            self._end(run, succeeded=True)
+            return replace(relayed, load=run.upstream.gate.load().to_header())
+
+        def close(whole: bool) -> None:
+            answer.release(whole)
+            self._end(run, succeeded=whole)
+
+        return replace(
+            relayed,
+            chunks=_until_deadline(answer.chunks or iter(()), run.call.deadline_at),
+            close=close,
+            load=run.upstream.gate.load().to_header(),
+        )
+
+    def _failed(self, run: _Run, error: OutboundError) -> Refused:
+        self._counters.add("upstream_exchange_failed", type(error).__name__)
+        if isinstance(error, PeerUnreachable):
+            return self._never_ran(run, Reason.UPSTREAM_UNREACHABLE)
+        self._end(run, succeeded=False)
+        if isinstance(error, DeadlinePassed):
+            reason = Reason.DEADLINE
+        elif isinstance(error, CallerLeft):
+            reason = Reason.CALLER_LEFT
+        else:
+            reason = Reason.UPSTREAM_BROKE_OFF
+        return self._after_run(run, Outcome.UNKNOWN, reason, run.call.hop)
+
+    def _was_shed(self, service: str, call: RunningCall, answer: Answer) -> bool:
+        if answer.status != STATUS_SHED or call.n_children_started:
+            return False
+        declared = self._store.service(service)
+        return declared is not None and declared.sheds_before_running
+
+    def _never_ran(self, run: _Run, reason: Reason) -> Refused:
+        """Refuse a call that the upstream did not run, so that it may run later."""
+        hop = run.call.hop
+        if hop.run_key is not None:
+            self._ledger.withdraw(hop.run_key)
+        n_tokens_left = run.call.budget.close()
+        self._end(run, succeeded=False)
+        refusal = Refusal(Outcome.NOT_RUN, reason)
+        return self._refuse(hop, run.upstream, refusal, n_tokens_left)
+
+    def _after_run(
+        self, run: _Run, outcome: Outcome, reason: Reason, hop: HopContext
+    ) -> Refused:
+        n_tokens_left = run.call.budget.close()
+        refusal = Refusal(outcome, reason)
+        return self._refuse(hop, run.upstream, refusal, n_tokens_left)
+
+    def _end(self, run: _Run, succeeded: bool) -> None:
+        self._in_flight.end(run.call)
+        run.admission.finish(time.monotonic() - run.started_at, succeeded=succeeded)
+
+    def _refuse(
+        self,
+        hop: HopContext,
+        upstream: LocalUpstream | None,
+        refusal: Refusal,
+        n_tokens_left: int | None = None,
+    ) -> Refused:
+        self._counters.add("gate_refusals", refusal.reason)
+        load = "" if upstream is None else upstream.gate.load().to_header()
+        return Refused(
+            refusal,
+            n_tokens_left=hop.n_tokens if n_tokens_left is None else n_tokens_left,
+            load=load,
+            gate_epoch=self._epoch,
+        )
+
+
+def _upstream_headers(call: RunningCall) -> tuple[tuple[str, str], ...]:
+    left_ms = max(int((call.deadline_at - time.monotonic()) * 1_000), 1)
+    return (
+        (Header.REQUEST_ID.value, call.hop.request_id),
+        (Header.REQUEST_CLASS.value, call.hop.class_name),
+        (Header.DEADLINE_MS.value, str(left_ms)),
+        (Header.CONTEXT.value, call.token),
+    )
+
+
+def _until_deadline(chunks: Iterator[bytes], deadline_at: float) -> Iterator[bytes]:
+    for chunk in chunks:
+        yield chunk
+        if time.monotonic() > deadline_at:
+            raise TimeoutError("the deadline passed while the answer was streamed")
+
+
+def _run_text(hop: HopContext) -> str:
+    key = hop.run_key
+    return "" if key is None else f"{key.owner}.{key.epoch:x}.{key.sequence:x}"
+
+
--- /dev/null
+++ b/packages/node/src/knapweedspring_node/_calls/_in_flight.py
@@ -0,0 +1,156 @@
+"""Calls that an upstream is working on, found again by its own calls."""
+
+import itertools
+import threading
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from result import Err, Ok, Result
+
+from knapweedspring_core import Outcome, Reason, Refusal
+from knapweedspring_node._calls._budget import RetryBudget
+from knapweedspring_node._calls._context import HopContext
+
+__all__ = ["ChildCall", "InFlightTable", "ParentState", "RunningCall"]
+
+MAX_CHILD_SIGNATURES = 1_024
+
+
+@dataclass(frozen=True, slots=True)
+class ChildCall:
+    """Signature of a call that an upstream makes for a request."""
+
+    #: HTTP method.
+    method: str
+    #: Target as sent, service included.
+    target: str
+    #: Digest of the body; empty for a body that is streamed.
+    body_digest: bytes
+
+
+class ParentState(Enum):
+    """What a context token says about the parent call."""
+
+    NONE = auto()
+    RUNNING = auto()
+    ENDED = auto()
+
+
+class RunningCall:
+    """One call that the upstream beside this node is working on.
+
+    :param hop: context that the call came with.
+    :param deadline_at: monotonic time in seconds.
+    """
+
+    def __init__(self, token: str, hop: HopContext, deadline_at: float) -> None:
+        self._token = token
+        self._hop = hop
+        self._deadline_at = deadline_at
+        self._budget = RetryBudget(hop.n_tokens)
+        self._lock = threading.Lock()
+        self._children: dict[ChildCall, Outcome | None] = {}
+        self._n_children_started = 0
+
+    @property
+    def token(self) -> str:
+        """Context token that the upstream copies into its own calls."""
+        return self._token
+
+    @property
+    def hop(self) -> HopContext:
+        """Context that the call came with."""
+        return self._hop
+
+    @property
+    def deadline_at(self) -> float:
+        """Deadline of the whole request, monotonic seconds."""
+        return self._deadline_at
+
+    @property
+    def budget(self) -> RetryBudget:
+        """Retry tokens lent to this call and what runs below it."""
+        return self._budget
+
+    @property
+    def n_children_started(self) -> int:
+        """Calls of the upstream that were let through."""
+        return self._n_children_started
+
+    def begin_child(self, child: ChildCall, repeatable: bool) -> Result[None, Refusal]:
+        """Account for a call of the upstream; a repeated one is a retry.
+
+        :param child: signature of the call.
+        :param repeatable: whether the call may run again.
+        :return: a refusal when the budget is spent, or when the earlier call
+            may have run and must not run again.
+        """
+        with self._lock:
+            if child in self._children:
+                refusal = self._refuse_repeat(self._children[child], repeatable)
+                if refusal is not None:
+                    return Err(refusal)
+            elif len(self._children) >= MAX_CHILD_SIGNATURES:
+                detail = "too many calls for one request"
+                return Err(Refusal(Outcome.NOT_RUN, Reason.BUDGET_SPENT, 0, detail))
+            self._children[child] = None
+            self._n_children_started += 1
+            return Ok(None)
+
+    def end_child(self, child: ChildCall, outcome: Outcome) -> None:
+        """Record what became of a call of the upstream."""
+        with self._lock:
+            self._children[child] = outcome
+            if outcome is Outcome.NOT_RUN:
+                self._n_children_started -= 1
+
+    def _refuse_repeat(
+        self, earlier: Outcome | None, repeatable: bool
+    ) -> Refusal | None:
+        ran = earlier is not Outcome.NOT_RUN
+        outcome = Outcome.UNKNOWN if ran else Outcome.NOT_RUN
+        if ran and not repeatable:
+            return Refusal(outcome, Reason.TICKET_SPENT, 0, "may not run again")
+        if not self._budget.take():
+            return Refusal(outcome, Reason.BUDGET_SPENT, 0, "no retry is left")
+        return None
+
+
+class InFlightTable:
+    """Running calls by context token.
+
+    :param epoch: start of this process; part of each token.
+    """
+
+    def __init__(self, node_id: str, epoch: int) -> None:
+        self._prefix = f"{node_id}.{epoch:x}."
+        self._sequence = itertools.count(1)
+        self._calls: dict[str, RunningCall] = {}
+
+    def __len__(self) -> int:
+        return len(self._calls)
+
+    def begin(self, hop: HopContext, deadline_at: float) -> RunningCall:
+        """Register a call that is about to be sent to the upstream."""
+        token = f"{self._prefix}{next(self._sequence):x}"
+        call = RunningCall(token, hop, deadline_at)
+        self._calls[token] = call
+        return call
+
+    def end(self, call: RunningCall) -> None:
+        """Forget a call whose answer is complete or abandoned."""
+        self._calls.pop(call.token, None)
+
+    def find(self, token: str) -> tuple[ParentState, RunningCall | None]:
+        """Look up the parent of an upstream's call.
+
+        :param token: value of the context header, or empty.
+        :return: the state, and the call when it is running. A token that this
+            process did not issue counts as none: outside context is dropped.
+        """
+        if not token.startswith(self._prefix):
+            return ParentState.NONE, None
+        call = self._calls.get(token)
+        if call is None:
+            return ParentState.ENDED, None
+        return ParentState.RUNNING, call
--- /dev/null
+++ b/packages/node/src/knapweedspring_node/_calls/_outbound.py
@@ -0,0 +1,336 @@
+"""Exchanges with upstreams and other nodes over kept-alive connections."""
+
+import contextlib
+import select
+import threading
+import time
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import urllib3
+from result import Err, Ok, Result
+from urllib3.connection import HTTPConnection
+from urllib3.response import HTTPResponse
+from urllib3.util import SKIP_HEADER
+
+from knapweedspring_node._calls._errors import (
+    CallerLeft,
+    DeadlinePassed,
+    OutboundError,
+    PeerBrokeOff,
+    PeerUnreachable,
+)
+from knapweedspring_node._calls._request import CHUNK_BYTES, Body, CallerLink
+
+__all__ = ["Answer", "ConnectionPools", "OutboundCall"]
+
+CONNECT_TIMEOUT_S = 1.0
+#: Answers up to this size are read whole before their head is passed on.
+HELD_ANSWER_BYTES = 65_536
+MAX_IDLE_PER_PEER = 256
+#: Bodies of an error answer that arrived before the request was fully sent.
+EARLY_ANSWER_WAIT_S = 0.2
+
+_BODILESS_STATUSES = frozenset({204, 304})
+_TRANSPORT_ERRORS = (urllib3.exceptions.HTTPError, OSError, EOFError, ValueError)
+
+
+@dataclass(frozen=True, slots=True)
+class OutboundCall:
+    """A request to send to one peer."""
+
+    #: ``ip:port`` of the peer.
+    address: str
+    #: HTTP method.
+    method: str
+    #: Request target.
+    target: str
+    #: Headers as sent.
+    headers: tuple[tuple[str, str], ...]
+    #: The body.
+    body: Body
+    #: Deadline, monotonic seconds.
+    deadline_at: float
+    #: Connection of the caller that waits for the answer.
+    link: CallerLink
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A peer's answer, its head read and a small body held."""
+
+    #: HTTP status.
+    status: int
+    #: Reason phrase.
+    phrase: str
+    #: Headers as received.
+    headers: tuple[tuple[str, str], ...]
+    #: The whole body, None when it is streamed.
+    body: bytes | None
+    #: Yields a streamed body; raises when it breaks off or ends early.
+    chunks: Iterator[bytes] | None
+    #: Length of a streamed body, None when it is chunked.
+    length: int | None
+    #: Whether the end of the body can be told from a broken connection.
+    framed: bool
+    #: Gives the connection back; True when the body was read to its end.
+    release: "Release"
+
+
+class Release:
+    """Returns a connection to its pool, or closes it, once."""
+
+    def __init__(self, pool: "_Pool", connection: HTTPConnection) -> None:
+        self._pool = pool
+        self._connection: HTTPConnection | None = connection
+
+    def __call__(self, reusable: bool) -> None:
+        """Release the connection.
+
+        :param reusable: whether the exchange on it is complete.
+        """
+        connection = self._connection
+        self._connection = None
+        if connection is None:
+            return
+        if reusable:
+            self._pool.put(connection)
+        else:
+            # Closing in the middle of an exchange is the cancellation.
+            connection.close()
+
+
+class _Pool:
+    """Idle connections to one peer, the warmest first."""
+
+    def __init__(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        self._host = host
+        self._port = int(port)
+        self._idle: deque[HTTPConnection] = deque()
+
+    def get(self) -> HTTPConnection | None:
+        """Return an idle connection that the peer has not closed."""
+        while self._idle:
+            try:
+                connection = self._idle.pop()
+            except IndexError:
+                return None
+            if connection.is_connected:
+                return connection
+            connection.close()
+        return None
+
+    def connect(self, timeout_s: float) -> Result[HTTPConnection, PeerUnreachable]:
+        """Open a connection."""
+        connection = HTTPConnection(self._host, self._port, timeout=timeout_s)
+        try:
+            connection.connect()
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            connection.close()
+            return Err(PeerUnreachable(str(error)))
+        return Ok(connection)
+
+    def put(self, connection: HTTPConnection) -> None:
+        """Keep a connection whose exchange is complete."""
+        if connection.sock is None or len(self._idle) >= MAX_IDLE_PER_PEER:
+            connection.close()
+            return
+        self._idle.append(connection)
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        while self._idle:
+            with contextlib.suppress(IndexError):
+                self._idle.pop().close()
+
+
+class ConnectionPools:
+    """Connections to all peers, by address."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._pools: dict[str, _Pool] = {}
+
+    def exchange(self, call: OutboundCall) -> Result[Answer, OutboundError]:
+        """Send a request and wait for the head of the answer.
+
+        A connection carries one exchange at a time and returns to the pool only
+        after its answer was read to the end, so that a late answer is never read
+        as that of the next request.
+
+        :return: the answer; :class:`PeerUnreachable` only when the peer got no
+            byte of the request.
+        """
+        pool = self._pool(call.address)
+        connection = pool.get()
+        if connection is None:
+            timeout_s = min(CONNECT_TIMEOUT_S, call.deadline_at - time.monotonic())
+            if timeout_s <= 0:
+                return Err(PeerUnreachable("no time left to connect"))
+            opened = pool.connect(timeout_s)
+            if isinstance(opened, Err):
+                return opened
+            connection = opened.ok_value
+        exchanged = _exchange(connection, call)
+        if isinstance(exchanged, Err):
+            connection.close()
+            return exchanged
+        return _as_answer(exchanged.ok_value, Release(pool, connection))
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        with self._lock:
+            pools = list(self._pools.values())
+            self._pools.clear()
+        for pool in pools:
+            pool.close()
+
+    def _pool(self, address: str) -> _Pool:
+        pool = self._pools.get(address)
+        if pool is None:
+            with self._lock:
+                pool = self._pools.setdefault(address, _Pool(address))
+        return pool
+
+
+def _exchange(
+    connection: HTTPConnection, call: OutboundCall
+) -> Result[HTTPResponse, OutboundError]:
+    sock = connection.sock
+    if sock is None:
+        return Err(PeerUnreachable("connection closed"))
+    sock.settimeout(max(call.deadline_at - time.monotonic(), 0.001))
+    try:
+        _send(connection, call)
+    except TimeoutError as error:
+        return Err(DeadlinePassed(str(error)))
+    except _TRANSPORT_ERRORS as error:
+        return _early_answer(connection, error)
+    waited = _wait_for_answer(connection, call)
+    if isinstance(waited, Err):
+        return waited
+    return _read_head(connection)
+
+
+def _send(connection: HTTPConnection, call: OutboundCall) -> None:
+    headers = urllib3.HTTPHeaderDict(call.headers)
+    headers.setdefault("User-Agent", SKIP_HEADER)
+    headers.setdefault("Accept-Encoding", SKIP_HEADER)
+    body: bytes | Iterator[bytes] | None
+    if call.body.is_whole:
+        body = call.body.whole() or None
+        if body is None and call.method in ("POST", "PUT", "PATCH"):
+            headers["Content-Length"] = "0"
+        chunked = False
+    else:
+        body = call.body.chunks()
+        chunked = call.body.length is None
+        if not chunked:
+            headers["Content-Length"] = str(call.body.length)
+    connection.request(
+        call.method,
+        call.target,
+        body=body,
+        headers=headers,
+        chunked=chunked,
+        preload_content=False,
+        decode_content=False,
+        enforce_content_length=True,
+    )
+
+
+def _early_answer(
+    connection: HTTPConnection, error: BaseException
+) -> Result[HTTPResponse, OutboundError]:
+    """Read an answer that came before the request was fully sent."""
+    sock = connection.sock
+    if sock is None or isinstance(error, EOFError):
+        return Err(PeerBrokeOff(str(error)))
+    try:
+        sock.settimeout(EARLY_ANSWER_WAIT_S)
+        response = connection.getresponse()
+    except _TRANSPORT_ERRORS:
+        return Err(PeerBrokeOff(str(error)))
+    return Ok(response)
+
+
+def _wait_for_answer(
+    connection: HTTPConnection, call: OutboundCall
+) -> Result[None, OutboundError]:
+    """Wait until the answer begins, the caller leaves or the deadline passes."""
+    sock = connection.sock
+    if sock is None:
+        return Err(PeerBrokeOff("connection closed"))
+    poller = select.poll()
+    poller.register(sock, select.POLLIN)
+    caller = call.link.socket
+    if call.link.pollable:
+        poller.register(caller, select.POLLIN)
+    while True:
+        left_s = call.deadline_at - time.monotonic()
+        if left_s <= 0:
+            return Err(DeadlinePassed("no answer before the deadline"))
+        ready = {fd for fd, _ in poller.poll(left_s * 1_000)}
+        if sock.fileno() in ready:
+            return Ok(None)
+        if ready:
+            if call.link.is_closed():
+                return Err(CallerLeft("the caller closed its connection"))
+            poller.unregister(caller)
+
+
+def _read_head(connection: HTTPConnection) -> Result[HTTPResponse, OutboundError]:
+    try:
+        return Ok(connection.getresponse())
+    except TimeoutError as error:
+        return Err(DeadlinePassed(str(error)))
+    except Exception as error:  # noqa: BLE001
+        # The standard library raises many kinds for a malformed head.
+        return Err(PeerBrokeOff(f"{type(error).__name__}: {error}"))
+
+
+def _as_answer(
+    response: HTTPResponse, release: Release
+) -> Result[Answer, OutboundError]:
+    length = response.length_remaining
+    chunked = bool(response.chunked)
+    bodiless = response.status in _BODILESS_STATUSES or length == 0
+    framed = chunked or bodiless or length is not None
+    body: bytes | None = None
+    chunks: Iterator[bytes] | None = None
+    if bodiless:
+        body = b""
+    elif framed and not chunked and length is not None and length <= HELD_ANSWER_BYTES:
+        try:
+            body = response.read(length)
+        except _TRANSPORT_ERRORS as error:
+            release(False)
+            return Err(PeerBrokeOff(f"answer ended early: {error}"))
+        if len(body) != length:
+            release(False)
+            return Err(PeerBrokeOff("answer ended early"))
+    else:
+        chunks = _stream(response, length)
+    return Ok(
+        Answer(
+            status=response.status,
+            phrase=response.reason or "",
+            headers=tuple(response.headers.iteritems()),
+            body=body,
+            chunks=chunks,
+            length=length,
+            framed=framed,
+            release=release,
+        )
+    )
+
+
+def _stream(response: HTTPResponse, length: int | None) -> Iterator[bytes]:
+    n_read = 0
+    for chunk in response.stream(CHUNK_BYTES, decode_content=False):
+        n_read += len(chunk)
+        yield chunk
+    if length is not None and n_read != length:
+        raise EOFError("answer ended early")
