Add first versions of the call path's decisions

The HTTP flow needs stable interfaces before the full rules exist. The gate admits by strict rank within the declared slots, drops calls whose deadline passes or whose caller left, and refuses everything as not run while it drains. A queue per class was ruled out because the draw orders calls within a class too.

--- /dev/null
+++ b/packages/node/src/knapweedspring_node/_calls/__init__.py
@@ -0,0 +1,1 @@
+"""The call path of a node: admission, routing, retries, tickets."""
--- /dev/null
+++ b/packages/node/src/knapweedspring_node/_calls/_load.py
@@ -0,0 +1,62 @@
+"""Load of a gate, as it rides on the answers between nodes."""
+
+from dataclasses import dataclass
+
+from knapweedspring_node._calls._rank import Level
+
+__all__ = ["GateLoad"]
+
+_NO_LEVEL = "-"
+
+
+@dataclass(frozen=True, slots=True)
+class GateLoad:
+    """What a gate says of itself with each answer.
+
+    >>> GateLoad.from_header(GateLoad(3, 30, 0, Level(2, 9)).to_header())
+    GateLoad(free=3, limit=30, n_waiting=0, level=Level(priority=2, draw=9))
+    """
+
+    #: Calls that it would start at once.
+    free: int
+    #: Calls that it runs at the same time.
+    limit: int
+    #: Calls that wait.
+    n_waiting: int
+    #: The lowest rank that it admits; None when it admits every rank.
+    level: Level | None = None
+
+    @property
+    def occupancy(self) -> float:
+        """Calls running and waiting, as a share of the limit."""
+        n_running = self.limit - self.free
+        return (n_running + self.n_waiting) / max(1, self.limit)
+
+    def to_header(self) -> str:
+        """Return the compact text for the ``Kws-Load`` header."""
+        level = _NO_LEVEL
+        if self.level is not None:
+            level = f"{self.level.priority}.{self.level.draw}"
+        return f"{self.free}/{self.limit}/{self.n_waiting}/{level}"
+
+    @classmethod
+    def from_header(cls, text: str) -> "GateLoad | None":
+        """Parse the text of :meth:`to_header`.
+
+        :return: the load, or None when the text is malformed.
+        """
+        fields = text.split("/")
+        if len(fields) != 4:
+            return None
+        try:
+            free, limit, n_waiting = (int(field) for field in fields[:3])
+            return cls(free, limit, n_waiting, _parse_level(fields[3]))
+        except ValueError:
+            return None
+
+
+def _parse_level(text: str) -> Level | None:
+    if text == _NO_LEVEL:
+        return None
+    priority, _, draw = text.partition(".")
+    return Level(int(priority), int(draw))
--- /dev/null
+++ b/packages/node/tests/calls/test_admission.py
@@ -0,0 +1,164 @@
+"""The gate admits by rank, within its slots, and refuses honestly."""
+
+import threading
+import time
+
+import pytest
+
+from knapweedspring_core import Counters, EventLog, Outcome, Reason
+from knapweedspring_node._calls._admission import Ask, Gate
+from knapweedspring_node._calls._rank import Rank
+
+WAIT_S = 20.0
+
+
+def make_gate(slots=1, connections=100, top_priority=9):
+    return Gate(slots, connections, lambda: top_priority, Counters(), EventLog("n"))
+
+
+def ask(priority=1, started=False, draw=0, left_s=30.0, has_left=lambda: False):
+    rank = Rank(priority, started, draw)
+    return Ask(rank, f"class-{priority}", time.monotonic() + left_s, has_left)
+
+
+def wait_until(condition):
+    give_up_at = time.monotonic() + WAIT_S
+    while not condition():
+        assert time.monotonic() < give_up_at
+        time.sleep(0.002)
+
+
+class Caller(threading.Thread):
+    """Asks a gate in a thread of its own and keeps the result."""
+
+    def __init__(self, gate, call):
+        super().__init__(daemon=True)
+        self.gate = gate
+        self.call = call
+        self.result = None
+        self.n_waiting_before = gate.n_waiting
+        self.start()
+
+    def run(self):
+        self.result = self.gate.admit(self.call)
+
+    def wait_until_queued(self):
+        wait_until(lambda: self.gate.n_waiting > self.n_waiting_before)
+        return self
+
+    def value(self):
+        self.join(WAIT_S)
+        assert not self.is_alive()
+        return self.result
+
+
+def test_calls_beyond_the_slots_wait_and_a_finished_one_frees_its_slot_once():
+    gate = make_gate(slots=2)
+    first = gate.admit(ask()).unwrap()
+    gate.admit(ask()).unwrap()
+    third = Caller(gate, ask()).wait_until_queued()
+    fourth = Caller(gate, ask()).wait_until_queued()
+    first.finish(0.01, succeeded=True)
+    first.finish(0.01, succeeded=True)
+    wait_until(lambda: third.result is not None)
+    assert gate.n_in_flight == 2
+    assert gate.n_waiting == 1
+    assert fourth.result is None
+
+
+def test_connections_bound_the_calls_in_flight():
+    assert make_gate(slots=10, connections=3).limit == 3
+
+
+@pytest.mark.parametrize(
+    "ranks, expected",
+    [
+        ([(1, False, 5), (3, False, 1), (2, False, 9)], [1, 2, 0]),
+        ([(1, False, 9), (1, True, 1)], [1, 0]),
+        ([(1, False, 1), (1, False, 9)], [1, 0]),
+        ([(1, False, 4), (1, False, 4)], [0, 1]),
+    ],
+)
+def test_waiting_calls_start_in_order_of_rank(ranks, expected):
+    gate = make_gate()
+    running = gate.admit(ask()).unwrap()
+    callers = [Caller(gate, ask(*rank)).wait_until_queued() for rank in ranks]
+    started = []
+    for _ in ranks:
+        running.finish(0.0, succeeded=True)
+        wait_until(lambda: gate.n_waiting == len(ranks) - len(started) - 1)
+        index = expected[len(started)]
+        running = callers[index].value().unwrap()
+        started.append(index)
+    assert started == expected
+
+
+def test_deadline_that_passes_while_waiting_is_not_run():
+    gate = make_gate()
+    gate.admit(ask()).unwrap()
+    refusal = gate.admit(ask(left_s=0.02)).unwrap_err()
+    assert refusal.outcome is Outcome.NOT_RUN
+    assert refusal.reason is Reason.DEADLINE
+    assert gate.n_waiting == 0
+
+
+def test_caller_that_leaves_gives_up_its_place():
+    gate = make_gate()
+    gate.admit(ask()).unwrap()
+    refusal = gate.admit(ask(has_left=lambda: True)).unwrap_err()
+    assert refusal.reason is Reason.CALLER_LEFT
+    assert gate.n_waiting == 0
+
+
+def test_closing_refuses_new_and_waiting_calls_and_cuts_none_in_flight():
+    gate = make_gate()
+    running = gate.admit(ask()).unwrap()
+    waiting = Caller(gate, ask()).wait_until_queued()
+    gate.close()
+    for refusal in (waiting.value().unwrap_err(), gate.admit(ask()).unwrap_err()):
+        assert refusal.outcome is Outcome.NOT_RUN
+        assert refusal.reason is Reason.DRAINING
+    assert gate.n_in_flight == 1
+    running.finish(0.0, succeeded=True)
+    assert gate.n_in_flight == 0
+    gate.reopen()
+    assert gate.admit(ask()).is_ok()
+
+
+def test_passthrough_serves_in_order_of_arrival():
+    gate = make_gate()
+    gate.set_passthrough(True)
+    running = gate.admit(ask()).unwrap()
+    low = Caller(gate, ask(priority=1)).wait_until_queued()
+    high = Caller(gate, ask(priority=9)).wait_until_queued()
+    running.finish(0.0, succeeded=True)
+    low.value().unwrap()
+    assert high.result is None
+
+
+def test_threads_never_exceed_the_limit_nor_lose_a_slot():
+    gate = make_gate(slots=3)
+    lock = threading.Lock()
+    n_running = 0
+    n_running_max = 0
+
+    def call_often(draw):
+        nonlocal n_running, n_running_max
+        for _ in range(100):
+            admission = gate.admit(ask(draw=draw)).unwrap()
+            with lock:
+                n_running += 1
+                n_running_max = max(n_running_max, n_running)
+            time.sleep(0)
+            with lock:
+                n_running -= 1
+            admission.finish(0.0, succeeded=True)
+
+    threads = [threading.Thread(target=call_often, args=(n,)) for n in range(12)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join(WAIT_S)
+    assert not any(thread.is_alive() for thread in threads)
+    assert n_running_max == 3
+    assert (gate.n_in_flight, gate.n_waiting) == (0, 0)
--- /dev/null
+++ b/packages/node/tests/calls/test_budget.py
@@ -0,0 +1,95 @@
+"""Attempts beyond the first never exceed the tokens of the root."""
+
+import random
+import threading
+import time
+
+import pytest
+
+from knapweedspring_node._calls._budget import (
+    BACKOFF_MAX_S,
+    RetryBudget,
+    RetryRatio,
+    backoff_s,
+    may_retry,
+)
+
+
+@pytest.mark.parametrize("tokens, lent", [(0, [0]), (1, [1, 0]), (5, [3, 1, 1, 0])])
+def test_children_split_and_never_copy(tokens, lent):
+    budget = RetryBudget(tokens)
+    assert [budget.lend() for _ in lent] == lent
+    assert not budget.take()
+
+
+def test_loan_whose_answer_was_lost_counts_as_spent():
+    budget = RetryBudget(2)
+    budget.lend()
+    budget.lend()
+    assert not budget.take()
+
+
+@pytest.mark.parametrize("returned, tokens", [(2, 2), (99, 2), (-5, 0)])
+def test_no_more_comes_back_than_was_lent(returned, tokens):
+    budget = RetryBudget(2)
+    budget.lend()
+    budget.lend()
+    budget.give_back(returned)
+    assert budget.tokens == tokens
+
+
+def _run_tree(budget, depth, rng, spent):
+    """Retry and call children at random, as concurrent hops would."""
+    for _ in range(rng.randrange(4)):
+        if budget.take():
+            spent.append(1)
+    if depth == 0:
+        return
+
+    def call_child(seed):
+        child = RetryBudget(budget.lend())
+        _run_tree(child, depth - 1, random.Random(seed), spent)
+        if seed % 3:
+            budget.give_back(child.tokens)
+
+    seeds = [rng.randrange(1_000) for _ in range(3)]
+    threads = [threading.Thread(target=call_child, args=(seed,)) for seed in seeds]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_whole_tree_of_concurrent_children_stays_within_the_budget(seed):
+    rng = random.Random(seed)
+    n_tokens = rng.randrange(12)
+    spent = []
+    _run_tree(RetryBudget(n_tokens), 3, rng, spent)
+    assert len(spent) <= n_tokens
+
+
+def test_retry_ratio_bounds_the_share_of_retries():
+    ratio = RetryRatio(ratio=0.1, reserve=5)
+    n_retries = 0
+    for _ in range(1_000):
+        ratio.count_call()
+        while ratio.take():
+            n_retries += 1
+    assert 95 <= n_retries <= 105
+
+
+def test_backoff_grows_within_its_bounds():
+    rng = random.Random(1)
+    means = []
+    for attempt in (1, 3, 20):
+        pauses = [backoff_s(attempt, rng) for _ in range(500)]
+        assert min(pauses) >= 0
+        assert max(pauses) <= BACKOFF_MAX_S
+        means.append(sum(pauses) / len(pauses))
+    assert means == sorted(means)
+
+
+def test_retry_that_cannot_finish_is_not_made():
+    assert may_retry(time.monotonic() + 10.0, 1.0)
+    assert not may_retry(time.monotonic() + 1.0, 2.0)
--- /dev/null
+++ b/packages/node/tests/calls/test_load.py
@@ -0,0 +1,39 @@
+"""Load and level survive the header; malformed text is no load."""
+
+import pytest
+
+from knapweedspring_node._calls._load import GateLoad
+from knapweedspring_node._calls._rank import DRAW_BITS, Level, Rank, draw_of
+
+
+@pytest.mark.parametrize(
+    "load",
+    [GateLoad(0, 1, 7), GateLoad(150, 150, 0, Level(3, 65_535))],
+)
+def test_header_round_trip(load):
+    assert GateLoad.from_header(load.to_header()) == load
+
+
+@pytest.mark.parametrize("text", ["", "1/2/3", "a/2/3/-", "1/2/3/4", "1/2/3/4/5"])
+def test_malformed_header_is_no_load(text):
+    assert GateLoad.from_header(text) is None
+
+
+def test_draw_is_the_same_at_each_hop_and_spread_evenly():
+    draws = [draw_of(f"request-{n}") for n in range(4_000)]
+    assert draws == [draw_of(f"request-{n}") for n in range(4_000)]
+    n_upper_half = sum(draw >= 1 << (DRAW_BITS - 1) for draw in draws)
+    assert 1_800 < n_upper_half < 2_200
+
+
+@pytest.mark.parametrize(
+    "rank, admitted",
+    [
+        (Rank(2, False, 10), True),
+        (Rank(2, True, 9), False),
+        (Rank(3, False, 0), True),
+        (Rank(1, True, 99), False),
+    ],
+)
+def test_level_compares_priority_then_draw(rank, admitted):
+    assert Level(2, 10).admits(rank) is admitted
