Bound the gate's queue by time and displace the lowest rank

A call that cannot finish in time wastes its wait and, admitted late, a slot. The gate now keeps smoothed service times per class, refuses on arrival what would be too late, and refuses a waiting call as soon as better ranks leave it without time. Quick failures are left out of the service times, because an upstream that fails fast would look fast; the age of the calls in flight shows a slow-down before any of them ends. The lowest admitted rank is measured in windows and rides on answers. A bound by queue length alone was ruled out: it fits one service time only; it remains as a bound on threads.

--- a/packages/node/src/knapweedspring_node/_calls/_admission.py
+++ b/packages/node/src/knapweedspring_node/_calls/_admission.py
@@ -9,13 +9,18 @@
 from result import Err, Ok, Result
 
 from knapweedspring_core import Counters, EventLog, Outcome, Reason, Refusal
+from knapweedspring_node._calls._level_meter import LevelMeter
+from knapweedspring_node._calls._limit import ConcurrencyLimit, FixedLimit
 from knapweedspring_node._calls._load import GateLoad
 from knapweedspring_node._calls._queue import Waiter, WaitQueue
 from knapweedspring_node._calls._rank import Rank
+from knapweedspring_node._calls._service_times import ServiceTimes
 
-__all__ = ["Admission", "Ask", "Gate", "GateLoad", "Rank"]
+__all__ = ["Admission", "Ask", "Gate", "GateLoad", "GatePolicy", "Rank"]
 
 POLL_INTERVAL_S = 0.05
+#: A long queue polls more slowly, to keep the interpreter for calls that run.
+POLL_INTERVAL_PER_WAITING_S = 0.001
 RETRY_AFTER_MIN_S = 0.1
 RETRY_AFTER_MAX_S = 2.0
 
@@ -38,15 +43,35 @@
     has_left: Callable[[], bool] = _never_left
 
 
+@dataclass(frozen=True, slots=True)
+class GatePolicy:
+    """Proportions of the admission rules."""
+
+    #: Share of the limit that only the top class may use.
+    headroom_share: float = 0.0
+    #: Share of the time left, service time deducted, that a call may wait.
+    wait_share: float = 1.0
+    #: Calls that may wait, each in a thread of the server.
+    n_waiting_max: int = 1_000
+
+
 class Admission:
     """Permission to run one call; hand it back with :meth:`finish`."""
 
-    def __init__(self, gate: "Gate", ask: Ask, waited_s: float) -> None:
+    def __init__(
+        self, gate: "Gate", ask: Ask, admitted_at: float, waited_s: float
+    ) -> None:
         self._gate = gate
         self._ask = ask
+        self._admitted_at = admitted_at
         self._waited_s = waited_s
         self._finished = threading.Lock()
 
+    @property
+    def admitted_at(self) -> float:
+        """When the slot was taken, on the monotonic clock, in seconds."""
+        return self._admitted_at
+
     @property
     def ask(self) -> Ask:
         """The call that was admitted."""
@@ -81,6 +106,8 @@
     :param top_priority: priority of the most important class in force.
     :param counters: counts admissions and refusals.
     :param events: records changes of state.
+    :param policy: proportions of the rules.
+    :param limit: limit below the slots; by default none.
     :param rng: source of the jitter of ``Retry-After``.
     :param clock: monotonic clock, in seconds.
     """
@@ -92,6 +119,8 @@
         top_priority: Callable[[], int],
         counters: Counters,
         events: EventLog,
+        policy: GatePolicy | None = None,
+        limit: ConcurrencyLimit | None = None,
         rng: random.Random | None = None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
@@ -101,9 +130,14 @@
         self._top_priority = top_priority
         self._counters = counters
         self._events = events
+        self._policy = policy or GatePolicy()
+        self._limit = limit or FixedLimit(self._slots)
         self._rng = rng or random.Random()
         self._clock = clock
+        self._service_times = ServiceTimes()
+        self._meter = LevelMeter()
         self._n_in_flight = 0
+        self._sum_admitted_at = 0.0
         self._closed = False
         self._passthrough = False
 
@@ -115,7 +149,9 @@
     @property
     def limit(self) -> int:
         """Calls that may run at the same time."""
-        return self._slots
+        if self._passthrough:
+            return self._slots
+        return min(self._slots, self._limit.value)
 
     @property
     def n_in_flight(self) -> int:
@@ -131,7 +167,11 @@
         """Return the load that rides on answers."""
         limit = self.limit
         free = 0 if self._closed else max(0, limit - self._n_in_flight)
-        return GateLoad(free, limit, len(self._queue))
+        level = None
+        if not self._passthrough:
+            with self._lock:
+                level = self._meter.level(self._clock())
+        return GateLoad(free, limit, len(self._queue), level)
 
     def set_passthrough(self, passthrough: bool) -> None:
         """Switch overload control off: order of arrival and the declared slots."""
@@ -141,7 +181,8 @@
         """Take over slots and connections that the upstream announced anew."""
         with self._lock:
             self._slots = min(slots, connections)
-            self._start_waiting()
+            self._limit.resize(self._slots)
+            self._start_waiting(self._clock())
 
     def close(self) -> None:
         """Refuse new and waiting calls as not run; running ones finish."""
@@ -152,9 +193,10 @@
         self._events.record("gate:closed", n_in_flight=self._n_in_flight)
 
     def reopen(self) -> None:
-        """Admit calls again."""
+        """Admit calls again, slowly at first."""
         with self._lock:
             self._closed = False
+            self._limit.restart()
         self._events.record("gate:reopened")
 
     def admit(self, ask: Ask) -> Result[Admission, Refusal]:
@@ -166,51 +208,122 @@
         """
         asked_at = self._clock()
         with self._lock:
+            self._meter.count_offer(ask.rank, asked_at)
             refusal = self._refusal_on_arrival(ask, asked_at)
             if refusal is not None:
                 return Err(refusal)
-            if not self._queue and self._has_slot_for(ask.rank):
-                self._n_in_flight += 1
-                return Ok(Admission(self, ask, 0.0))
+            if self._goes_at_once(ask.rank):
+                self._take_slot(asked_at)
+                return Ok(Admission(self, ask, asked_at, 0.0))
             waiter = Waiter(ask.rank, ask.class_name, ask.deadline_at)
             self._queue.push(waiter, in_order_of_arrival=self._passthrough)
+            if not self._passthrough:
+                self._displace_doomed(asked_at)
         self._wait(waiter, ask)
         if waiter.refusal is not None:
             return Err(waiter.refusal)
-        return Ok(Admission(self, ask, self._clock() - asked_at))
+        admitted_at = waiter.admitted_at
+        return Ok(Admission(self, ask, admitted_at, admitted_at - asked_at))
 
     def release(self, admission: Admission, service_s: float, succeeded: bool) -> None:
         """Free a slot; called by :meth:`Admission.finish` only."""
+        class_name = admission.ask.class_name
+        now = self._clock()
         with self._lock:
             self._n_in_flight -= 1
-            self._start_waiting()
+            self._sum_admitted_at -= admission.admitted_at
+            if self._n_in_flight == 0:
+                # Rounding errors of the running sum end here.
+                self._sum_admitted_at = 0.0
+            self._service_times.record(class_name, service_s, succeeded)
+            self._limit.record(class_name, service_s, succeeded, now)
+            self._start_waiting(now)
+
+    def _goes_at_once(self, rank: Rank) -> bool:
+        first = self._queue.first
+        if first is not None and (self._passthrough or first.rank >= rank):
+            return False
+        return self._has_slot_for(rank)
 
     def _has_slot_for(self, rank: Rank) -> bool:
-        return self._n_in_flight < self.limit
+        limit = self.limit
+        if not self._passthrough and rank.priority < self._top_priority():
+            limit = max(1, limit - int(limit * self._policy.headroom_share))
+        return self._n_in_flight < limit
+
+    def _take_slot(self, now: float) -> None:
+        self._n_in_flight += 1
+        self._sum_admitted_at += now
+
+    def _start_waiting(self, now: float) -> None:
+        while (first := self._queue.first) and self._has_slot_for(first.rank):
+            self._queue.pop_first()
+            self._take_slot(now)
+            first.admit(now)
 
     def _refusal_on_arrival(self, ask: Ask, now: float) -> Refusal | None:
         if self._closed:
             return self._refusal(Reason.DRAINING)
         if ask.deadline_at <= now:
             return self._refusal(Reason.DEADLINE)
+        if self._passthrough or self._goes_at_once(ask.rank):
+            return None
+        n_ahead = self._queue.n_ahead_of(ask.rank)
+        if n_ahead >= self._policy.n_waiting_max:
+            return self._refusal(Reason.OVERLOADED)
+        left_s = ask.deadline_at - now - self._service_times.of_class(ask.class_name)
+        if self._expected_wait_s(n_ahead, now) > left_s * self._policy.wait_share:
+            return self._refusal(Reason.OVERLOADED)
         return None
 
-    def _start_waiting(self) -> None:
-        while (first := self._queue.first) and self._has_slot_for(first.rank):
-            self._queue.pop_first()
-            self._n_in_flight += 1
-            first.admit()
+    def _expected_wait_s(self, n_ahead: int, now: float) -> float:
+        """Estimate the wait behind ``n_ahead`` calls.
+
+        Right after a slow-down began, only the age of the calls in flight shows it.
+        """
+        mean_s = self._service_times.mean_s
+        if self._n_in_flight:
+            mean_s = max(mean_s, now - self._sum_admitted_at / self._n_in_flight)
+        return (n_ahead + 1) * mean_s / self.limit
+
+    def _is_doomed(self, waiter: Waiter, n_ahead: int, now: float) -> bool:
+        needed_s = self._service_times.of_class(waiter.class_name)
+        needed_s += self._expected_wait_s(n_ahead, now)
+        return now + needed_s > waiter.deadline_at
+
+    def _displace_doomed(self, now: float) -> None:
+        """Refuse the last calls when those before them leave no time for them."""
+        while (last := self._queue.last) is not None:
+            n_ahead = len(self._queue) - 1
+            too_many = len(self._queue) > self._policy.n_waiting_max
+            if not too_many and not self._is_doomed(last, n_ahead, now):
+                return
+            self._refuse_waiting(last, Reason.DISPLACED)
 
     def _wait(self, waiter: Waiter, ask: Ask) -> None:
         """Block until a decision, the deadline, or the caller's leaving."""
         while True:
             left_s = ask.deadline_at - self._clock()
-            if waiter.wait(max(0.0, min(POLL_INTERVAL_S, left_s))):
+            interval_s = POLL_INTERVAL_PER_WAITING_S * len(self._queue)
+            interval_s = max(POLL_INTERVAL_S, interval_s)
+            if waiter.wait(max(0.0, min(interval_s, left_s))):
                 return
             if ask.has_left():
                 self._give_up(waiter, Reason.CALLER_LEFT)
-            elif self._clock() >= ask.deadline_at:
-                self._give_up(waiter, Reason.DEADLINE)
+            else:
+                self._reconsider(waiter)
+
+    def _reconsider(self, waiter: Waiter) -> None:
+        """Refuse a waiting call as soon as it can no longer finish in time."""
+        now = self._clock()
+        if now >= waiter.deadline_at:
+            self._give_up(waiter, Reason.DEADLINE)
+            return
+        with self._lock:
+            if waiter.decided or self._passthrough:
+                return
+            if self._is_doomed(waiter, self._queue.n_ahead(waiter), now):
+                self._refuse_waiting(waiter, Reason.OVERLOADED)
 
     def _give_up(self, waiter: Waiter, reason: Reason) -> None:
         with self._lock:
@@ -222,7 +335,11 @@
         waiter.refuse(self._refusal(reason))
 
     def _refusal(self, reason: Reason) -> Refusal:
+        """Count a refusal; the caller comes back when the queue has moved on."""
         self._counters.add("gate_refused", reason)
-        base_s = RETRY_AFTER_MIN_S
+        if reason not in (Reason.DRAINING, Reason.CALLER_LEFT):
+            self._meter.count_refusal()
+        base_s = self._expected_wait_s(len(self._queue), self._clock())
+        base_s = min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_MIN_S, base_s))
         retry_after_ms = round(base_s * self._rng.uniform(0.5, 1.5) * 1_000)
         return Refusal(Outcome.NOT_RUN, reason, retry_after_ms)
--- /dev/null
+++ b/packages/node/src/knapweedspring_node/_calls/_level_meter.py
@@ -0,0 +1,80 @@
+"""Measures the lowest rank that a gate admits."""
+
+from knapweedspring_node._calls._rank import DRAW_BITS, Level, Rank
+
+__all__ = ["LevelMeter"]
+
+WINDOW_S = 0.1
+MIN_OFFERS = 20
+#: A window with few offers stays open this long.
+WINDOW_MAX_S = 0.5
+#: Classes are told apart at this fineness: 16 steps each.
+DRAW_BITS_KEPT = 4
+
+_DRAW_SHIFT = DRAW_BITS - DRAW_BITS_KEPT
+
+
+class LevelMeter:
+    """Compares what was offered with what was admitted, window by window.
+
+    In a window with refusals the level is the rank that the admitted calls would
+    reach down to if the best of all offers had been admitted. In a window without,
+    it steps down, so that it opens gradually when the overload ends.
+
+    Not thread-safe: the gate's lock guards it.
+    """
+
+    def __init__(self) -> None:
+        self._level: Level | None = None
+        self._opened_at = 0.0
+        self._offers: dict[Level, int] = {}
+        self._n_offers = 0
+        self._n_refused = 0
+
+    def level(self, now: float) -> Level | None:
+        """Return the level, None when every rank is admitted."""
+        self._roll(now)
+        return self._level
+
+    def count_offer(self, rank: Rank, now: float) -> None:
+        """Count a call that asks to run."""
+        self._roll(now)
+        step = Level(rank.priority, rank.draw >> _DRAW_SHIFT << _DRAW_SHIFT)
+        self._offers[step] = self._offers.get(step, 0) + 1
+        self._n_offers += 1
+
+    def count_refusal(self) -> None:
+        """Count a call that was refused for want of capacity."""
+        self._n_refused += 1
+
+    def _roll(self, now: float) -> None:
+        age_s = now - self._opened_at
+        if age_s < WINDOW_S:
+            return
+        if self._n_offers < MIN_OFFERS and age_s < WINDOW_MAX_S:
+            return
+        if self._n_refused:
+            self._level = self._level_of_admitted()
+        elif self._level is not None:
+            self._level = self._next_step_below(self._level)
+        self._opened_at = now
+        self._offers = {}
+        self._n_offers = 0
+        self._n_refused = 0
+
+    def _level_of_admitted(self) -> Level | None:
+        n_left = self._n_offers - self._n_refused
+        for step in sorted(self._offers, reverse=True):
+            n_left -= self._offers[step]
+            if n_left < 0:
+                return Level(step.priority, step.draw + (1 << _DRAW_SHIFT))
+        return None
+
+    def _next_step_below(self, level: Level) -> Level | None:
+        """Open the level by one step, or by a class that nobody offers."""
+        if level.draw > 0:
+            return Level(level.priority, max(0, level.draw - (1 << _DRAW_SHIFT)))
+        below = [step for step in self._offers if step.priority < level.priority]
+        if not below:
+            return None
+        return Level(max(below).priority, (1 << DRAW_BITS) - (1 << _DRAW_SHIFT))
--- a/packages/node/src/knapweedspring_node/_calls/_queue.py
+++ b/packages/node/src/knapweedspring_node/_calls/_queue.py
@@ -26,6 +26,7 @@
         self._deadline_at = deadline_at
         self._decided = threading.Event()
         self._refusal: Refusal | None = None
+        self._admitted_at = 0.0
         self._key: tuple[Rank, int] = (rank, 0)
 
     @property
@@ -33,6 +34,11 @@
         """Precedence in the queue."""
         return self._rank
 
+    @property
+    def admitted_at(self) -> float:
+        """When it was admitted, on the monotonic clock, in seconds."""
+        return self._admitted_at
+
     @property
     def class_name(self) -> str:
         """Request class."""
@@ -62,8 +68,9 @@
         """Set the place in the queue."""
         self._key = key
 
-    def admit(self) -> None:
+    def admit(self, now: float) -> None:
         """Wake the call up as admitted."""
+        self._admitted_at = now
         self._decided.set()
 
     def refuse(self, refusal: Refusal) -> None:
--- a/packages/node/tests/calls/test_admission.py
+++ b/packages/node/tests/calls/test_admission.py
@@ -6,14 +6,31 @@
 import pytest
 
 from knapweedspring_core import Counters, EventLog, Outcome, Reason
-from knapweedspring_node._calls._admission import Ask, Gate
+from knapweedspring_node._calls._admission import Ask, Gate, GatePolicy
 from knapweedspring_node._calls._rank import Rank
 
 WAIT_S = 20.0
+TOP = 3
 
 
-def make_gate(slots=1, connections=100, top_priority=9):
-    return Gate(slots, connections, lambda: top_priority, Counters(), EventLog("n"))
+def make_gate(slots=1, connections=100, clock=time.monotonic, **policy):
+    return Gate(
+        slots,
+        connections,
+        lambda: TOP,
+        Counters(),
+        EventLog("n"),
+        policy=GatePolicy(**policy),
+        clock=clock,
+    )
+
+
+def teach_service_time(gate, service_s, n_calls=100):
+    """Have calls of every class take this long, as far as the gate knows."""
+    for priority in range(TOP + 1):
+        for _ in range(n_calls):
+            admission = gate.admit(ask(priority)).unwrap()
+            admission.finish(service_s, succeeded=True)
 
 
 def ask(priority=1, started=False, draw=0, left_s=30.0, has_left=lambda: False):
@@ -130,7 +147,7 @@
     gate.set_passthrough(True)
     running = gate.admit(ask()).unwrap()
     low = Caller(gate, ask(priority=1)).wait_until_queued()
-    high = Caller(gate, ask(priority=9)).wait_until_queued()
+    high = Caller(gate, ask(priority=TOP)).wait_until_queued()
     running.finish(0.0, succeeded=True)
     low.value().unwrap()
     assert high.result is None
@@ -162,3 +179,93 @@
     assert not any(thread.is_alive() for thread in threads)
     assert n_running_max == 3
     assert (gate.n_in_flight, gate.n_waiting) == (0, 0)
+
+
+@pytest.mark.parametrize(
+    "left_s, reason",
+    [(15.0, Reason.OVERLOADED), (0.0, Reason.DEADLINE)],
+)
+def test_call_that_cannot_finish_in_time_is_refused_on_arrival(left_s, reason):
+    gate = make_gate()
+    teach_service_time(gate, 10.0)
+    gate.admit(ask()).unwrap()
+    refusal = gate.admit(ask(left_s=left_s)).unwrap_err()
+    assert refusal.outcome is Outcome.NOT_RUN
+    assert refusal.reason is reason
+    assert refusal.retry_after_ms > 0
+    assert gate.n_waiting == 0
+
+
+def test_quick_failures_do_not_make_the_service_look_quick():
+    gate = make_gate()
+    teach_service_time(gate, 10.0)
+    for _ in range(100):
+        gate.admit(ask()).unwrap().finish(0.001, succeeded=False)
+    gate.admit(ask()).unwrap()
+    assert gate.admit(ask(left_s=15.0)).unwrap_err().reason is Reason.OVERLOADED
+
+
+def test_age_of_calls_in_flight_reveals_a_slow_down_before_any_finishes():
+    now = time.monotonic()
+    gate = make_gate(clock=lambda: now)
+    teach_service_time(gate, 0.01)
+    gate.admit(ask()).unwrap()
+    now += 10.0
+    refusal = gate.admit(Ask(Rank(1, False, 0), "class-1", now + 5.0)).unwrap_err()
+    assert refusal.reason is Reason.OVERLOADED
+
+
+def test_higher_call_displaces_the_lowest_one_that_is_left_without_time():
+    gate = make_gate()
+    teach_service_time(gate, 10.0)
+    gate.admit(ask()).unwrap()
+    middle = Caller(gate, ask(2, left_s=100.0)).wait_until_queued()
+    low = Caller(gate, ask(1, left_s=35.0)).wait_until_queued()
+    Caller(gate, ask(3, left_s=100.0))
+    refusal = low.value().unwrap_err()
+    assert refusal.outcome is Outcome.NOT_RUN
+    assert refusal.reason is Reason.DISPLACED
+    assert middle.result is None
+
+
+def test_full_queue_gives_way_to_higher_calls_only():
+    gate = make_gate(n_waiting_max=2)
+    gate.admit(ask()).unwrap()
+    low = Caller(gate, ask(1, draw=5)).wait_until_queued()
+    Caller(gate, ask(2)).wait_until_queued()
+    refusal = gate.admit(ask(1, draw=4)).unwrap_err()
+    assert refusal.reason is Reason.OVERLOADED
+    Caller(gate, ask(1, draw=6))
+    assert low.value().unwrap_err().reason is Reason.DISPLACED
+    assert gate.n_waiting == 2
+
+
+def test_headroom_is_kept_for_the_top_class():
+    gate = make_gate(slots=10, headroom_share=0.2)
+    for _ in range(8):
+        gate.admit(ask(TOP - 1)).unwrap()
+    waiting = Caller(gate, ask(TOP - 1)).wait_until_queued()
+    for _ in range(2):
+        gate.admit(ask(TOP)).unwrap()
+    assert waiting.result is None
+    assert gate.n_in_flight == 10
+
+
+def test_level_rises_with_refusals_and_opens_again_without():
+    now = time.monotonic()
+    gate = make_gate(clock=lambda: now)
+    teach_service_time(gate, 10.0)
+    now += 1.0
+    running = gate.admit(Ask(Rank(2, False, 0), "class-2", now + 99.0)).unwrap()
+    for _ in range(50):
+        call = Ask(Rank(1, False, 0), "class-1", now + 1.0)
+        assert gate.admit(call).unwrap_err().reason is Reason.OVERLOADED
+    now += 1.0
+    level = gate.load().level
+    assert level.admits(Rank(2, False, 0))
+    assert not level.admits(Rank(1, False, 0))
+    running.finish(0.01, succeeded=True)
+    for _ in range(100):
+        now += 1.0
+        gate.load()
+    assert gate.load().level is None
