--- a/packages/core/src/knapweedspring_core/_store.py
+++ b/packages/core/src/knapweedspring_core/_store.py
@@ -60,6 +60,11 @@
         with self._lock:
             return tuple(self._records.values())
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no object has been heard of yet."""
+        return not self._records
+
     @property
     def invalid(self) -> tuple[InvalidObject, ...]:
         """Objects whose highest version is not in force."""
--- /dev/null
+++ b/packages/node/src/knapweedspring_node/_calls/_classify.py
@@ -0,0 +1,76 @@
+"""Request class of a call: the service's rules first, then the caller's word."""
+
+from dataclasses import dataclass
+from urllib.parse import unquote
+
+from result import Err, Ok, Result
+
+from knapweedspring_core import (
+    DeclarationStore,
+    Header,
+    Outcome,
+    Reason,
+    Refusal,
+    RequestClass,
+    RouteRule,
+    Service,
+)
+from knapweedspring_node._calls._request import CallRequest
+
+__all__ = ["Classified", "classify"]
+
+
+@dataclass(frozen=True, slots=True)
+class Classified:
+    """A call's class."""
+
+    #: Name of the class.
+    name: str
+    #: Its declaration.
+    declared: RequestClass
+
+
+def classify(
+    store: DeclarationStore, request: CallRequest
+) -> Result[Classified, Refusal]:
+    """Find the class of a call.
+
+    :return: the class, or a ``not-run`` refusal when the service or the class is
+        not declared.
+    """
+    service = store.service(request.service)
+    if service is None:
+        return Err(_undeclared_service(store, request.service))
+    name = _class_name(service, store, request)
+    declared = store.request_class(name)
+    if declared is None:
+        detail = f"RequestClass {name} is not declared"
+        return Err(Refusal(Outcome.NOT_RUN, Reason.UNKNOWN_CLASS, 0, detail))
+    return Ok(Classified(name, declared))
+
+
+def _undeclared_service(store: DeclarationStore, name: str) -> Refusal:
+    if store.is_empty:
+        detail = "this node has not heard any declaration yet"
+        return Refusal(Outcome.NOT_RUN, Reason.NOT_CONFIGURED, 1_000, detail)
+    detail = f"Service {name} is not declared"
+    return Refusal(Outcome.NOT_RUN, Reason.UNKNOWN_SERVICE, 0, detail)
+
+
+def _class_name(
+    service: Service, store: DeclarationStore, request: CallRequest
+) -> str:
+    for rule in service.rules:
+        if _matches(rule, request):
+            return rule.request_class
+    named = request.layer(Header.REQUEST_CLASS)
+    if named and store.request_class(named) is not None:
+        return named
+    return service.default_class
+
+
+def _matches(rule: RouteRule, request: CallRequest) -> bool:
+    if rule.method not in ("*", request.method):
+        return False
+    # A class must not depend on how a caller escapes the same path.
+    return unquote(request.target).startswith(rule.path_prefix)
--- /dev/null
+++ b/packages/node/src/knapweedspring_node/_calls/_plan.py
@@ -0,0 +1,55 @@
+"""A call planned at its entry side: what every attempt at it shares."""
+
+from dataclasses import dataclass
+
+from knapweedspring_node._calls._budget import RetryBudget
+from knapweedspring_node._calls._context import HopContext, RunKey
+from knapweedspring_node._calls._rank import Rank
+from knapweedspring_node._calls._request import CallRequest
+
+__all__ = ["CallPlan"]
+
+
+@dataclass(frozen=True, slots=True)
+class CallPlan:
+    """One call that this node routes to an upstream."""
+
+    #: The call as it arrived.
+    request: CallRequest
+    #: Identity of the whole request.
+    request_id: str
+    #: Request class of the whole request.
+    class_name: str
+    #: Rank of the whole request.
+    rank: Rank
+    #: Hops above the call.
+    depth: int
+    #: Deadline of the whole request, monotonic seconds.
+    deadline_at: float
+    #: Whether the call may run again.
+    repeatable: bool
+    #: Retry tokens for the call and what runs below it.
+    budget: RetryBudget
+    #: Identity of the run when it may not be repeated.
+    run_key: RunKey | None = None
+
+    def hop(self, time_left_ms: int, n_tokens: int, gate_epoch: int) -> HopContext:
+        """Return the context of one attempt.
+
+        :param time_left_ms: until the deadline, in ms.
+        :param n_tokens: retry tokens lent to the attempt.
+        :param gate_epoch: process of the gate, 0 when not yet known.
+        """
+        return HopContext(
+            request_id=self.request_id,
+            class_name=self.class_name,
+            priority=self.rank.priority,
+            draw=self.rank.draw,
+            started=self.rank.started,
+            depth=self.depth,
+            time_left_ms=time_left_ms,
+            n_tokens=n_tokens,
+            repeatable=self.repeatable,
+            run_key=self.run_key,
+            gate_epoch=gate_epoch,
+        )
--- /dev/null
+++ b/packages/node/src/knapweedspring_node/_calls/_server.py
@@ -0,0 +1,294 @@
+"""HTTP server of the call path, on cheroot's server and connection classes."""
+
+import contextlib
+import select
+import socket
+import time
+from typing import Any
+
+from cheroot.server import Gateway, HTTPConnection, HTTPRequest, HTTPServer
+from result import Err
+
+from knapweedspring_core import Counters, Header, Outcome, Reason, Refusal
+from knapweedspring_node._calls._call_handler import CallHandler
+from knapweedspring_node._calls._reply import Refused, Relayed, Reply
+from knapweedspring_node._calls._request import (
+    BUFFERED_BODY_BYTES,
+    Body,
+    CallerLink,
+    parse_head,
+)
+
+__all__ = ["CallServer"]
+
+MAX_HEADER_BYTES = 32_768
+READ_TIMEOUT_S = 10.0
+LISTEN_BACKLOG = 512
+#: How long a worker stays with an idle connection while others are free.
+KEEP_WORKER_S = 0.2
+#: Workers that must be free for one to stay with its connection.
+MIN_IDLE_WORKERS = 2
+
+_REASON_BY_STATUS = {"503": Reason.TOO_MANY_CONNECTIONS, "500": Reason.INTERNAL_ERROR}
+
+
+class _CallRequest(HTTPRequest):
+    """Adds outcome and reason to the answers that the parser itself makes."""
+
+    def simple_response(self, status: str | int, msg: str = "") -> None:
+        """Refuse a request that could not be parsed; nothing of it ran."""
+        self.close_connection = True
+        code = str(status)[:3]
+        reason = _REASON_BY_STATUS.get(code, Reason.BAD_REQUEST)
+        self.server.counters.add("bad_requests", code)
+        lines = [
+            f"HTTP/1.1 {status}",
+            f"Content-Length: {len(msg)}",
+            "Content-Type: text/plain",
+            "Connection: close",
+            f"{Header.OUTCOME}: {Outcome.NOT_RUN}",
+            f"{Header.REASON}: {reason}",
+            "",
+            msg,
+        ]
+        with contextlib.suppress(OSError):
+            self.conn.wfile.write("\r\n".join(lines).encode("latin-1", "replace"))
+
+
+class _CallConnection(HTTPConnection):
+    """One caller's connection; its worker stays while others are idle."""
+
+    RequestHandlerClass = _CallRequest
+
+    def __init__(self, server: Any, sock: socket.socket, *args: Any) -> None:
+        super().__init__(server, sock, *args)
+        server.n_open += 1
+        self._counted = True
+
+    def communicate(self) -> bool:
+        """Serve requests until the connection is idle or over.
+
+        :return: whether the connection is to be kept open.
+        """
+        if self.server.n_open > self.server.n_connections:
+            request = self.RequestHandlerClass(self.server, self)
+            request.simple_response("503 Service Unavailable", "too many connections")
+            return False
+        while super().communicate():
+            if not self._stays():
+                return True
+        return False
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._counted:
+            self._counted = False
+            self.server.n_open -= 1
+        super().close()
+
+    def _stays(self) -> bool:
+        """Wait briefly for the next request if no other connection needs us."""
+        if self.rfile.has_data():
+            return True
+        if self.server.stopping or self.server.requests.idle < MIN_IDLE_WORKERS:
+            return False
+        with contextlib.suppress(OSError, ValueError):
+            poller = select.poll()
+            poller.register(self.socket, select.POLLIN)
+            return bool(poller.poll(KEEP_WORKER_S * 1_000))
+        return False
+
+
+class _CallGateway(Gateway):
+    """Turns one parsed HTTP request into a call and writes its reply."""
+
+    def respond(self) -> None:
+        """Handle the request."""
+        request = self.req
+        link = CallerLink(request.conn.socket)
+        parsed = parse_head(
+            request.method, request.uri, request.inheaders, self._read_body, link
+        )
+        handler: CallHandler = request.server.handler
+        if isinstance(parsed, Err):
+            detail = parsed.err_value.detail
+            refusal = Refusal(Outcome.NOT_RUN, Reason.BAD_REQUEST, 0, detail)
+            request.close_connection = True
+            self._write(Refused(refusal), peer=False)
+            return
+        call = parsed.ok_value
+        handled = handler.handle(call)
+        if not call.body.is_whole:
+            # What the caller still sends of its body must not be read as a request.
+            request.close_connection = True
+        self._write(handled.reply, handled.peer)
+
+    def _read_body(self, length: int | None) -> Body:
+        rfile = self.req.rfile
+        if length == 0:
+            return Body(b"")
+        if length is None:
+            prefix = rfile.read(BUFFERED_BODY_BYTES + 1)
+            if len(prefix) <= BUFFERED_BODY_BYTES:
+                return Body(prefix)
+            return Body(prefix, rfile, None)
+        if length <= BUFFERED_BODY_BYTES:
+            body = rfile.read(length)
+            if len(body) < length:
+                raise ConnectionAbortedError("the caller's body ended early")
+            return Body(body)
+        return Body(b"", rfile, length)
+
+    def _write(self, reply: Reply, peer: bool) -> None:
+        request = self.req
+        headers = _reply_headers(reply, peer)
+        if isinstance(reply, Refused):
+            self._write_refusal(reply, headers)
+            return
+        request.status = f"{reply.status} {reply.phrase}".encode("latin-1")
+        is_head = request.method == b"HEAD"
+        for name, value in reply.headers:
+            if name.lower() != "content-length" or is_head:
+                request.outheaders.append((name.encode(), value.encode("latin-1")))
+        request.outheaders.extend(headers)
+        whole = False
+        try:
+            self._write_body(reply, is_head)
+            whole = True
+        finally:
+            # A body that broke off ends the connection without its last chunk,
+            # so that the caller can tell it from a whole one.
+            request.close_connection = request.close_connection or not whole
+            reply.close(whole)
+
+    def _write_body(self, reply: Relayed, is_head: bool) -> None:
+        request = self.req
+        if is_head or reply.status in (204, 304):
+            request.ensure_headers_sent()
+            return
+        length = len(reply.body) if reply.body is not None else reply.length
+        if length is not None:
+            request.outheaders.append((b"Content-Length", str(length).encode()))
+        request.ensure_headers_sent()
+        if reply.body is not None:
+            if reply.body:
+                request.write(reply.body)
+            return
+        for chunk in reply.chunks or ():
+            request.write(chunk)
+
+    def _write_refusal(self, reply: Refused, headers: list[tuple[bytes, bytes]]) -> None:
+        request = self.req
+        refusal = reply.refusal
+        status = 201 if _is_issued_ticket(request, reply) else refusal.status
+        body = (refusal.detail or refusal.reason).encode("utf-8", "replace") + b"\n"
+        request.status = f"{status} {_phrase(status)}".encode()
+        request.outheaders.extend(headers)
+        request.outheaders.append((b"Content-Type", b"text/plain; charset=utf-8"))
+        request.outheaders.append((b"Content-Length", str(len(body)).encode()))
+        request.ensure_headers_sent()
+        if request.method != b"HEAD":
+            request.write(body)
+
+
+def _is_issued_ticket(request: Any, reply: Refused) -> bool:
+    return bool(reply.ticket) and request.uri.startswith(b"/tickets/")
+
+
+def _phrase(status: int) -> str:
+    return _PHRASES.get(status, "Refused")
+
+
+_PHRASES = {
+    201: "Created",
+    400: "Bad Request",
+    404: "Not Found",
+    409: "Conflict",
+    410: "Gone",
+    428: "Precondition Required",
+    429: "Too Many Requests",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+def _reply_headers(reply: Reply, peer: bool) -> list[tuple[bytes, bytes]]:
+    pairs: list[tuple[Header, str]] = []
+    if isinstance(reply, Refused):
+        refusal = reply.refusal
+        pairs.append((Header.OUTCOME, refusal.outcome.value))
+        pairs.append((Header.REASON, refusal.reason.value))
+        if refusal.retry_after_ms:
+            pairs.append((Header.RETRY_AFTER_MS, str(refusal.retry_after_ms)))
+        if reply.ticket:
+            pairs.append((Header.TICKET, reply.ticket))
+    if reply.request_id:
+        pairs.append((Header.REQUEST_ID, reply.request_id))
+    if peer:
+        pairs.append((Header.BUDGET_LEFT, str(reply.n_tokens_left)))
+        pairs.append((Header.GATE_EPOCH, str(reply.gate_epoch)))
+        if reply.load:
+            pairs.append((Header.LOAD, reply.load))
+    encoded = [(name.value.encode(), text.encode("latin-1")) for name, text in pairs]
+    if isinstance(reply, Refused) and reply.refusal.retry_after_ms:
+        seconds = -(-reply.refusal.retry_after_ms // 1_000)
+        encoded.append((b"Retry-After", str(seconds).encode()))
+    return encoded
+
+
+class CallServer(HTTPServer):
+    """Serves calls.
+
+    :param bind_address: ``ip:port``; port 0 takes a free one.
+    :param handler: routes the calls.
+    :param n_workers: threads; a call that waits occupies one.
+    :param n_connections: connections accepted at once.
+    """
+
+    ConnectionClass = _CallConnection
+    max_request_header_size = MAX_HEADER_BYTES
+    timeout = READ_TIMEOUT_S
+    request_queue_size = LISTEN_BACKLOG
+
+    def __init__(
+        self,
+        bind_address: str,
+        handler: CallHandler,
+        counters: Counters,
+        n_workers: int,
+        n_connections: int,
+    ) -> None:
+        host, _, port = bind_address.rpartition(":")
+        super().__init__(
+            (host, int(port)), _CallGateway, minthreads=n_workers, maxthreads=n_workers
+        )
+        self.handler = handler
+        self.counters = counters
+        self.n_connections = n_connections
+        self.keep_alive_conn_limit = n_connections
+        self.n_open = 0
+        self.stopping = False
+        self.server_name = "knapweedspring"
+
+    @property
+    def address(self) -> str:
+        """The bound ``ip:port``; call after ``prepare``."""
+        host, port = self.bind_addr[:2]
+        return f"{host}:{port}"
+
+    def begin_stop(self) -> None:
+        """Stop keeping connections; those in use finish their request."""
+        self.stopping = True
+
+    def wait_idle(self, deadline_at: float) -> bool:
+        """Wait until every worker is idle.
+
+        :param deadline_at: monotonic seconds.
+        """
+        while time.monotonic() < deadline_at:
+            if self.requests.idle >= len(self.requests._threads):  # noqa: SLF001
+                return True
+            time.sleep(0.02)
+        return False
