Add the upstream stand-in

The call path needs a real process that behaves as the users' upstreams do: announces itself, works with a bounded number of slots, queues beyond them so that latency grows under overload, makes child calls through its own node and obeys cancellation and deadlines. Child calls run in the thread of their parent, which polls both connections, because a thread per child call would have hidden the parent's cancellation until the child answered. The server's own connection limit was ruled out for the declared one, since it only bounds idle connections. All work is journalled on the monotonic clock that the processes of one machine share.

--- /dev/null
+++ b/packages/standins/src/knapweedspring_standins/_child_calls.py
@@ -0,0 +1,195 @@
+"""Child calls of an upstream, made through the node on its VM.
+
+The calls run in the thread of the parent request, which watches the parent's
+connection meanwhile: when the parent's caller leaves, the child connections
+are closed, which cancels the child calls.
+"""
+
+import hashlib
+import socket
+import threading
+import time
+from collections import deque
+from dataclasses import dataclass
+
+import msgspec
+import urllib3
+from urllib3.connection import HTTPConnection
+
+from knapweedspring_core import Header
+from knapweedspring_standins._answer import AnswerBody
+from knapweedspring_standins._sockets import wait_any
+
+__all__ = ["ChildCaller", "ChildRequest", "ChildResult"]
+
+READ_TIMEOUT_S = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class ChildRequest:
+    """One child call."""
+
+    #: Service that is called.
+    service: str
+    #: Path below the service.
+    path: str
+    #: Context token of the parent, copied as it came.
+    context: str
+    #: Nonce of the child call.
+    nonce: str
+    #: Chain of the root request.
+    chain: str
+    #: Attempt of the parent that makes the call.
+    parent_attempt: str
+
+
+@dataclass(frozen=True, slots=True)
+class ChildResult:
+    """What became of one child call."""
+
+    #: Status; 0 when no whole answer came.
+    status: int
+    #: Outcome header of the layer's own answers.
+    outcome: str = ""
+    #: Reason header of the layer's own answers.
+    reason: str = ""
+    #: Whether the answer names another request than this one.
+    crossed: bool = False
+    #: Whether the parent's caller left before the answer came.
+    parent_left: bool = False
+
+    @property
+    def ok(self) -> bool:
+        """Whether the child call succeeded."""
+        return self.status == 200 and not self.crossed
+
+
+class ChildCaller:
+    """Makes child calls over kept connections.
+
+    :param address: call address of the node on the VM.
+    """
+
+    def __init__(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        self._host = host
+        self._port = int(port)
+        self._idle: deque[HTTPConnection] = deque()
+        self._lock = threading.Lock()
+
+    def call_all(
+        self, requests: list[ChildRequest], peer: socket.socket, deadline_s: float
+    ) -> list[ChildResult]:
+        """Make calls at once and wait for all of them.
+
+        :param requests: the calls.
+        :param peer: connection of the parent's caller.
+        :param deadline_s: monotonic time after which to stop waiting.
+        :return: results in the order of the requests.
+        """
+        results: dict[int, ChildResult] = {}
+        running: dict[int, HTTPConnection] = {}
+        for index, request in enumerate(requests):
+            connection = self._send(request)
+            if connection is None:
+                results[index] = ChildResult(0)
+            else:
+                running[index] = connection
+        while running:
+            index, result = self._next_result(requests, running, peer, deadline_s)
+            if result.parent_left or index < 0:
+                for left in running:
+                    results[left] = result
+                break
+            results[index] = result
+            del running[index]
+        for connection in running.values():
+            connection.close()
+        return [results[index] for index in range(len(requests))]
+
+    def _next_result(
+        self,
+        requests: list[ChildRequest],
+        running: dict[int, HTTPConnection],
+        peer: socket.socket,
+        deadline_s: float,
+    ) -> tuple[int, ChildResult]:
+        by_socket = {c.sock: i for i, c in running.items() if c.sock is not None}
+        left_s = deadline_s - time.monotonic()
+        sock = wait_any(list(by_socket), peer, min(left_s, READ_TIMEOUT_S))
+        if sock is None:
+            return -1, ChildResult(0, reason="deadline")
+        if sock is peer:
+            return -1, ChildResult(0, parent_left=True)
+        index = by_socket[sock]
+        return index, self._receive(running[index], requests[index])
+
+    def _send(self, request: ChildRequest) -> HTTPConnection | None:
+        connection = self._take()
+        headers = {
+            Header.CONTEXT.value: request.context,
+            "X-Nonce": request.nonce,
+            "X-Chain": request.chain,
+            "X-Parent-Attempt": request.parent_attempt,
+        }
+        if not request.context:
+            del headers[Header.CONTEXT.value]
+        try:
+            connection.request(
+                "GET",
+                f"/{request.service}{request.path}",
+                headers=headers,
+                preload_content=False,
+            )
+        except (OSError, urllib3.exceptions.HTTPError):
+            connection.close()
+            return None
+        return connection
+
+    def _receive(
+        self, connection: HTTPConnection, request: ChildRequest
+    ) -> ChildResult:
+        try:
+            response = connection.getresponse()
+            body = response.read()
+        except (OSError, urllib3.exceptions.HTTPError):
+            connection.close()
+            return ChildResult(0)
+        headers = response.headers
+        keep = headers.get("Connection", "").lower() != "close"
+        if keep and connection.sock is not None:
+            self._put(connection)
+        else:
+            connection.close()
+        outcome = headers.get(Header.OUTCOME.value, "")
+        crossed = not outcome and not _is_answer_to(body, request)
+        return ChildResult(
+            status=response.status,
+            outcome=outcome,
+            reason=headers.get(Header.REASON.value, ""),
+            crossed=crossed,
+        )
+
+    def _take(self) -> HTTPConnection:
+        with self._lock:
+            while self._idle:
+                connection = self._idle.pop()
+                if connection.is_connected:
+                    return connection
+                connection.close()
+        connection = HTTPConnection(self._host, self._port, timeout=READ_TIMEOUT_S)
+        connection.socket_options = [(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)]
+        return connection
+
+    def _put(self, connection: HTTPConnection) -> None:
+        with self._lock:
+            self._idle.append(connection)
+
+
+def _is_answer_to(body: bytes, request: ChildRequest) -> bool:
+    try:
+        answer = msgspec.json.decode(body, type=AnswerBody)
+    except msgspec.DecodeError:
+        return False
+    empty = hashlib.sha256(b"").hexdigest()
+    return answer.nonce == request.nonce and answer.body_sha256 == empty
--- /dev/null
+++ b/packages/standins/tests/test_upstream.py
@@ -0,0 +1,231 @@
+"""The upstream stand-in keeps its slots, echoes, obeys, and journals."""
+
+import hashlib
+import json
+import socket
+import threading
+import time
+
+import msgspec
+import pytest
+import urllib3
+
+from knapweedspring_standins._answer import AnswerBody
+from knapweedspring_standins._content import bundle_digest
+from knapweedspring_standins._journal import EntryKind, parse_page
+from knapweedspring_standins._upstream import Upstream
+from knapweedspring_standins._upstream_settings import CallRule, UpstreamSettings
+
+BOUND_S = 20.0
+
+
+@pytest.fixture
+def start():
+    started = []
+
+    def start_upstream(**settings):
+        upstream = Upstream(UpstreamSettings(service="recipes", **settings))
+        upstream.start()
+        started.append(upstream)
+        return upstream
+
+    yield start_upstream
+    for upstream in started:
+        upstream.stop()
+
+
+def wait_until(condition):
+    until = time.monotonic() + BOUND_S
+    while not condition():
+        assert time.monotonic() < until
+        time.sleep(0.01)
+
+
+def get(upstream, path="/recipes/braai", **headers):
+    named = {name.replace("_", "-"): value for name, value in headers.items()}
+    url = f"http://{upstream.address}{path}"
+    return urllib3.request("GET", url, headers=named, retries=False, timeout=BOUND_S)
+
+
+def kinds(upstream, nonce):
+    return [e.kind for e in upstream.journal.entries if e.nonce == nonce]
+
+
+def test_answer_names_its_request(start):
+    upstream = start()
+    url = f"http://{upstream.address}/recipes/order"
+    headers = {"X-Nonce": "n1", "Kws-Request-Id": "r1"}
+    answer = urllib3.request("POST", url, body=b"casings", headers=headers)
+    body = msgspec.json.decode(answer.data, type=AnswerBody)
+    assert (body.nonce, body.request_id) == ("n1", "r1")
+    assert body.body_sha256 == hashlib.sha256(b"casings").hexdigest()
+    wait_until(lambda: EntryKind.FINISHED in kinds(upstream, "n1"))
+    assert kinds(upstream, "n1") == ["received", "started", "finished"]
+
+
+def test_slots_bound_the_work_and_queue_grows(start):
+    upstream = start(n_slots=2, service_ms=200, service_spread=0)
+    threads = [threading.Thread(target=get, args=(upstream,)) for _ in range(6)]
+    begun = time.monotonic()
+    for thread in threads:
+        thread.start()
+    wait_until(lambda: upstream.slots.n_waiting == 4)
+    assert upstream.slots.n_busy == 2
+    for thread in threads:
+        thread.join()
+    assert time.monotonic() - begun >= 0.6
+
+
+@pytest.mark.parametrize("n_slots_taken", [0, 1])
+def test_caller_that_leaves_cancels(start, n_slots_taken):
+    upstream = start(n_slots=1, service_ms=60_000)
+    held = [socket.create_connection(_pair(upstream)) for _ in range(n_slots_taken)]
+    for sock in held:
+        sock.sendall(b"GET /held HTTP/1.1\r\nHost: u\r\nX-Nonce: held\r\n\r\n")
+    wait_until(lambda: upstream.slots.n_busy == n_slots_taken)
+    sock = socket.create_connection(_pair(upstream))
+    sock.sendall(b"GET /x HTTP/1.1\r\nHost: u\r\nX-Nonce: n\r\n\r\n")
+    wait_until(lambda: upstream.slots.n_busy + upstream.slots.n_waiting > n_slots_taken)
+    sock.close()
+    wait_until(lambda: EntryKind.ABANDONED in kinds(upstream, "n"))
+    assert (EntryKind.STARTED in kinds(upstream, "n")) == (n_slots_taken == 0)
+    for sock in held:
+        sock.close()
+
+
+def _pair(upstream):
+    host, port = upstream.address.split(":")
+    return host, int(port)
+
+
+def test_deadline_ends_the_work(start):
+    upstream = start(service_ms=60_000)
+    answer = get(upstream, X_Nonce="n", Kws_Deadline_Ms="50")
+    assert answer.status == 504
+    assert kinds(upstream, "n") == ["received", "started", "abandoned"]
+
+
+def test_bundle_is_whole_and_its_own(start):
+    upstream = start()
+    answer = get(upstream, X_Nonce="n", X_Echo_Bytes="300001")
+    assert hashlib.sha256(answer.data).hexdigest() == bundle_digest("n", 300_001)
+    assert answer.headers["X-Content-Sha256"] == bundle_digest("n", 300_001)
+
+
+FAULTS = [
+    ({"shed": True}, lambda a: a.status == 503),
+    ({"truncate_after": 10}, lambda a: a is None),
+    ({"unframed": True}, lambda a: "Content-Length" not in a.headers),
+]
+
+
+@pytest.mark.parametrize("fault, seen", FAULTS)
+def test_faults(start, fault, seen):
+    upstream = start()
+    set_fault(upstream, fault)
+    try:
+        answer = get(upstream)
+    except urllib3.exceptions.HTTPError:
+        answer = None
+    assert seen(answer)
+    if answer is not None:
+        assert "Transfer-Encoding" not in answer.headers
+
+
+def set_fault(upstream, fault):
+    url = f"http://{upstream.address}/-/fault"
+    answer = urllib3.request("POST", url, body=json.dumps(fault).encode())
+    assert answer.status == 200
+
+
+def test_freeze_holds_until_thawed(start):
+    upstream = start(service_ms=1)
+    set_fault(upstream, {"freeze": True})
+    thread = threading.Thread(target=get, args=(upstream,), kwargs={"X_Nonce": "n"})
+    thread.start()
+    wait_until(lambda: kinds(upstream, "n") == ["received"])
+    time.sleep(0.2)
+    assert kinds(upstream, "n") == ["received"]
+    set_fault(upstream, {})
+    thread.join(BOUND_S)
+    assert EntryKind.STARTED in kinds(upstream, "n")
+
+
+def test_misleading_load_and_health(start):
+    upstream = start()
+    set_fault(upstream, {"load_value": 0.25, "healthy": False})
+    assert get(upstream, "/-/load").json() == {"load": 0.25}
+    assert get(upstream, "/-/health").status == 503
+
+
+@pytest.mark.parametrize("concurrent", [False, True])
+def test_child_calls_carry_the_context(start, concurrent):
+    child = start()
+    rules = (CallRule("recipes", "/a"), CallRule("recipes", "/b"))
+    parent = start(node_calls=child.address, calls=rules, concurrent=concurrent)
+    answer = get(parent, X_Nonce="n", X_Chain="c", Kws_Context="token")
+    assert answer.status == 200
+    received = [e for e in child.journal.entries if e.kind is EntryKind.RECEIVED]
+    assert sorted(e.nonce for e in received) == ["n/0", "n/1"]
+    assert {(e.context, e.chain) for e in received} == {("token", "c")}
+    assert all(e.parent_attempt.startswith(parent.address) for e in received)
+
+
+def test_failed_child_call_fails_the_parent(start):
+    child = start()
+    set_fault(child, {"shed": True})
+    rules = (CallRule("recipes", "/a"),)
+    parent = start(node_calls=child.address, calls=rules, n_child_repeats=2)
+    assert get(parent, X_Nonce="n").status == 502
+    assert kinds(child, "n/0").count(EntryKind.RECEIVED) == 3
+
+
+def test_leaving_caller_cancels_child_calls(start):
+    child = start(service_ms=60_000)
+    rules = (CallRule("recipes", "/a"),)
+    parent = start(node_calls=child.address, calls=rules, service_ms=1)
+    sock = socket.create_connection(_pair(parent))
+    sock.sendall(b"GET /x HTTP/1.1\r\nHost: u\r\nX-Nonce: n\r\n\r\n")
+    wait_until(lambda: EntryKind.STARTED in kinds(child, "n/0"))
+    sock.close()
+    wait_until(lambda: EntryKind.ABANDONED in kinds(child, "n/0"))
+    wait_until(lambda: EntryKind.ABANDONED in kinds(parent, "n"))
+
+
+def test_announces_starting_ready_and_leaving(start):
+    node = start()
+    upstream = start(node_admin=node.address, starting_ms=100)
+
+    def states():
+        entries = upstream.journal.entries
+        return [e.detail for e in entries if e.kind is EntryKind.STATE]
+
+    wait_until(lambda: states() == ["ready"])
+    wait_until(lambda: upstream.announcer.n_accepted >= 2)
+    assert upstream.leave()
+    assert states() == ["ready", "leaving"]
+    posts = [e for e in node.journal.entries if e.path == "/upstreams"]
+    assert posts and posts[0].method == "POST"
+
+
+def test_journal_page_reads_back(start):
+    upstream = start()
+    get(upstream, X_Nonce="n")
+    page = parse_page(get(upstream, "/-/journal").data)
+    assert page.upstream == upstream.address
+    assert [e.kind for e in page.entries if e.nonce == "n"][:2] == [
+        EntryKind.RECEIVED,
+        EntryKind.STARTED,
+    ]
+
+
+def test_connection_past_the_limit_is_closed(start):
+    upstream = start(n_connections=1)
+    first = socket.create_connection(_pair(upstream))
+    wait_until(lambda: upstream.connections.n_max == 1)
+    second = socket.create_connection(_pair(upstream))
+    second.settimeout(BOUND_S)
+    second.sendall(b"GET /x HTTP/1.1\r\nHost: u\r\n\r\n")
+    assert second.recv(1) == b""
+    first.close()
+    second.close()
