--- a/packages/standins/src/knapweedspring_standins/__main__.py
+++ b/packages/standins/src/knapweedspring_standins/__main__.py
@@ -64,6 +64,7 @@
         "--stop-deadline-ms", type=float, default=defaults.stop_deadline_ms
     )
     parser.add_argument("--seed", type=int, default=defaults.seed)
+    parser.add_argument("--journal-file", default="")
     parser.add_argument("--port", type=int, default=0)
     parser.set_defaults(run=_run_upstream)
 
@@ -89,6 +90,7 @@
         n_backlog=options.backlog,
         stop_deadline_ms=options.stop_deadline_ms,
         seed=options.seed,
+        journal_file=options.journal_file,
         port=options.port,
     )
     run_upstream(settings)
--- a/packages/standins/src/knapweedspring_standins/_journal.py
+++ b/packages/standins/src/knapweedspring_standins/_journal.py
@@ -1,13 +1,23 @@
 """Run journal of an upstream: what it received, began, finished and abandoned."""
 
+import os
 import threading
-from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import StrEnum
+from pathlib import Path
 
 import msgspec
 
-__all__ = ["EntryKind", "Journal", "JournalEntry", "JournalPage", "parse_page"]
+__all__ = [
+    "EntryKind",
+    "Journal",
+    "JournalEntry",
+    "JournalPage",
+    "parse_page",
+    "read_journal",
+]
+
+OPEN_FLAGS = os.O_WRONLY | os.O_APPEND | os.O_CREAT
 
 
 class EntryKind(StrEnum):
@@ -35,6 +45,8 @@
     time_s: float
     #: Service of the upstream.
     service: str
+    #: Address of the upstream.
+    upstream: str = ""
     #: Identity of the attempt, unique over all upstreams.
     attempt: str = ""
     #: HTTP method.
@@ -76,11 +88,16 @@
 
 
 class Journal:
-    """Appends entries from any thread."""
+    """Appends entries from any thread.
 
-    def __init__(self) -> None:
+    :param file: file that gets each entry as a line of JSON at once, so that
+        it outlives a killed process; empty for none.
+    """
+
+    def __init__(self, file: str = "") -> None:
         self._lock = threading.Lock()
         self._entries: list[JournalEntry] = []
+        self._fd = os.open(file, OPEN_FLAGS) if file else -1
 
     @property
     def entries(self) -> tuple[JournalEntry, ...]:
@@ -92,11 +109,8 @@
         """Write one entry."""
         with self._lock:
             self._entries.append(entry)
-
-    def extend(self, entries: Iterable[JournalEntry]) -> None:
-        """Write several entries."""
-        with self._lock:
-            self._entries.extend(entries)
+            if self._fd >= 0:
+                os.write(self._fd, msgspec.json.encode(entry) + b"\n")
 
 
 def parse_page(data: bytes) -> JournalPage:
@@ -105,3 +119,17 @@
     :raises msgspec.ValidationError: the text is no journal.
     """
     return msgspec.json.decode(data, type=JournalPage)
+
+
+def read_journal(file: Path) -> JournalPage:
+    """Read the file of a journal, also of a process that was killed.
+
+    :raises msgspec.DecodeError: a whole line is no entry.
+    """
+    data = file.read_bytes()
+    # A process killed within a write leaves a last line without its end.
+    whole = data[: data.rfind(b"\n") + 1]
+    entries = msgspec.json.Decoder(JournalEntry).decode_lines(whole)
+    if not entries:
+        return JournalPage("", "", ())
+    return JournalPage(entries[0].upstream, entries[0].service, tuple(entries))
--- a/packages/standins/src/knapweedspring_standins/_mesh.py
+++ b/packages/standins/src/knapweedspring_standins/_mesh.py
@@ -4,6 +4,7 @@
 import itertools
 import secrets
 from dataclasses import dataclass, field
+from pathlib import Path
 
 import urllib3
 from msgspec import json as msgspec_json
@@ -16,7 +17,7 @@
     ObjectRecord,
     PlatformConflict,
 )
-from knapweedspring_standins._journal import JournalPage, parse_page
+from knapweedspring_standins._journal import JournalPage, read_journal
 from knapweedspring_standins._processes import (
     Process,
     ProcessFailed,
@@ -128,8 +129,8 @@
     service: ServiceLayout
     #: The upstream; None before its start.
     upstream: Process | None = None
-    #: Journals of upstreams that ended.
-    past_pages: list[JournalPage] = field(default_factory=list)
+    #: Journal files of all upstreams that ran here.
+    journal_files: list[Path] = field(default_factory=list)
 
     @property
     def call_address(self) -> str:
@@ -239,20 +240,10 @@
         if answer.status != 200:
             raise ProcessFailed(f"faults were refused: {answer.data!r}")
 
-    def journal(self, place: Place) -> JournalPage:
-        """Read the journal of a running upstream."""
-        url = f"http://{place.upstream_address}/-/journal"
-        answer = self._pool.request("GET", url, timeout=30.0)
-        return parse_page(answer.data)
-
     def journals(self) -> list[JournalPage]:
-        """Read all journals, also those kept of upstreams that ended."""
-        pages = []
-        for place in self._places:
-            pages += place.past_pages
-            if place.upstream is not None and place.upstream.exit_code is None:
-                pages.append(self.journal(place))
-        return pages
+        """Read the journals of all upstreams, also of those that ended."""
+        files = [file for place in self._places for file in place.journal_files]
+        return [read_journal(file) for file in files]
 
     def node_page(self, place: Place, page: str) -> object:
         """Read a JSON page of a node; None while it does not answer."""
@@ -303,6 +294,10 @@
 
     def _start_upstream(self, place: Place) -> Process:
         service = place.service
+        name = f"upstream-{place.node_file.node_id}-{len(place.journal_files)}"
+        journal_file = self._group.directory / f"{name}.journal"
+        journal_file.touch()
+        place.journal_files.append(journal_file)
         arguments = [
             "upstream",
             f"--service={service.name}",
@@ -312,14 +307,10 @@
             f"--connections={service.n_connections}",
             f"--service-ms={service.service_ms}",
             f"--seed={next(self._seeds)}",
+            f"--journal-file={journal_file}",
             *(f"--calls={call}" for call in service.calls),
             *service.options,
         ]
-        n_before = sum(
-            process.name.startswith(f"upstream-{place.node_file.node_id}")
-            for process in self._group.processes
-        )
-        name = f"upstream-{place.node_file.node_id}-{n_before}"
         return self._group.start_standin(name, arguments)
 
 
--- a/packages/standins/src/knapweedspring_standins/_upstream.py
+++ b/packages/standins/src/knapweedspring_standins/_upstream.py
@@ -56,7 +56,7 @@
         self._faults = UpstreamFaults()
         self._thawed = threading.Event()
         self._thawed.set()
-        self._journal = Journal()
+        self._journal = Journal(settings.journal_file)
         self._slots = SlotQueue(settings.n_slots)
         self._random = random.Random(settings.seed)
         self._numbers = count(1)
@@ -225,9 +225,14 @@
         now = time.monotonic()
         if state is UpstreamState.LEAVING:
             self._left_s = now
-        service = self._settings.service
         self._journal.append(
-            JournalEntry(EntryKind.STATE, now, service, detail=state.value)
+            JournalEntry(
+                kind=EntryKind.STATE,
+                time_s=now,
+                service=self._settings.service,
+                upstream=self._address,
+                detail=state.value,
+            )
         )
 
 
--- a/packages/standins/src/knapweedspring_standins/_upstream_settings.py
+++ b/packages/standins/src/knapweedspring_standins/_upstream_settings.py
@@ -86,5 +86,7 @@
     stop_deadline_ms: float = 30_000.0
     #: Seed of the service times.
     seed: int = 1
+    #: File that keeps the journal; empty for none.
+    journal_file: str = ""
     #: Port to listen on; 0 for any.
     port: int = 0
--- a/packages/standins/src/knapweedspring_standins/_work.py
+++ b/packages/standins/src/knapweedspring_standins/_work.py
@@ -65,6 +65,7 @@
             kind=EntryKind.RECEIVED,
             time_s=self._received_s,
             service=upstream.settings.service,
+            upstream=upstream.address,
             attempt=upstream.next_attempt(),
             method=request.http.method.decode("latin-1"),
             path=request.path,
--- /dev/null
+++ b/packages/standins/tests/test_journal.py
@@ -0,0 +1,34 @@
+"""Journals outlive their process, whole entries only."""
+
+from knapweedspring_standins._journal import (
+    EntryKind,
+    Journal,
+    JournalEntry,
+    JournalPage,
+    read_journal,
+)
+
+
+def test_file_gives_the_entries_back(tmp_path):
+    file = tmp_path / "one.journal"
+    journal = Journal(str(file))
+    for kind in EntryKind:
+        journal.append(JournalEntry(kind, 1.5, "orders", "10.0.0.1:80", "a/1"))
+    page = read_journal(file)
+    assert page.entries == journal.entries
+    assert (page.upstream, page.service) == ("10.0.0.1:80", "orders")
+
+
+def test_last_entry_of_a_killed_process_may_be_torn(tmp_path):
+    file = tmp_path / "one.journal"
+    journal = Journal(str(file))
+    for attempt in ("a/1", "a/2"):
+        journal.append(JournalEntry(EntryKind.STARTED, 1.5, "orders", attempt=attempt))
+    file.write_bytes(file.read_bytes()[:-5])
+    assert [entry.attempt for entry in read_journal(file).entries] == ["a/1"]
+
+
+def test_file_without_entries(tmp_path):
+    file = tmp_path / "one.journal"
+    file.touch()
+    assert read_journal(file) == JournalPage("", "", ())
