--- /dev/null
+++ b/packages/standins/tests/test_platform.py
@@ -0,0 +1,131 @@
+"""The platform stand-in keeps the protocol, also under its faults."""
+
+import threading
+import time
+
+import pytest
+import urllib3
+
+from knapweedspring_core import (
+    HttpPlatform,
+    ObjectKey,
+    PlatformConflict,
+    PlatformUnavailable,
+    PlatformVersionTooOld,
+)
+from knapweedspring_standins._platform import PlatformServer
+
+KEY = ObjectKey("Policy", "mesh")
+
+
+@pytest.fixture()
+def server():
+    server = PlatformServer()
+    thread = threading.Thread(target=server.serve, daemon=True)
+    thread.start()
+    yield server
+    server.stop()
+    thread.join(10)
+
+
+@pytest.fixture()
+def client(server):
+    return HttpPlatform(server.address)
+
+
+def _fault(server, **faults):
+    url = f"http://{server.address}/-/fault"
+    assert urllib3.request("POST", url, json=faults).status == 200
+
+
+def _calls(server):
+    return urllib3.request("GET", f"http://{server.address}/-/calls").json()
+
+
+def test_writes_are_conditional(client):
+    created = client.put(KEY, "{}", "a", 0).unwrap()
+    assert client.get(KEY).unwrap() == created
+    conflict = client.put(KEY, "{}", "b", 0).unwrap_err()
+    assert conflict == PlatformConflict(conflict.detail, created.version)
+    replaced = client.put(KEY, "[]", "b", created.version).unwrap()
+    assert replaced.version > created.version
+    tombstone = client.delete(KEY, "c", replaced.version).unwrap()
+    assert tombstone.deleted
+    assert client.get(KEY).unwrap() is None
+
+
+def test_watch_ends_with_the_first_change(client):
+    start = client.list_all().unwrap().version
+    changes = []
+    watcher = threading.Thread(
+        target=lambda: changes.append(client.watch(start, 30).unwrap())
+    )
+    watcher.start()
+    written = client.put(KEY, "{}", "a", 0).unwrap()
+    watcher.join(20)
+    assert changes[0].records == (written,)
+    assert changes[0].version == written.version
+
+
+def test_watch_without_change_ends_after_the_wait(client):
+    assert client.watch(0, 0.05).unwrap().records == ()
+
+
+def test_tombstones_are_watched_and_not_listed(client):
+    created = client.put(KEY, "{}", "a", 0).unwrap()
+    tombstone = client.delete(KEY, "a", created.version).unwrap()
+    assert client.list_all().unwrap().records == ()
+    assert client.watch(created.version, 0).unwrap().records == (tombstone,)
+
+
+def test_old_watch_is_refused_after_history_is_forgotten(server, client):
+    client.put(KEY, "{}", "a", 0).unwrap()
+    _fault(server, forget_history=True)
+    assert isinstance(client.watch(0, 1).unwrap_err(), PlatformVersionTooOld)
+    assert client.watch(1, 0).is_ok()
+
+
+def test_outage_breaks_off_also_a_waiting_watch(server, client):
+    errors = []
+    watcher = threading.Thread(
+        target=lambda: errors.append(client.watch(0, 30).unwrap_err())
+    )
+    watcher.start()
+    _wait_for_operation(server, "watch")
+    _fault(server, down=True)
+    watcher.join(20)
+    assert isinstance(errors[0], PlatformUnavailable)
+    assert client.list_all().is_err()
+    _fault(server)
+    assert client.list_all().is_ok()
+
+
+def test_lost_answer_leaves_the_effect(server, client):
+    _fault(server, lose_answers_after_effect=1)
+    assert isinstance(client.put(KEY, "{}", "a", 0).unwrap_err(), PlatformUnavailable)
+    assert client.get(KEY).unwrap().writer == "a"
+    assert client.put(KEY, "[]", "a", 1).is_ok()
+
+
+def test_one_data_centre_is_cut_off(server, client):
+    _fault(server, cut_off=["sandton"])
+    url = f"http://{server.address}/objects"
+    headers = {"X-Data-Centre": "sandton"}
+    with pytest.raises(urllib3.exceptions.HTTPError):
+        urllib3.request("GET", url, headers=headers, retries=False)
+    assert client.list_all().is_ok()
+
+
+def test_a_waiting_watch_counts_as_one_call(server, client):
+    client.watch(0, 0.1).unwrap()
+    client.list_all().unwrap()
+    counts = _calls(server)
+    assert counts["total"] == 2
+    assert counts["by_operation"] == {"watch": 1, "list": 1}
+
+
+def _wait_for_operation(server, operation):
+    give_up_at = time.monotonic() + 20
+    while operation not in _calls(server)["by_operation"]:
+        assert time.monotonic() < give_up_at
+        time.sleep(0.01)
