--- a/packages/standins/src/knapweedspring_standins/_platform_objects.py
+++ b/packages/standins/src/knapweedspring_standins/_platform_objects.py
@@ -58,9 +58,7 @@
         with self._changed:
             return self._after(-1, with_tombstones=False)
 
-    def watch(
-        self, version: int, wait_s: float
-    ) -> Result[Revision, VersionTooOld]:
+    def watch(self, version: int, wait_s: float) -> Result[Revision, VersionTooOld]:
         """Wait for changes.
 
         :param version: only objects changed after it are returned.
