Let fresh nodes learn last valid versions and deletions from peers

A node that starts after an invalid version was written sees only that one and would leave the object unset, and one that lists the platform holds no tombstones, so that a peer with an old view could bring a deleted object back. The store now keeps the highest valid version and the names of the last complete list as records that spread like declarations. Putting the last valid version into the status objects was ruled out, since nodes without the platform need it.

--- a/packages/core/src/knapweedspring_core/__init__.py
+++ b/packages/core/src/knapweedspring_core/__init__.py
@@ -62,6 +62,7 @@
 )
 from knapweedspring_core._store import (
     DeclarationStore,
+    HeldObject,
     InvalidObject,
 )
 from knapweedspring_core._supervisor import (
@@ -88,6 +89,7 @@
     "EventLog",
     "FixedView",
     "Header",
+    "HeldObject",
     "HttpPlatform",
     "HybridClock",
     "Intent",
--- a/packages/core/src/knapweedspring_core/_store.py
+++ b/packages/core/src/knapweedspring_core/_store.py
@@ -3,15 +3,28 @@
 Merging is commutative, associative and idempotent, so that any order of
 messages from the platform and from peers leads to the same content, and a
 version once seen is never replaced by a lower one.
+
+Besides the declarations, the store holds two kinds of records that spread
+between nodes in the same way and that the platform never sees:
+
+``LastValid:<kind>``
+    The highest valid version of an object, kept from the moment that an
+    invalid version was seen. A node that starts later learns from it what to
+    keep in force.
+``Checkpoint``
+    The objects that existed at a version of the platform. A node that knows it
+    does not believe a peer which still holds an object deleted before.
 """
 
 import threading
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
+import msgspec
 from result import Err
 
 from knapweedspring_core._declarations import (
+    DECLARATION_TYPES,
     Declaration,
     ObjectKey,
     ObjectRecord,
@@ -23,7 +36,12 @@
 )
 from knapweedspring_core._errors import DeclarationError
 
-__all__ = ["DeclarationStore", "InvalidObject"]
+__all__ = ["CHECKPOINT_KEY", "DeclarationStore", "HeldObject", "InvalidObject"]
+
+LAST_VALID_PREFIX = "LastValid:"
+
+#: Key under which the list of existing objects spreads.
+CHECKPOINT_KEY = ObjectKey("Checkpoint", "objects")
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +54,19 @@
     error: DeclarationError
 
 
+@dataclass(frozen=True, slots=True)
+class HeldObject:
+    """What a node holds of one declaration."""
+
+    #: The highest version heard of.
+    record: ObjectRecord
+    #: Version in force: lower than the highest when that one is invalid, and 0
+    #: when no valid version is known.
+    in_force_version: int
+    #: What is wrong with the highest version, if anything.
+    error: DeclarationError | None = None
+
+
 class DeclarationStore:
     """Holds the highest version of each object and what is in force.
 
@@ -50,16 +81,26 @@
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._records: dict[ObjectKey, ObjectRecord] = {}
+        self._valid: dict[ObjectKey, ObjectRecord] = {}
         self._in_force: dict[ObjectKey, Declaration] = {}
         self._invalid: dict[ObjectKey, InvalidObject] = {}
+        self._existing: frozenset[str] = frozenset()
+        self._top_priority = 0
         self._subscribers: list[Callable[[ObjectRecord], None]] = []
 
     @property
     def records(self) -> tuple[ObjectRecord, ...]:
-        """The highest version of each object, tombstones included."""
+        """All records that spread between nodes, tombstones included."""
         with self._lock:
             return tuple(self._records.values())
 
+    @property
+    def objects(self) -> tuple[HeldObject, ...]:
+        """What is held of each declaration, in the order of their keys."""
+        with self._lock:
+            declared = [key for key in self._records if key.kind in DECLARATION_TYPES]
+            return tuple(self._held(key) for key in sorted(declared))
+
     @property
     def is_empty(self) -> bool:
         """Whether no object has been heard of yet."""
@@ -76,25 +117,43 @@
         self._subscribers.append(callback)
 
     def merge(self, record: ObjectRecord) -> bool:
-        """Take a version in.
+        """Take a version in, from the platform or from a peer.
+
+        Records of kinds that are no declarations are ignored.
 
-        :return: True when it was higher than the one held before.
+        :return: True when the store changed.
         """
         with self._lock:
-            held = self._records.get(record.key)
-            if held is not None and held.version >= record.version:
-                return False
-            self._records[record.key] = record
-            self._apply(record)
-        for callback in self._subscribers:
-            callback(record)
-        return True
+            changed = self._merge(record)
+        for new in changed:
+            for callback in self._subscribers:
+                callback(new)
+        return bool(changed)
+
+    def merge_list(self, records: tuple[ObjectRecord, ...], version: int) -> None:
+        """Take in a complete list of the platform's declarations.
+
+        What is held and not listed was deleted at or before ``version``.
+
+        :param records: every declaration that exists.
+        :param version: version of the platform that the list stands for.
+        """
+        for record in records:
+            self.merge(record)
+        names = sorted(str(record.key) for record in records if not record.deleted)
+        content = msgspec.json.encode(names).decode()
+        self.merge(ObjectRecord(CHECKPOINT_KEY, version, content=content))
 
     def version_of(self, key: ObjectKey) -> int:
         """Return the highest version held of an object, 0 when unknown."""
         record = self._records.get(key)
         return 0 if record is None else record.version
 
+    def in_force_version(self, key: ObjectKey) -> int:
+        """Return the version in force, 0 when no valid one is known."""
+        record = self._valid.get(key)
+        return 0 if record is None else record.version
+
     def service(self, name: str) -> Service | None:
         """Return the service declaration in force."""
         found = self._in_force.get(ObjectKey("Service", name))
@@ -105,6 +164,10 @@
         found = self._in_force.get(ObjectKey("RequestClass", name))
         return found if isinstance(found, RequestClass) else None
 
+    def top_priority(self) -> int:
+        """Return the priority of the most important class in force."""
+        return self._top_priority
+
     def upstream_intent(self, node_id: str) -> UpstreamIntent | None:
         """Return what operators want of the upstream beside a node."""
         found = self._in_force.get(ObjectKey("UpstreamIntent", node_id))
@@ -115,15 +178,105 @@
         found = self._in_force.get(ObjectKey("Policy", "mesh"))
         return found if isinstance(found, Policy) else Policy()
 
-    def _apply(self, record: ObjectRecord) -> None:
+    def _merge(self, record: ObjectRecord) -> list[ObjectRecord]:
+        """Merge under the lock.
+
+        :return: the records that replaced others.
+        """
+        kind = record.key.kind
+        if record.key == CHECKPOINT_KEY:
+            return self._merge_checkpoint(record)
+        if kind in DECLARATION_TYPES:
+            return self._merge_declaration(self._unless_deleted(record))
+        target = _target_of_last_valid(record.key)
+        if target is None:
+            return []
+        changed = self._raise(record)
+        if changed:
+            self._put_in_force(self._unless_deleted(replace(record, key=target)))
+            changed += self._keep_last_valid(target)
+        return changed
+
+    def _merge_declaration(self, record: ObjectRecord) -> list[ObjectRecord]:
+        changed = self._raise(record)
+        error = self._put_in_force(record)
+        if changed and error is not None:
+            self._invalid[record.key] = InvalidObject(record, error)
+        elif changed:
+            self._invalid.pop(record.key, None)
+        changed += self._keep_last_valid(record.key)
+        return changed
+
+    def _raise(self, record: ObjectRecord) -> list[ObjectRecord]:
+        """Keep a record if it is higher than the one held."""
+        held = self._records.get(record.key)
+        if held is not None and held.version >= record.version:
+            return []
+        self._records[record.key] = record
+        return [record]
+
+    def _put_in_force(self, record: ObjectRecord) -> DeclarationError | None:
+        """Put a version in force if it is valid and higher than the one there."""
+        held = self._valid.get(record.key)
+        if held is not None and held.version >= record.version:
+            return None
         if record.deleted:
             self._in_force.pop(record.key, None)
-            self._invalid.pop(record.key, None)
-            return
-        parsed = parse_declaration(record.key.kind, record.content)
-        if isinstance(parsed, Err):
-            # The version before stays in force; status names the invalid one.
-            self._invalid[record.key] = InvalidObject(record, parsed.err_value)
-            return
-        self._invalid.pop(record.key, None)
-        self._in_force[record.key] = parsed.ok_value
+        else:
+            parsed = parse_declaration(record.key.kind, record.content)
+            if isinstance(parsed, Err):
+                return parsed.err_value
+            self._in_force[record.key] = parsed.ok_value
+        self._valid[record.key] = record
+        self._top_priority = self._find_top_priority()
+        return None
+
+    def _keep_last_valid(self, key: ObjectKey) -> list[ObjectRecord]:
+        valid = self._valid.get(key)
+        if valid is None or key not in self._invalid:
+            return []
+        kept = ObjectKey(LAST_VALID_PREFIX + key.kind, key.name)
+        return self._raise(replace(valid, key=kept))
+
+    def _merge_checkpoint(self, record: ObjectRecord) -> list[ObjectRecord]:
+        try:
+            existing = frozenset(msgspec.json.decode(record.content, type=list[str]))
+        except msgspec.DecodeError:
+            # Only a peer of another release could send it; nothing is lost.
+            return []
+        changed = self._raise(record)
+        if not changed:
+            return []
+        self._existing = existing
+        for held in (*self._records.values(), *self._valid.values()):
+            if held.key.kind in DECLARATION_TYPES:
+                changed += self._merge_declaration(self._unless_deleted(held))
+        return changed
+
+    def _unless_deleted(self, record: ObjectRecord) -> ObjectRecord:
+        """Replace a record by a tombstone if the checkpoint rules it out."""
+        checkpoint_version = self.version_of(CHECKPOINT_KEY)
+        if record.version > checkpoint_version or str(record.key) in self._existing:
+            return record
+        return ObjectRecord(record.key, checkpoint_version, deleted=True)
+
+    def _held(self, key: ObjectKey) -> HeldObject:
+        invalid = self._invalid.get(key)
+        error = None if invalid is None else invalid.error
+        return HeldObject(self._records[key], self.in_force_version(key), error)
+
+    def _find_top_priority(self) -> int:
+        classes = (
+            declared.priority
+            for declared in self._in_force.values()
+            if isinstance(declared, RequestClass)
+        )
+        return max(classes, default=0)
+
+
+def _target_of_last_valid(key: ObjectKey) -> ObjectKey | None:
+    """Return the declaration that a ``LastValid`` record stands for."""
+    kind = key.kind.removeprefix(LAST_VALID_PREFIX)
+    if kind == key.kind or kind not in DECLARATION_TYPES:
+        return None
+    return ObjectKey(kind, key.name)
