--- a/packages/core/src/knapweedspring_core/__init__.py
+++ b/packages/core/src/knapweedspring_core/__init__.py
@@ -29,6 +29,7 @@
     DeclarationError,
     PlatformConflict,
     PlatformError,
+    PlatformRefused,
     PlatformUnavailable,
     PlatformVersionTooOld,
     SettingsError,
@@ -56,6 +57,7 @@
     HttpPlatform,
     Platform,
 )
+from knapweedspring_core._rate import TokenBucket
 from knapweedspring_core._settings import (
     load_settings,
     parse_settings,
@@ -74,6 +76,12 @@
     Subscription,
     TimerService,
 )
+from knapweedspring_core._writes import (
+    ResolvedWriter,
+    WriteConflict,
+    WriteError,
+    WriteUnsure,
+)
 
 __all__ = [
     "AnnouncedUpstream",
@@ -104,6 +112,7 @@
     "Platform",
     "PlatformConflict",
     "PlatformError",
+    "PlatformRefused",
     "PlatformUnavailable",
     "PlatformVersionTooOld",
     "Policy",
@@ -111,6 +120,7 @@
     "Reason",
     "Refusal",
     "RequestClass",
+    "ResolvedWriter",
     "RouteRule",
     "Service",
     "SettingsError",
@@ -119,8 +129,12 @@
     "Supervisor",
     "ThreadChild",
     "TimerService",
+    "TokenBucket",
     "UpstreamIntent",
     "UpstreamState",
+    "WriteConflict",
+    "WriteError",
+    "WriteUnsure",
     "decode",
     "encode",
     "load_settings",
--- a/packages/core/src/knapweedspring_core/_errors.py
+++ b/packages/core/src/knapweedspring_core/_errors.py
@@ -7,6 +7,7 @@
     "DeclarationError",
     "PlatformConflict",
     "PlatformError",
+    "PlatformRefused",
     "PlatformUnavailable",
     "PlatformVersionTooOld",
     "SettingsError",
@@ -71,6 +72,11 @@
     current_version: int
 
 
+@dataclass(frozen=True, slots=True)
+class PlatformRefused(PlatformError):
+    """The platform rejects the request itself; it has no effect."""
+
+
 @dataclass(frozen=True, slots=True)
 class PlatformVersionTooOld(PlatformError):
     """The watch asks for changes that the platform no longer holds."""
--- a/packages/core/src/knapweedspring_core/_platform.py
+++ b/packages/core/src/knapweedspring_core/_platform.py
@@ -1,6 +1,7 @@
 """Client of the platform's object API; the protocol is in docs/PLATFORM.md."""
 
 import json
+import time
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 from typing import Any
@@ -12,13 +13,17 @@
 from knapweedspring_core._errors import (
     PlatformConflict,
     PlatformError,
+    PlatformRefused,
     PlatformUnavailable,
     PlatformVersionTooOld,
 )
+from knapweedspring_core._rate import TokenBucket
 
 __all__ = ["Changes", "HttpPlatform", "Platform"]
 
 REQUEST_TIMEOUT_S = 3.0
+MAX_CALLS_PER_S = 20.0
+CALL_BURST = 20
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,15 +44,21 @@
         """Read one object; None when it does not exist."""
 
     @abstractmethod
-    def list_all(self) -> Result[Changes, PlatformError]:
-        """Read every object, and the version that the list stands for."""
+    def list_all(self, kinds: tuple[str, ...] = ()) -> Result[Changes, PlatformError]:
+        """Read every object, and the version that the list stands for.
+
+        :param kinds: only objects of these kinds; all when empty.
+        """
 
     @abstractmethod
-    def watch(self, version: int, wait_s: float) -> Result[Changes, PlatformError]:
+    def watch(
+        self, version: int, wait_s: float, kinds: tuple[str, ...] = ()
+    ) -> Result[Changes, PlatformError]:
         """Wait for changes after ``version``.
 
         :param version: from :meth:`list_all` or an earlier watch.
         :param wait_s: seconds after which no change is answered with none.
+        :param kinds: only objects of these kinds; all when empty.
         """
 
     @abstractmethod
@@ -72,11 +83,23 @@
 class HttpPlatform(Platform):
     """The object API over HTTP.
 
+    Calls wait when they would exceed the rate limit, so that a fault in a
+    caller cannot use up what the platform grants to everybody.
+
     :param address: ``ip:port`` of the platform.
+    :param data_centre: data centre of the caller, told to the platform.
+    :param max_calls_per_s: calls a second in the long run.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self,
+        address: str,
+        data_centre: str = "",
+        max_calls_per_s: float = MAX_CALLS_PER_S,
+    ) -> None:
         self._base = f"http://{address}/objects"
+        self._headers = {"X-Data-Centre": data_centre} if data_centre else {}
+        self._bucket = TokenBucket(max_calls_per_s, CALL_BURST)
         self._pool = urllib3.PoolManager(maxsize=2, retries=False)
         self._n_calls = 0
 
@@ -95,14 +118,19 @@
             return Ok(None)
         return _as_record(status, body)
 
-    def list_all(self) -> Result[Changes, PlatformError]:
+    def list_all(self, kinds: tuple[str, ...] = ()) -> Result[Changes, PlatformError]:
         """Read every object, and the version that the list stands for."""
-        answer = self._request("GET", self._base)
+        query = f"?kinds={','.join(kinds)}" if kinds else ""
+        answer = self._request("GET", self._base + query)
         return answer.and_then(lambda pair: _as_changes(*pair))
 
-    def watch(self, version: int, wait_s: float) -> Result[Changes, PlatformError]:
+    def watch(
+        self, version: int, wait_s: float, kinds: tuple[str, ...] = ()
+    ) -> Result[Changes, PlatformError]:
         """Wait for changes after ``version``."""
         url = f"{self._base}?watch={version}&wait_ms={int(wait_s * 1000)}"
+        if kinds:
+            url += f"&kinds={','.join(kinds)}"
         answer = self._request("GET", url, timeout_s=wait_s + REQUEST_TIMEOUT_S)
         return answer.and_then(lambda pair: _as_changes(*pair))
 
@@ -136,7 +164,9 @@
         headers: dict[str, str] | None = None,
         timeout_s: float = REQUEST_TIMEOUT_S,
     ) -> Result[tuple[int, Any], PlatformError]:
+        time.sleep(self._bucket.take())
         self._n_calls += 1
+        headers = {**self._headers, **(headers or {})}
         try:
             answer = self._pool.request(
                 method, url, body=body, headers=headers, timeout=timeout_s
@@ -151,7 +181,7 @@
         detail = f"the object has version {body['version']}"
         return Err(PlatformConflict(detail, body["version"]))
     if status != 200:
-        return Err(PlatformUnavailable(f"status {status}"))
+        return Err(_as_failure(status, body))
     return Ok(_record(body))
 
 
@@ -159,11 +189,18 @@
     if status == 410:
         return Err(PlatformVersionTooOld("list the objects again"))
     if status != 200:
-        return Err(PlatformUnavailable(f"status {status}"))
+        return Err(_as_failure(status, body))
     records = tuple(_record(item) for item in body["items"])
     return Ok(Changes(records, body["version"]))
 
 
+def _as_failure(status: int, body: Any) -> PlatformError:
+    if 400 <= status < 500:
+        problem = body.get("problem", "") if isinstance(body, dict) else ""
+        return PlatformRefused(f"status {status}: {problem}")
+    return PlatformUnavailable(f"status {status}")
+
+
 def _record(body: Any) -> ObjectRecord:
     return ObjectRecord(
         key=ObjectKey(body["kind"], body["name"]),
--- a/packages/standins/src/knapweedspring_standins/_platform.py
+++ b/packages/standins/src/knapweedspring_standins/_platform.py
@@ -135,7 +135,8 @@
         if self._control.breaks_off(request.data_centre):
             return None
         if operation == "list":
-            return _Answer(200, _wire_revision(self._table.list_all()))
+            listed = self._table.list_all(_kinds(request))
+            return _Answer(200, _wire_revision(listed))
         if operation == "watch":
             return self._answer_watch(request)
         key = ObjectKey(parts[1], parts[2])
@@ -150,7 +151,7 @@
             wait_ms = min(int(query.get("wait_ms", ["0"])[0]), MAX_WATCH_MS)
         except ValueError:
             return _Answer(400, _WireProblem("watch and wait_ms are numbers"))
-        watched = self._table.watch(version, wait_ms / 1_000)
+        watched = self._table.watch(version, wait_ms / 1_000, _kinds(request))
         if self._control.breaks_off(request.data_centre):
             return None
         if isinstance(watched, Err):
@@ -263,6 +264,12 @@
     return request.method.lower()
 
 
+def _kinds(request: _Request) -> frozenset[str]:
+    """Kinds that a list or watch is limited to."""
+    texts = parse_qs(request.query).get("kinds", [])
+    return frozenset(kind for text in texts for kind in text.split(","))
+
+
 def _answer_get(record: ObjectRecord | None) -> _Answer:
     if record is None:
         return _Answer(404, _WireProblem("no such object"))
--- a/packages/standins/src/knapweedspring_standins/_platform_objects.py
+++ b/packages/standins/src/knapweedspring_standins/_platform_objects.py
@@ -53,16 +53,25 @@
             held = self._objects.get(key)
             return None if held is None or held.deleted else held
 
-    def list_all(self) -> Revision:
-        """Return every object that exists; tombstones are left out."""
-        with self._changed:
-            return self._after(-1, with_tombstones=False)
+    def list_all(self, kinds: frozenset[str] = frozenset()) -> Revision:
+        """Return the objects that exist; tombstones are left out.
 
-    def watch(self, version: int, wait_s: float) -> Result[Revision, VersionTooOld]:
+        :param kinds: only these kinds; all when empty.
+        """
+        with self._changed:
+            existing = [
+                record for record in self._after(-1, kinds).items if not record.deleted
+            ]
+            return Revision(self._version, tuple(existing))
+
+    def watch(
+        self, version: int, wait_s: float, kinds: frozenset[str] = frozenset()
+    ) -> Result[Revision, VersionTooOld]:
         """Wait for changes.
 
         :param version: only objects changed after it are returned.
         :param wait_s: seconds to wait at most.
+        :param kinds: only these kinds; all when empty.
         :return: the changes; none after the wait and after :meth:`interrupt`.
         """
         give_up_at = time.monotonic() + wait_s
@@ -72,8 +81,9 @@
                 if version < self._oldest:
                     return Err(VersionTooOld(self._oldest))
                 left_s = give_up_at - time.monotonic()
-                if self._version > version or left_s <= 0:
-                    return Ok(self._after(version, with_tombstones=True))
+                changes = self._after(version, kinds)
+                if changes.items or left_s <= 0:
+                    return Ok(changes)
                 self._changed.wait(left_s)
                 if n_interrupts != self._n_interrupts:
                     return Ok(Revision(version, ()))
@@ -122,11 +132,11 @@
             self._changed.notify_all()
             return Ok(stored)
 
-    def _after(self, version: int, with_tombstones: bool) -> Revision:
+    def _after(self, version: int, kinds: frozenset[str]) -> Revision:
         changed = [
             record
             for record in self._objects.values()
-            if record.version > version and (with_tombstones or not record.deleted)
+            if record.version > version and (not kinds or record.key.kind in kinds)
         ]
         changed.sort(key=lambda record: record.version)
         return Revision(self._version, tuple(changed))
--- a/packages/standins/tests/test_platform.py
+++ b/packages/standins/tests/test_platform.py
@@ -129,3 +129,13 @@
     while operation not in _calls(server)["by_operation"]:
         assert time.monotonic() < give_up_at
         time.sleep(0.01)
+
+
+def test_list_and_watch_may_be_limited_to_kinds(client):
+    policy = client.put(KEY, "{}", "a", 0).unwrap()
+    other = ObjectKey("Status", "sandton")
+    client.put(other, "{}", "a", 0).unwrap()
+    assert client.list_all(("Policy",)).unwrap().records == (policy,)
+    changes = client.watch(policy.version, 0.05, ("Policy",)).unwrap()
+    assert changes.records == ()
+    assert changes.version == policy.version + 1
