Add the node's local pages

Operators, scrapers and the upstream on the VM need the read-only pages and the announcements. The pages read a small abstract class, so that the call path and the membership need not know them. Wrong announcements name the field and advise. 14 tests over HTTP pass.

--- /dev/null
+++ b/packages/core/src/knapweedspring_core/_status.py
@@ -0,0 +1,137 @@
+"""What nodes and data centres tell about themselves on pages and in objects."""
+
+from dataclasses import dataclass
+
+from knapweedspring_core._events import Event
+from knapweedspring_core._members import Member, UpstreamState
+
+__all__ = [
+    "BudgetUse",
+    "DeclarationStatus",
+    "EventsPage",
+    "Explanation",
+    "GateStatus",
+    "MembersPage",
+    "PageProblem",
+    "StatusPage",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class DeclarationStatus:
+    """One declaration as a node holds it."""
+
+    #: Kind, such as ``RequestClass``.
+    kind: str
+    #: Name, unique within the kind.
+    name: str
+    #: Highest version that the node heard of.
+    version: int
+    #: Version that the node acts by; 0 when it knows no valid one.
+    in_force_version: int
+    #: Whether the highest version is a deletion.
+    deleted: bool = False
+    #: Path of the mistake in the highest version; empty when it is valid.
+    invalid_path: str = ""
+    #: What to write there instead.
+    advice: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class GateStatus:
+    """One upstream and its gate."""
+
+    #: Name of the service.
+    service: str
+    #: ``ip:port`` of the upstream.
+    address: str
+    #: State announced by the upstream.
+    state: UpstreamState
+    #: Slots that the upstream announced.
+    slots: int
+    #: Concurrency limit in effect.
+    limit: int
+    #: Calls running at the upstream.
+    n_in_flight: int
+    #: Calls waiting in the queue.
+    n_waiting: int
+    #: Lowest priority that is admitted at present; 0 when nothing is shed.
+    shedding_level: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class BudgetUse:
+    """Retry tokens of the requests that entered at a node, since its start."""
+
+    #: Tokens that the requests were given.
+    n_granted: int = 0
+    #: Tokens spent on attempts beyond the first.
+    n_spent: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class StatusPage:
+    """State of one node."""
+
+    #: Name of the node.
+    node_id: str
+    #: Grows with each start of the node.
+    incarnation: int
+    #: Data centre that the node runs in.
+    data_centre: str
+    #: Declarations, in the order of their keys.
+    declarations: tuple[DeclarationStatus, ...] = ()
+    #: Upstreams on the node's VM.
+    gates: tuple[GateStatus, ...] = ()
+    #: Whether the node refuses new work.
+    draining: bool = False
+    #: Requests, child calls and live tickets that a drain still waits for.
+    n_unfinished: int = 0
+    #: Use of the retry budgets.
+    budget: BudgetUse = BudgetUse()
+    #: Whether this node reads the platform for its data centre.
+    watching: bool = False
+    #: Whether this node writes its data centre's status object.
+    reporting: bool = False
+    #: Calls to the platform since the start.
+    n_platform_calls: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class MembersPage:
+    """The membership view of one node."""
+
+    #: Node that holds the view.
+    node_id: str
+    #: Every known node.
+    members: tuple[Member, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class EventsPage:
+    """The event ring of one process."""
+
+    #: Name of the process.
+    process: str
+    #: Newest events, oldest first.
+    events: tuple[Event, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Explanation:
+    """What one node knows of one request."""
+
+    #: Id of the request.
+    request_id: str
+    #: Node that tells.
+    node_id: str
+    #: Events of the request, oldest first.
+    events: tuple[Event, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PageProblem:
+    """Answer of a page that cannot do what was asked."""
+
+    #: What to do instead.
+    problem: str
--- /dev/null
+++ b/packages/node/src/knapweedspring_node/_admin/_pages.py
@@ -0,0 +1,137 @@
+"""The page handlers, as a CherryPy application."""
+
+from dataclasses import dataclass
+from typing import Any, TypeVar
+
+import cherrypy
+import msgspec
+from result import Err, Ok, Result
+
+from knapweedspring_core import (
+    AnnouncedUpstream,
+    EventsPage,
+    MembersPage,
+    MetricsPage,
+    PageProblem,
+)
+from knapweedspring_node._admin._facts import NodeFacts
+
+__all__ = ["make_application"]
+
+MAX_ANNOUNCEMENT_BYTES = 16_384
+MAX_SLOTS = 1_000_000
+METRICS_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+
+T = TypeVar("T")
+
+
+@dataclass(frozen=True, slots=True)
+class _Done:
+    """Answer to an announcement."""
+
+    #: Node that took it in.
+    node_id: str
+
+
+class _Pages:
+    """Handlers by path; each returns the body of the answer."""
+
+    def __init__(self, facts: NodeFacts, metrics: MetricsPage) -> None:
+        self._facts = facts
+        self._metrics = metrics
+
+    @cherrypy.expose
+    @cherrypy.tools.allow(methods=["GET", "HEAD"])
+    def status(self) -> bytes:
+        """Return the node's state."""
+        return _json(self._facts.status())
+
+    @cherrypy.expose
+    @cherrypy.tools.allow(methods=["GET", "HEAD"])
+    def members(self) -> bytes:
+        """Return the membership view."""
+        node_id = self._facts.status().node_id
+        return _json(MembersPage(node_id, self._facts.members()))
+
+    @cherrypy.expose
+    @cherrypy.tools.allow(methods=["GET", "HEAD"])
+    def events(self) -> bytes:
+        """Return the event ring."""
+        node_id = self._facts.status().node_id
+        return _json(EventsPage(node_id, self._facts.events()))
+
+    @cherrypy.expose
+    @cherrypy.tools.allow(methods=["GET", "HEAD"])
+    def metrics(self) -> bytes:
+        """Return the metrics in the scrapers' text format."""
+        cherrypy.response.headers["Content-Type"] = METRICS_CONTENT_TYPE
+        return self._metrics.render()
+
+    @cherrypy.expose
+    @cherrypy.tools.allow(methods=["GET", "HEAD"])
+    def explain(self, request_id: str) -> bytes:
+        """Return what the node knows of a request."""
+        return _json(self._facts.explain(request_id))
+
+    @cherrypy.expose
+    @cherrypy.tools.allow(methods=["POST"])
+    def upstreams(self) -> bytes:
+        """Take in an upstream's announcement."""
+        body = cherrypy.request.body.read(MAX_ANNOUNCEMENT_BYTES)
+        announced = _read_announcement(body)
+        if isinstance(announced, Err):
+            cherrypy.response.status = 400
+            return _json(announced.err_value)
+        self._facts.announce(announced.ok_value)
+        return _json(_Done(self._facts.status().node_id))
+
+
+def make_application(facts: NodeFacts, metrics: MetricsPage) -> cherrypy.Application:
+    """Build the WSGI application of the pages."""
+    cherrypy.config.update({"environment": "embedded"})
+    settings = {
+        "/": {
+            "error_page.default": _error_page,
+            # Announcements are JSON; CherryPy would parse forms only.
+            "request.process_request_body": True,
+            "request.body.processors": {},
+            "tools.encode.on": False,
+        }
+    }
+    application = cherrypy.Application(_Pages(facts, metrics), "", settings)
+    application.log.screen = False
+    application.log.access_log.disabled = True
+    application.log.error_log.disabled = True
+    return application
+
+
+def _json(page: object) -> bytes:
+    cherrypy.response.headers["Content-Type"] = "application/json"
+    return msgspec.json.encode(page)
+
+
+def _error_page(status: str, message: str, **_: Any) -> bytes:
+    return _json(PageProblem(f"{status}: {message}"))
+
+
+def _read_announcement(body: bytes) -> Result[AnnouncedUpstream, PageProblem]:
+    try:
+        announced = msgspec.json.decode(body, type=AnnouncedUpstream)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Err(PageProblem(str(error)))
+    problem = _validate(announced)
+    return Ok(announced) if problem is None else Err(PageProblem(problem))
+
+
+def _validate(announced: AnnouncedUpstream) -> str | None:
+    """Check the rules that types alone cannot express."""
+    if not announced.service or "/" in announced.service:
+        return "$.service: write the first segment of the calls' paths"
+    host, _, port = announced.address.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65_536:
+        return "$.address: write ip:port"
+    if not 0 < announced.slots <= MAX_SLOTS:
+        return f"$.slots: write a number from 1 to {MAX_SLOTS}"
+    if not 0 < announced.connections <= MAX_SLOTS:
+        return f"$.connections: write a number from 1 to {MAX_SLOTS}"
+    return None
--- /dev/null
+++ b/packages/node/tests/_admin/test_pages.py
@@ -0,0 +1,134 @@
+"""The local pages answer over HTTP with typed JSON."""
+
+import json
+
+import msgspec
+import pytest
+import urllib3
+
+from knapweedspring_core import (
+    AnnouncedUpstream,
+    Counters,
+    EventLog,
+    Explanation,
+    Member,
+    MembersPage,
+    MetricsPage,
+    StatusPage,
+    UpstreamState,
+)
+from knapweedspring_node._admin import AdminPages, NodeFacts
+
+MEMBER = Member("n1", 1, "sandton", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
+
+
+class _Facts(NodeFacts):
+    def __init__(self):
+        self.log = EventLog("n1")
+        self.announced = []
+
+    def status(self):
+        return StatusPage("n1", 7, "sandton")
+
+    def members(self):
+        return (MEMBER,)
+
+    def events(self):
+        return self.log.events
+
+    def announce(self, upstream):
+        self.announced.append(upstream)
+
+
+@pytest.fixture(scope="module")
+def facts():
+    return _Facts()
+
+
+@pytest.fixture(scope="module")
+def base(facts):
+    counters = Counters()
+    counters.add("calls_refused", "overloaded", 3)
+    pages = AdminPages(facts, MetricsPage(counters))
+    address = pages.bind("127.0.0.1:0").unwrap()
+    pages.start()
+    yield f"http://{address}"
+    pages.stop()
+    assert pages.join(20)
+
+
+def _get(base, path, page_type):
+    answer = urllib3.request("GET", base + path)
+    assert answer.status == 200
+    assert answer.headers["Content-Type"] == "application/json"
+    return _convert(answer.data, page_type)
+
+
+def _convert(data, page_type):
+    return msgspec.json.decode(data, type=page_type)
+
+
+def test_status_and_members(base):
+    assert _get(base, "/status", StatusPage) == StatusPage("n1", 7, "sandton")
+    assert _get(base, "/members", MembersPage) == MembersPage("n1", (MEMBER,))
+
+
+def test_explain_returns_the_events_that_name_the_request(base, facts):
+    event = facts.log.record("request:admitted", request="r/1")
+    facts.log.record("request:admitted", request="r2")
+    explained = _get(base, "/explain/r%2F1", Explanation)
+    assert explained == Explanation("r/1", "n1", (event,))
+
+
+def test_metrics_are_in_the_text_format(base):
+    answer = urllib3.request("GET", base + "/metrics")
+    assert answer.headers["Content-Type"].startswith("text/plain")
+    assert b'calls_refused_total{of="overloaded"' in answer.data
+
+
+def test_an_announcement_reaches_the_node(base, facts):
+    body = {
+        "service": "orders",
+        "address": "127.0.0.1:99",
+        "slots": 4,
+        "connections": 9,
+        "state": "leaving",
+    }
+    answer = urllib3.request("POST", base + "/upstreams", json=body)
+    assert (answer.status, answer.json()) == (200, {"node_id": "n1"})
+    expected = AnnouncedUpstream("orders", "127.0.0.1:99", 4, 9, UpstreamState.LEAVING)
+    assert facts.announced == [expected]
+
+
+@pytest.mark.parametrize(
+    ("change", "path"),
+    [
+        ({"slots": "many"}, "$.slots"),
+        ({"slots": 0}, "$.slots"),
+        ({"connections": -1}, "$.connections"),
+        ({"address": "here"}, "$.address"),
+        ({"service": "a/b"}, "$.service"),
+        ({"state": "tired"}, "$.state"),
+    ],
+)
+def test_a_wrong_announcement_names_the_field(base, change, path):
+    body = {"service": "a", "address": "127.0.0.1:9", "slots": 1, "connections": 1}
+    answer = urllib3.request("POST", base + "/upstreams", json={**body, **change})
+    assert answer.status == 400
+    assert path in answer.json()["problem"]
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "status"),
+    [("GET", "/nothing", 404), ("POST", "/status", 405), ("GET", "/upstreams", 405)],
+)
+def test_wrong_pages_and_methods_are_told_in_json(base, method, path, status):
+    answer = urllib3.request(method, base + path)
+    assert answer.status == status
+    assert str(status) in json.loads(answer.data)["problem"]
+
+
+def test_an_address_in_use_is_an_error_with_advice(base, facts):
+    taken = base.removeprefix("http://")
+    error = AdminPages(facts, MetricsPage(Counters())).bind(taken).unwrap_err()
+    assert taken in error.advice
