--- /dev/null
+++ b/packages/node/src/knapweedspring_node/_config/_watcher.py
@@ -0,0 +1,150 @@
+"""Reads declarations from the platform and merges them into the store."""
+
+import random
+import threading
+from collections.abc import Callable
+
+from result import Err, Result
+
+from knapweedspring_core import (
+    DECLARATION_TYPES,
+    Changes,
+    Counters,
+    DeclarationStore,
+    EventLog,
+    ObjectRecord,
+    Platform,
+    PlatformError,
+    PlatformVersionTooOld,
+    ThreadChild,
+)
+from knapweedspring_node._config._contacts import CONTACTS_KIND
+from knapweedspring_node._config._roles import Roles
+
+__all__ = ["PlatformWatcher"]
+
+#: How long one watch waits for a change.
+WATCH_WAIT_S = 20.0
+#: How often a node looks whether it has become a watcher.
+ROLE_PERIOD_S = 0.25
+BACKOFF_MIN_S = 0.2
+BACKOFF_MAX_S = 5.0
+WATCHED_KINDS = (*sorted(DECLARATION_TYPES), CONTACTS_KIND)
+
+
+class PlatformWatcher(ThreadChild):
+    """Lists the declarations, then watches for changes, while in its role.
+
+    An outage is ridden out with backoff and jitter; the store keeps what it
+    has. A watch that the platform refuses as too old is followed by a list.
+
+    :param platform: the object API.
+    :param store: takes the declarations in.
+    :param roles: tell whether this node watches.
+    :param events: records when the platform becomes reachable or unreachable.
+    :param counters: counts lists, watches and failures.
+    :param on_contacts: told of each ``Contacts`` object that was read.
+    """
+
+    def __init__(
+        self,
+        platform: Platform,
+        store: DeclarationStore,
+        roles: Roles,
+        events: EventLog,
+        counters: Counters,
+        on_contacts: Callable[[ObjectRecord], None] = lambda _: None,
+    ) -> None:
+        super().__init__("platform-watcher", self._watch, self._wake, self._failed)
+        self._platform = platform
+        self._store = store
+        self._roles = roles
+        self._events = events
+        self._counters = counters
+        self._on_contacts = on_contacts
+        self._stopped = threading.Event()
+        self._random = random.Random()
+        self._version: int | None = None
+        self._reachable: bool | None = None
+        self._backoff_s = BACKOFF_MIN_S
+
+    @property
+    def is_watching(self) -> bool:
+        """Whether this node reads the platform and reached it last time."""
+        return self._version is not None and self._reachable is True
+
+    def join(self, timeout_s: float) -> bool:
+        """Wait for the thread, but not for a watch that waits.
+
+        A watch has no effect that must be finished; its thread ends with the
+        process.
+        """
+        super().join(min(timeout_s, ROLE_PERIOD_S))
+        return True
+
+    def _wake(self) -> None:
+        self._stopped.set()
+
+    def _watch(self) -> None:
+        while not self._stopped.is_set():
+            if self._roles.is_watcher:
+                self._read_once()
+                continue
+            # A node that gets the role again begins with a list, since the
+            # platform may have forgotten what came meanwhile.
+            self._version = None
+            self._stopped.wait(ROLE_PERIOD_S)
+
+    def _read_once(self) -> None:
+        read = self._read()
+        if isinstance(read, Err):
+            self._after_failure(read.err_value)
+            return
+        self._set_reachable(True)
+        self._backoff_s = BACKOFF_MIN_S
+        self._take_in(read.ok_value)
+
+    def _read(self) -> Result[Changes, PlatformError]:
+        if self._version is None:
+            self._counters.add("platform_reads", "list")
+            return self._platform.list_all(WATCHED_KINDS)
+        self._counters.add("platform_reads", "watch")
+        return self._platform.watch(self._version, WATCH_WAIT_S, WATCHED_KINDS)
+
+    def _take_in(self, changes: Changes) -> None:
+        declared = tuple(
+            record for record in changes.records if record.key.kind != CONTACTS_KIND
+        )
+        if self._version is None:
+            self._store.merge_list(declared, changes.version)
+        else:
+            for record in declared:
+                self._store.merge(record)
+        self._version = changes.version
+        for record in changes.records:
+            if record.key.kind == CONTACTS_KIND:
+                self._on_contacts(record)
+
+    def _after_failure(self, error: PlatformError) -> None:
+        self._counters.add("platform_failures", type(error).__name__)
+        if isinstance(error, PlatformVersionTooOld):
+            self._version = None
+            self._events.record("platform:version-too-old")
+            return
+        self._set_reachable(False, str(error))
+        # Jitter over the whole pause keeps the watchers of a firm from coming
+        # back all at once after an outage.
+        self._stopped.wait(self._random.uniform(0, self._backoff_s))
+        self._backoff_s = min(self._backoff_s * 2, BACKOFF_MAX_S)
+
+    def _set_reachable(self, reachable: bool, detail: str = "") -> None:
+        if reachable == self._reachable:
+            return
+        self._reachable = reachable
+        kind = "platform:reachable" if reachable else "platform:unreachable"
+        self._events.record(kind, detail=detail)
+
+    def _failed(self, _: str, error: BaseException) -> None:
+        self._version = None
+        self._counters.add("platform_failures", "internal")
+        self._events.record("platform:watcher-failed", detail=repr(error))
--- /dev/null
+++ b/packages/node/tests/_config/test_watcher.py
@@ -0,0 +1,143 @@
+"""The watcher follows the platform through outages and forgotten history."""
+
+import threading
+import time
+
+import pytest
+import urllib3
+
+from knapweedspring_core import (
+    Counters,
+    DeclarationStore,
+    EventLog,
+    FixedView,
+    HttpPlatform,
+    Member,
+    ObjectKey,
+)
+from knapweedspring_node._config import PlatformWatcher, Roles
+from knapweedspring_standins._platform import PlatformServer
+
+KEY = ObjectKey("RequestClass", "spice-order")
+
+
+@pytest.fixture()
+def server():
+    server = PlatformServer()
+    thread = threading.Thread(target=server.serve, daemon=True)
+    thread.start()
+    yield server
+    server.stop()
+    thread.join(10)
+
+
+@pytest.fixture()
+def client(server):
+    return HttpPlatform(server.address)
+
+
+class _Node:
+    def __init__(self, server, members=()):
+        self.store = DeclarationStore()
+        self.events = EventLog("n1")
+        self.counters = Counters()
+        self.watcher = PlatformWatcher(
+            HttpPlatform(server.address, "sandton"),
+            self.store,
+            Roles(FixedView(members), "n1", "sandton"),
+            self.events,
+            self.counters,
+        )
+        self.watcher.start()
+
+    def priority(self):
+        found = self.store.request_class("spice-order")
+        return None if found is None else found.priority
+
+
+def _fault(server, **faults):
+    url = f"http://{server.address}/-/fault"
+    assert urllib3.request("POST", url, json=faults).status == 200
+
+
+def _put(client, priority):
+    held = client.get(KEY).unwrap()
+    version = 0 if held is None else held.version
+    return client.put(KEY, f'{{"priority": {priority}}}', "test", version).unwrap()
+
+
+def _until(condition):
+    give_up_at = time.monotonic() + 25
+    while not condition():
+        assert time.monotonic() < give_up_at
+        time.sleep(0.01)
+
+
+def test_declarations_from_before_and_after_the_start_come_into_force(server, client):
+    _put(client, 1)
+    node = _Node(server)
+    _until(lambda: node.priority() == 1)
+    _put(client, 2)
+    _until(lambda: node.priority() == 2)
+    node.watcher.stop()
+
+
+def test_an_outage_is_ridden_out_and_what_is_in_force_stays(server, client):
+    _put(client, 1)
+    node = _Node(server)
+    _until(lambda: node.priority() == 1)
+    _fault(server, down=True)
+    _until(lambda: "platform:unreachable" in {e.kind for e in node.events.events})
+    assert node.priority() == 1
+    _fault(server)
+    _put(client, 2)
+    _until(lambda: node.priority() == 2)
+    node.watcher.stop()
+
+
+def test_a_deletion_behind_forgotten_history_is_found_by_the_list(server, client):
+    stored = _put(client, 1)
+    node = _Node(server)
+    _until(lambda: node.priority() == 1)
+    _fault(server, cut_off=["sandton"])
+    _until(lambda: "platform:unreachable" in {e.kind for e in node.events.events})
+    client.delete(KEY, "test", stored.version).unwrap()
+    other = ObjectKey("Policy", "mesh")
+    client.put(other, "{}", "test", 0).unwrap()
+    _fault(server, forget_history=True)
+    _until(lambda: node.priority() is None)
+    assert node.counters.get("platform_failures", "PlatformVersionTooOld") == 1
+    node.watcher.stop()
+
+
+def test_a_node_without_the_role_does_not_call_the_platform(server, client):
+    _put(client, 1)
+    others = tuple(
+        Member(name, 1, "sandton", "a:1", f"{name}:2", "a:3")
+        for name in ("n1", "n2", "n3", "n4", "n5", "n6")
+    )
+    ranked = Roles(FixedView(others), "n1", "sandton").ranked_ids()
+    resting = [name for name in ranked if name not in ranked[:2]]
+    roles = [Roles(FixedView(others), name, "sandton") for name in ranked]
+    assert [one.is_watcher for one in roles] == [True, True] + [False] * 4
+    assert [one.is_reporter for one in roles] == [True] + [False] * 5
+    watcher = PlatformWatcher(
+        HttpPlatform(server.address),
+        DeclarationStore(),
+        Roles(FixedView(others), resting[0], "sandton"),
+        EventLog(resting[0]),
+        counters := Counters(),
+    )
+    watcher.start()
+    time.sleep(0.6)
+    watcher.stop()
+    assert counters.values == {}
+
+
+def test_a_node_alone_waits_for_peers_before_it_takes_the_role():
+    clock = [0.0]
+    roles = Roles(FixedView(()), "n1", "sandton", lambda: clock[0])
+    assert not roles.is_watcher
+    clock[0] = 1.0
+    assert roles.is_watcher
+    assert roles.is_reporter
--- a/packages/standins/src/knapweedspring_standins/_platform.py
+++ b/packages/standins/src/knapweedspring_standins/_platform.py
@@ -123,6 +123,11 @@
         start_response(_STATUS_LINES[answer.status], headers)
         return [body]
 
+    def go_down(self) -> None:
+        """Break off the waiting watches and every later call."""
+        self._control.replace(Faults(down=True))
+        self._table.interrupt()
+
     def _answer(self, request: _Request) -> _Answer | None:
         if request.path.startswith("/-/"):
             return self._answer_control(request)
@@ -204,9 +209,10 @@
     """
 
     def __init__(self, port: int = 0) -> None:
+        self._app = _PlatformApp()
         self._server = Server(
             ("127.0.0.1", port),
-            _PlatformApp(),
+            self._app,
             numthreads=N_THREADS,
             request_queue_size=256,
             shutdown_timeout=1,
@@ -225,7 +231,8 @@
         self._server.serve()
 
     def stop(self) -> None:
-        """End :meth:`serve`."""
+        """End :meth:`serve` and the waiting watches."""
+        self._app.go_down()
         self._server.stop()
 
 
