--- a/packages/core/src/knapweedspring_core/_declarations.py
+++ b/packages/core/src/knapweedspring_core/_declarations.py
@@ -161,7 +161,7 @@
         declaration = msgspec.json.decode(content, type=declaration_type)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         return Err(_decode_error(error))
-    problem = _validate(declaration)
+    problem = _unknown_field(declaration, content) or _validate(declaration)
     if problem is not None:
         return Err(problem)
     return Ok(declaration)
@@ -172,6 +172,33 @@
     return DeclarationError(path.rstrip("`") or "$", message)
 
 
+def _unknown_field(declaration: Declaration, content: str) -> DeclarationError | None:
+    """Find a field that no data class has, such as a mistyped one."""
+    written = msgspec.json.decode(content)
+    understood = msgspec.to_builtins(declaration)
+    path = _first_unknown(written, understood, "$")
+    if path is None:
+        return None
+    return DeclarationError(path, "remove the field or correct its name")
+
+
+def _first_unknown(written: Any, understood: Any, path: str) -> str | None:
+    if isinstance(written, dict) and isinstance(understood, dict):
+        for name, value in written.items():
+            below = f"{path}.{name}"
+            if name not in understood:
+                return below
+            found = _first_unknown(value, understood[name], below)
+            if found is not None:
+                return found
+    if isinstance(written, list):
+        for index, value in enumerate(written):
+            found = _first_unknown(value, understood[index], f"{path}[{index}]")
+            if found is not None:
+                return found
+    return None
+
+
 def _validate(declaration: Declaration) -> DeclarationError | None:
     """Check the rules that types alone cannot express."""
     if isinstance(declaration, RequestClass):
--- a/packages/core/tests/test_declarations.py
+++ b/packages/core/tests/test_declarations.py
@@ -18,6 +18,12 @@
         ("RequestClass", '{"priority": "high"}', "$.priority"),
         ("RequestClass", '{"priority": 1, "retry_budget": -1}', "$.retry_budget"),
         ("RequestClass", '{"priority": 1, "deadline_ms": 0}', "$.deadline_ms"),
+        ("RequestClass", '{"priority": 1, "repeateble": false}', "$.repeateble"),
+        (
+            "Service",
+            '{"default_class": "a", "rules": [{"request_class": "b", "verb": 1}]}',
+            "$.rules[0].verb",
+        ),
         ("Service", '{"default_class": ""}', "$.default_class"),
         (
             "Service",
--- a/packages/node/src/knapweedspring_node/_config/_contacts.py
+++ b/packages/node/src/knapweedspring_node/_config/_contacts.py
@@ -6,22 +6,19 @@
 
 from dataclasses import dataclass
 
-import msgspec
 from result import Err, Ok, Result
 
-from knapweedspring_core import Member, MemberState, ObjectRecord, Platform
+from knapweedspring_core import (
+    CONTACTS_KIND,
+    Contact,
+    Contacts,
+    Member,
+    MemberState,
+    Platform,
+    parse_contacts,
+)
 
-__all__ = [
-    "CONTACTS_KIND",
-    "Contact",
-    "Contacts",
-    "ContactsUnreadable",
-    "choose_contacts",
-    "parse_contacts",
-    "read_contacts",
-]
-
-CONTACTS_KIND = "Contacts"
+__all__ = ["ContactsUnreadable", "choose_contacts", "read_contacts"]
 
 #: Contacts kept for each data centre.
 MAX_CONTACTS = 4
@@ -31,24 +28,6 @@
 MIN_OWN_CONTACTS = 2
 
 
-@dataclass(frozen=True, slots=True)
-class Contact:
-    """One node to join through."""
-
-    #: Name of the node.
-    node_id: str
-    #: ``ip:port`` for control messages.
-    control_address: str
-
-
-@dataclass(frozen=True, slots=True)
-class Contacts:
-    """Content of a ``Contacts`` object; its name is the data centre."""
-
-    #: Nodes to join through.
-    contacts: tuple[Contact, ...] = ()
-
-
 @dataclass(frozen=True, slots=True)
 class ContactsUnreadable:
     """The contacts cannot be had."""
@@ -57,17 +36,6 @@
     detail: str
 
 
-def parse_contacts(record: ObjectRecord) -> Contacts:
-    """Read the content of a ``Contacts`` object; empty when it is unusable."""
-    if record.deleted:
-        return Contacts()
-    try:
-        return msgspec.json.decode(record.content, type=Contacts)
-    except msgspec.DecodeError:
-        # The next writer replaces what it cannot read.
-        return Contacts()
-
-
 def read_contacts(
     platform: Platform,
 ) -> Result[tuple[str, ...], ContactsUnreadable]:
@@ -103,7 +71,9 @@
     for member in live:
         if len(chosen) >= n_wanted:
             break
-        candidate = Contact(member.node_id, member.control_address)
+        candidate = Contact(
+            member.node_id, member.control_address, member.admin_address
+        )
         if candidate not in chosen:
             chosen.append(candidate)
     room = MAX_CONTACTS - len(chosen)
--- a/packages/node/src/knapweedspring_node/_config/_watcher.py
+++ b/packages/node/src/knapweedspring_node/_config/_watcher.py
@@ -7,6 +7,7 @@
 from result import Err, Result
 
 from knapweedspring_core import (
+    CONTACTS_KIND,
     DECLARATION_TYPES,
     Changes,
     Counters,
@@ -18,7 +19,6 @@
     PlatformVersionTooOld,
     ThreadChild,
 )
-from knapweedspring_node._config._contacts import CONTACTS_KIND
 from knapweedspring_node._config._roles import Roles
 
 __all__ = ["PlatformWatcher"]
--- a/packages/node/tests/_config/test_contacts.py
+++ b/packages/node/tests/_config/test_contacts.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from knapweedspring_core import Member, MemberState
-from knapweedspring_node._config._contacts import Contact, Contacts, choose_contacts
+from knapweedspring_core import Contact, Contacts, Member, MemberState
+from knapweedspring_node._config._contacts import choose_contacts
 
 
 def _member(name, state=MemberState.ALIVE):
