--- /dev/null
+++ b/packages/ctl/src/knapweedspring_ctl/_apply.py
@@ -0,0 +1,222 @@
+"""``apply``: writes the declarations of a file."""
+
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from knapweedspring_core import (
+    ObjectKey,
+    ObjectRecord,
+    Platform,
+    PlatformRefused,
+    ResolvedWriter,
+    WriteConflict,
+    WriteError,
+)
+from knapweedspring_ctl._errors import CtlError
+from knapweedspring_ctl._exits import ExitCode
+from knapweedspring_ctl._files import load_declarations
+from knapweedspring_ctl._output import Output, format_table
+from knapweedspring_ctl._plan import (
+    Change,
+    PlannedChange,
+    describe_difference,
+    plan_changes,
+)
+from knapweedspring_ctl._platform_access import (
+    open_platform,
+    operator_name,
+    read_declarations,
+)
+from knapweedspring_ctl._settings import CtlSettings
+from knapweedspring_ctl._wait import WaitResult, wait_in_force
+
+__all__ = ["ApplyOptions", "apply_file", "report_wait"]
+
+WRITE_GIVE_UP_S = 20.0
+
+
+@dataclass(frozen=True, slots=True)
+class ApplyOptions:
+    """What ``apply`` was asked to do."""
+
+    #: Path of the declaration file.
+    file: str
+    #: Show what would change and write nothing.
+    dry_run: bool
+    #: Wait until the change is in force in every data centre.
+    wait: bool
+    #: Seconds to wait at most.
+    timeout_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class AppliedObject:
+    """What became of one object."""
+
+    #: Kind, such as ``RequestClass``.
+    kind: str
+    #: Name, unique within the kind.
+    name: str
+    #: What was done, or would be.
+    change: Change
+    #: Version stored afterwards.
+    version: int
+    #: Version that was stored before, 0 when there was none.
+    replaced_version: int
+
+
+@dataclass(frozen=True, slots=True)
+class ApplyReport:
+    """Result of ``apply``."""
+
+    #: The objects in the order of the file.
+    objects: tuple[AppliedObject, ...]
+    #: State of the data centres, when it was waited for.
+    wait: WaitResult | None = None
+
+
+def apply_file(
+    settings: CtlSettings, options: ApplyOptions, output: Output
+) -> Result[ExitCode, CtlError]:
+    """Write a file's declarations, each by a conditional write.
+
+    Nothing is written when an object is invalid or in conflict with the file.
+    """
+    declared = load_declarations(options.file)
+    if isinstance(declared, Err):
+        return declared
+    opened = open_platform(settings)
+    if isinstance(opened, Err):
+        return opened
+    platform = opened.ok_value
+    stored = read_declarations(platform)
+    if isinstance(stored, Err):
+        return stored
+    changes = plan_changes(declared.ok_value, stored.ok_value)
+    conflicts = [one for one in changes if one.change is Change.CONFLICT]
+    if conflicts:
+        return Err(_conflict_error(conflicts))
+    if options.dry_run:
+        _show(output, ApplyReport(tuple(_applied(one) for one in changes)))
+        return Ok(ExitCode.OK)
+    return _write_all(settings, options, output, platform, changes)
+
+
+def report_wait(output: Output, result: WaitResult) -> ExitCode:
+    """Tell on standard error which data centres lag.
+
+    :return: the exit code that goes with it.
+    """
+    if result.lags:
+        output.message(f"not in force everywhere after {result.elapsed_s:.1f} s:")
+        for lag in result.lags:
+            nodes = f" (nodes {', '.join(lag.nodes)})" if lag.nodes else ""
+            output.message(
+                f"  {lag.data_centre}: {lag.declaration} version {lag.version}: "
+                f"{lag.state}{nodes}"
+            )
+        return ExitCode.TIMEOUT
+    if not result.data_centres:
+        output.message("no data centre has a status object; is a node running?")
+        return ExitCode.TIMEOUT
+    places = ", ".join(result.data_centres)
+    output.message(f"in force in {places} after {result.elapsed_s:.1f} s")
+    return ExitCode.OK
+
+
+def _write_all(
+    settings: CtlSettings,
+    options: ApplyOptions,
+    output: Output,
+    platform: Platform,
+    changes: tuple[PlannedChange, ...],
+) -> Result[ExitCode, CtlError]:
+    writer = ResolvedWriter(platform, operator_name(settings), WRITE_GIVE_UP_S)
+    applied: list[AppliedObject] = []
+    versions: dict[ObjectKey, int] = {}
+    for planned in changes:
+        written = _write(writer, planned)
+        if isinstance(written, Err):
+            _show(output, ApplyReport(tuple(applied)))
+            return Err(_write_error(planned, written.err_value))
+        version = planned.stored_version
+        if written.ok_value is not None:
+            version = written.ok_value.version
+            _tell_replaced(output, planned)
+        applied.append(_applied(planned, version))
+        versions[planned.declared.key] = version
+    if not options.wait:
+        _show(output, ApplyReport(tuple(applied)))
+        return Ok(ExitCode.OK)
+    waited = wait_in_force(platform, versions, settings.data_centres, options.timeout_s)
+    _show(output, ApplyReport(tuple(applied), waited))
+    return Ok(report_wait(output, waited))
+
+
+def _write(
+    writer: ResolvedWriter, planned: PlannedChange
+) -> Result[ObjectRecord | None, WriteError]:
+    """Write one object; None when there is nothing to write."""
+    declared = planned.declared
+    if planned.change is Change.UNCHANGED:
+        return Ok(None)
+    if planned.change is Change.DELETE:
+        return writer.delete(declared.key, planned.stored_version)
+    return writer.put(declared.key, declared.content, planned.stored_version)
+
+
+def _applied(planned: PlannedChange, version: int | None = None) -> AppliedObject:
+    return AppliedObject(
+        kind=planned.declared.key.kind,
+        name=planned.declared.key.name,
+        change=planned.change,
+        version=planned.stored_version if version is None else version,
+        replaced_version=planned.stored_version,
+    )
+
+
+def _tell_replaced(output: Output, planned: PlannedChange) -> None:
+    """Name what a write took the place of, so that nothing is lost silently."""
+    if planned.stored is not None:
+        difference = describe_difference(planned.stored, planned.declared)
+        output.message(f"replaced {difference}")
+
+
+def _conflict_error(conflicts: list[PlannedChange]) -> CtlError:
+    shown = "\n".join(
+        f"{describe_difference(one.stored, one.declared)}\n"
+        f"  yours is based on version {one.declared.based_on}"
+        for one in conflicts
+    )
+    message = (
+        "another change came first; nothing was written. Read it with 'get', bring "
+        f"the two together and apply again:\n{shown}"
+    )
+    return CtlError(ExitCode.CONFLICT, message)
+
+
+def _write_error(planned: PlannedChange, error: WriteError) -> CtlError:
+    declared = planned.declared
+    if isinstance(error, WriteConflict):
+        shown = describe_difference(error.current, declared)
+        message = f"another change came first; this object was not written:\n{shown}"
+        return CtlError(ExitCode.CONFLICT, message)
+    if isinstance(error, PlatformRefused):
+        message = f"the platform refuses {declared.key}: {error.detail}"
+        return CtlError(ExitCode.INVALID, message)
+    shown = describe_difference(error.current, declared)
+    message = (
+        f"it is not known whether {declared.key} was written ({error.detail}); look "
+        f"for writer {error.writer} with 'get' when the platform is back:\n{shown}"
+    )
+    return CtlError(ExitCode.UNSURE, message)
+
+
+def _show(output: Output, report: ApplyReport) -> None:
+    rows = [
+        (one.change, f"{one.kind}/{one.name}", str(one.version))
+        for one in report.objects
+    ]
+    header = ("CHANGE", "DECLARATION", "VERSION")
+    output.data(report, format_table(header, rows))
--- /dev/null
+++ b/packages/ctl/src/knapweedspring_ctl/_settings.py
@@ -0,0 +1,55 @@
+"""Where the platform and the nodes are: options, environment, settings file."""
+
+import os
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from knapweedspring_core import load_settings
+from knapweedspring_ctl._errors import CtlError
+from knapweedspring_ctl._exits import ExitCode
+
+__all__ = ["SETTINGS_VARIABLE", "CtlSettings", "find_settings"]
+
+#: Environment variable with the path of the settings file.
+SETTINGS_VARIABLE = "KNAPWEEDSPRING_SETTINGS"
+
+
+@dataclass(frozen=True, slots=True)
+class CtlSettings:
+    """Settings of ``knapweedspringctl``."""
+
+    #: ``ip:port`` of the platform; empty when only nodes are asked.
+    platform: str = ""
+    #: ``ip:port`` of the pages of any node, besides the contacts on the platform.
+    nodes: tuple[str, ...] = ()
+    #: Data centres that must confirm a change, besides those with a status object.
+    data_centres: tuple[str, ...] = ()
+    #: Name under which changes are written; the user and host when empty.
+    operator: str = ""
+
+
+def find_settings(
+    file: str | None, platform: str | None, nodes: tuple[str, ...]
+) -> Result[CtlSettings, CtlError]:
+    """Put the settings together; options go before the file.
+
+    :param file: value of ``--settings``; the environment names one otherwise.
+    :param platform: value of ``--platform``.
+    :param nodes: values of ``--node``.
+    """
+    path = file or os.environ.get(SETTINGS_VARIABLE, "")
+    settings = CtlSettings()
+    if path:
+        loaded = load_settings(path, CtlSettings)
+        if isinstance(loaded, Err):
+            return Err(CtlError(ExitCode.INVALID, str(loaded.err_value)))
+        settings = loaded.ok_value
+    return Ok(
+        CtlSettings(
+            platform=platform or settings.platform,
+            nodes=nodes or settings.nodes,
+            data_centres=settings.data_centres,
+            operator=settings.operator,
+        )
+    )
