--- a/packages/core/src/knapweedspring_core/_store.py
+++ b/packages/core/src/knapweedspring_core/_store.py
@@ -52,6 +52,7 @@
         self._records: dict[ObjectKey, ObjectRecord] = {}
         self._in_force: dict[ObjectKey, Declaration] = {}
         self._invalid: dict[ObjectKey, InvalidObject] = {}
+        self._top_priority = 0
         self._subscribers: list[Callable[[ObjectRecord], None]] = []
 
     @property
@@ -86,6 +87,7 @@
                 return False
             self._records[record.key] = record
             self._apply(record)
+            self._top_priority = self._find_top_priority()
         for callback in self._subscribers:
             callback(record)
         return True
@@ -105,6 +107,10 @@
         found = self._in_force.get(ObjectKey("RequestClass", name))
         return found if isinstance(found, RequestClass) else None
 
+    def top_priority(self) -> int:
+        """Return the priority of the most important class in force."""
+        return self._top_priority
+
     def upstream_intent(self, node_id: str) -> UpstreamIntent | None:
         """Return what operators want of the upstream beside a node."""
         found = self._in_force.get(ObjectKey("UpstreamIntent", node_id))
@@ -115,6 +121,14 @@
         found = self._in_force.get(ObjectKey("Policy", "mesh"))
         return found if isinstance(found, Policy) else Policy()
 
+    def _find_top_priority(self) -> int:
+        classes = (
+            declared.priority
+            for declared in self._in_force.values()
+            if isinstance(declared, RequestClass)
+        )
+        return max(classes, default=0)
+
     def _apply(self, record: ObjectRecord) -> None:
         if record.deleted:
             self._in_force.pop(record.key, None)
--- a/packages/node/src/knapweedspring_node/_calls/_server.py
+++ b/packages/node/src/knapweedspring_node/_calls/_server.py
@@ -22,7 +22,7 @@
 __all__ = ["CallServer"]
 
 MAX_HEADER_BYTES = 32_768
-READ_TIMEOUT_S = 10.0
+READ_TIMEOUT_S = 10
 LISTEN_BACKLOG = 512
 #: How long a worker stays with an idle connection while others are free.
 KEEP_WORKER_S = 0.2
@@ -177,7 +177,9 @@
         for chunk in reply.chunks or ():
             request.write(chunk)
 
-    def _write_refusal(self, reply: Refused, headers: list[tuple[bytes, bytes]]) -> None:
+    def _write_refusal(
+        self, reply: Refused, headers: list[tuple[bytes, bytes]]
+    ) -> None:
         request = self.req
         refusal = reply.refusal
         status = 201 if _is_issued_ticket(request, reply) else refusal.status
--- /dev/null
+++ b/packages/node/src/knapweedspring_node/_calls/_stack.py
@@ -0,0 +1,176 @@
+"""Assembly of the call path of one node."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from knapweedspring_core import (
+    AnnouncedUpstream,
+    Counters,
+    DeclarationStore,
+    EventLog,
+    MembershipView,
+    PolicyMode,
+)
+from knapweedspring_node._calls._admission import Gate
+from knapweedspring_node._calls._attempts import Attempts
+from knapweedspring_node._calls._budget import RetryRatio
+from knapweedspring_node._calls._call_handler import CallHandler
+from knapweedspring_node._calls._entry_side import EntrySide
+from knapweedspring_node._calls._gate_side import GateSide
+from knapweedspring_node._calls._in_flight import InFlightTable
+from knapweedspring_node._calls._levels import LevelTable
+from knapweedspring_node._calls._outbound import ConnectionPools
+from knapweedspring_node._calls._remote import RemoteGates
+from knapweedspring_node._calls._revocation import RevokeHandler, Revoker
+from knapweedspring_node._calls._roots import RootBook
+from knapweedspring_node._calls._routing import UpstreamPicker
+from knapweedspring_node._calls._run_ledger import RunLedger
+from knapweedspring_node._calls._seal import Seal
+from knapweedspring_node._calls._tickets import TicketBook
+from knapweedspring_node._calls._upstreams import LocalUpstreams
+
+__all__ = ["CallPathSettings", "CallStack"]
+
+#: A run stays decided this much longer than its ticket may be used.
+LEDGER_MARGIN_S = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class CallPathSettings:
+    """What the call path needs to know of its node."""
+
+    #: Name of the node.
+    node_id: str
+    #: Data centre of the node.
+    data_centre: str
+    #: Start of this process, unique among all processes of the node.
+    epoch: int
+    #: Secret shared by the firm's nodes.
+    mesh_key: bytes
+    #: How long a ticket may be used, in seconds.
+    ticket_lifetime_s: float
+
+
+class CallStack:
+    """The call path: gates, entry side, tickets and what they share.
+
+    :param store: declarations in force.
+    :param view: membership view.
+    :param revoker: asks gates about uncertain runs.
+    :param is_draining: whether the node takes no new whole requests.
+    """
+
+    def __init__(
+        self,
+        settings: CallPathSettings,
+        store: DeclarationStore,
+        view: MembershipView,
+        revoker: Revoker,
+        events: EventLog,
+        counters: Counters,
+        is_draining: Callable[[], bool],
+    ) -> None:
+        self._store = store
+        self._events = events
+        self._counters = counters
+        node_id, epoch, key = settings.node_id, settings.epoch, settings.mesh_key
+        hop_seal = Seal(key, "hop")
+        forward_seal = Seal(key, "forward")
+        self._pools = ConnectionPools()
+        self._upstreams = LocalUpstreams(self._make_gate)
+        self._in_flight = InFlightTable(node_id, epoch)
+        self._ledger = RunLedger(settings.ticket_lifetime_s + LEDGER_MARGIN_S)
+        self._tickets = TicketBook(
+            node_id, epoch, Seal(key, "ticket"), settings.ticket_lifetime_s
+        )
+        self._revoke_handler = RevokeHandler(self._ledger, events, epoch)
+        self._levels = LevelTable()
+        self._gate_side = GateSide(
+            self._upstreams,
+            self._pools,
+            self._in_flight,
+            self._ledger,
+            store,
+            events,
+            counters,
+            epoch,
+        )
+        remote = RemoteGates(node_id, self._pools, hop_seal, forward_seal)
+        self._attempts = Attempts(
+            node_id,
+            UpstreamPicker(view, node_id, settings.data_centre),
+            self._levels,
+            self._gate_side,
+            remote,
+            revoker,
+            RetryRatio(),
+            events,
+            counters,
+            random.Random(),
+        )
+        entry_side = EntrySide(
+            store,
+            view,
+            self._in_flight,
+            RootBook(node_id, epoch, Seal(key, "request-id")),
+            self._tickets,
+            self._levels,
+            self._attempts,
+            remote,
+            events,
+            counters,
+            is_draining,
+        )
+        self._handler = CallHandler(
+            entry_side, self._gate_side, hop_seal, forward_seal, counters
+        )
+
+    @property
+    def handler(self) -> CallHandler:
+        """Routes the calls that the server parsed."""
+        return self._handler
+
+    @property
+    def upstreams(self) -> LocalUpstreams:
+        """Upstreams on this VM."""
+        return self._upstreams
+
+    @property
+    def tickets(self) -> TicketBook:
+        """Tickets issued by this process."""
+        return self._tickets
+
+    @property
+    def revoke_handler(self) -> RevokeHandler:
+        """Answers other nodes' questions about runs at this gate."""
+        return self._revoke_handler
+
+    @property
+    def n_in_flight(self) -> int:
+        """Calls that the upstreams on this VM are working on."""
+        return len(self._in_flight)
+
+    def apply_policy(self) -> None:
+        """Switch between the protecting policy and the baseline."""
+        passthrough = self._store.policy().mode is PolicyMode.PASSTHROUGH
+        self._attempts.set_passthrough(passthrough)
+        self._levels.set_passthrough(passthrough)
+        for upstream in self._upstreams.all:
+            upstream.gate.set_passthrough(passthrough)
+
+    def close(self) -> None:
+        """Close idle connections."""
+        self._pools.close()
+
+    def _make_gate(self, announced: AnnouncedUpstream) -> Gate:
+        gate = Gate(
+            slots=announced.slots,
+            connections=announced.connections,
+            top_priority=self._store.top_priority,
+            counters=self._counters,
+            events=self._events,
+        )
+        passthrough = self._store.policy().mode is PolicyMode.PASSTHROUGH
+        gate.set_passthrough(passthrough)
+        return gate
--- /dev/null
+++ b/packages/node/tests/calls/test_in_flight.py
@@ -0,0 +1,68 @@
+"""Calls of an upstream are charged to the request that they are made for."""
+
+import pytest
+
+from knapweedspring_core import Outcome, Reason
+from knapweedspring_node._calls._context import HopContext
+from knapweedspring_node._calls._in_flight import (
+    ChildCall,
+    InFlightTable,
+    ParentState,
+)
+
+CHILD = ChildCall("GET", "/stock/7", b"")
+
+
+def _hop(n_tokens=1, repeatable=True):
+    return HopContext("r1", "lookup", 1, 5, False, 0, 1_000, n_tokens, repeatable)
+
+
+def _running(**kwargs):
+    return InFlightTable("node-1", 7).begin(_hop(**kwargs), 1e12)
+
+
+def test_token_is_found_only_while_the_call_runs():
+    table = InFlightTable("node-1", 7)
+    call = table.begin(_hop(), 1e12)
+    assert table.find(call.token) == (ParentState.RUNNING, call)
+    table.end(call)
+    assert table.find(call.token) == (ParentState.ENDED, None)
+
+
+@pytest.mark.parametrize("token", ["", "x", "node-1.8.1", "node-2.7.1"])
+def test_outside_context_is_dropped(token):
+    assert InFlightTable("node-1", 7).find(token) == (ParentState.NONE, None)
+
+
+def test_repeated_call_is_a_retry_and_the_budget_bounds_it():
+    call = _running(n_tokens=1)
+    for _ in range(2):
+        assert call.begin_child(CHILD, True).is_ok()
+        call.end_child(CHILD, Outcome.NOT_RUN)
+    refusal = call.begin_child(CHILD, True).unwrap_err()
+    assert refusal.reason is Reason.BUDGET_SPENT
+
+
+def test_different_calls_are_no_retries():
+    call = _running(n_tokens=0)
+    for number in range(5):
+        child = ChildCall("GET", f"/stock/{number}", b"")
+        assert call.begin_child(child, True).is_ok()
+
+
+def test_call_that_ran_is_not_repeated_for_a_non_repeatable_request():
+    call = _running(n_tokens=5, repeatable=False)
+    call.begin_child(CHILD, False)
+    call.end_child(CHILD, Outcome.RAN)
+    refusal = call.begin_child(CHILD, False).unwrap_err()
+    assert (refusal.outcome, refusal.reason) == (
+        Outcome.UNKNOWN,
+        Reason.TICKET_SPENT,
+    )
+
+
+def test_refused_children_do_not_count_as_started():
+    call = _running()
+    call.begin_child(CHILD, True)
+    call.end_child(CHILD, Outcome.NOT_RUN)
+    assert call.n_children_started == 0
--- /dev/null
+++ b/packages/node/tests/calls/test_run_ledger.py
@@ -0,0 +1,69 @@
+"""A run is decided once, by its start or by its revocation."""
+
+import pytest
+
+from knapweedspring_core import EventLog, decode, encode
+from knapweedspring_node._calls._context import RunKey
+from knapweedspring_node._calls._revocation import (
+    RevokeAnswer,
+    RevokeHandler,
+    RevokeRequest,
+    RevokeResult,
+)
+from knapweedspring_node._calls._run_ledger import RunLedger, RunState
+
+KEY = RunKey("node-1", 7, 1)
+EPOCH = 99
+
+
+def _revoke(ledger, epoch=EPOCH, payload=None):
+    handler = RevokeHandler(ledger, EventLog("gate"), EPOCH)
+    request = payload or encode(RevokeRequest(KEY, epoch))
+    return decode(handler.handle(request), RevokeAnswer).unwrap().result
+
+
+def test_started_run_cannot_be_revoked():
+    ledger = RunLedger(60)
+    assert ledger.start(KEY) is None
+    assert _revoke(ledger) is RevokeResult.MAY_HAVE_STARTED
+
+
+def test_revoked_run_never_starts():
+    ledger = RunLedger(60)
+    assert _revoke(ledger) is RevokeResult.NEVER_STARTED
+    assert ledger.start(KEY) is RunState.REVOKED
+    assert _revoke(ledger) is RevokeResult.NEVER_STARTED
+
+
+def test_second_start_is_noticed():
+    ledger = RunLedger(60)
+    ledger.start(KEY)
+    assert ledger.start(KEY) is RunState.STARTED
+
+
+def test_withdrawn_start_may_start_again():
+    ledger = RunLedger(60)
+    ledger.start(KEY)
+    ledger.withdraw(KEY)
+    assert ledger.start(KEY) is None
+
+
+@pytest.mark.parametrize("payload", [b"", b"\xc1", encode(RevokeAnswer("x"))])
+def test_malformed_question_is_answered_with_uncertainty(payload):
+    ledger = RunLedger(60)
+    handler = RevokeHandler(ledger, EventLog("gate"), EPOCH)
+    answer = decode(handler.handle(payload), RevokeAnswer).unwrap()
+    assert answer.result is RevokeResult.MAY_HAVE_STARTED
+
+
+def test_question_for_an_earlier_process_cannot_be_ruled_out():
+    ledger = RunLedger(60)
+    assert _revoke(ledger, epoch=EPOCH - 1) is RevokeResult.MAY_HAVE_STARTED
+    assert ledger.start(KEY) is None
+
+
+def test_entries_expire():
+    ledger = RunLedger(0.0)
+    ledger.start(KEY)
+    assert not ledger.is_full()
+    assert len(ledger) == 0
