Add epidemic membership and the spreading of declarations

Nodes need a view of each other without a coordination service. Each node probes and pushes news to a constant number of neighbours (ring successors, which guarantee a monitor for each node, and rendezvous-hashed extra ones), so that traffic does not grow with the mesh; relays do so between data centres. Random gossip partners were ruled out, since each new partner costs a CURVE handshake of some 1.5 KB. What pushes miss is repaired by comparing digests of 256 buckets. Member gets a revision besides the incarnation, as tickets name the incarnation and a refutation must not change it.

--- a/packages/core/src/knapweedspring_core/_members.py
+++ b/packages/core/src/knapweedspring_core/_members.py
@@ -53,7 +53,7 @@
 
     #: Name of the node, unique in the firm's mesh.
     node_id: str
-    #: Grows when the node restarts or refutes a suspicion.
+    #: Grows when the node restarts; tickets name it.
     incarnation: int
     #: Data centre that the node runs in.
     data_centre: str
@@ -67,6 +67,9 @@
     state: MemberState = MemberState.ALIVE
     #: Upstreams on the node's VM.
     upstreams: tuple[AnnouncedUpstream, ...] = ()
+    #: Grows within an incarnation, with a change of the node's own entry or
+    #: with the refutation of a suspicion.
+    revision: int = 0
 
 
 class MembershipView(ABC):
--- /dev/null
+++ b/packages/node/src/knapweedspring_node/_membership/_digest.py
@@ -0,0 +1,73 @@
+"""Digests of fixed size by which two nodes find where they differ."""
+
+import functools
+import hashlib
+import struct
+
+__all__ = ["N_BUCKETS", "BucketDigest", "bucket_of", "differing_buckets", "hash_64"]
+
+#: Buckets of one digest; one bucket costs eight bytes.
+N_BUCKETS = 256
+
+#: Keys whose bucket is remembered, since hashing costs more than looking up.
+BUCKET_CACHE_SIZE = 16_384
+
+_BUCKETS = struct.Struct(f"<{N_BUCKETS}Q")
+
+
+def hash_64(text: str) -> int:
+    """Hash text to 64 bits, alike in every process."""
+    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest())
+
+
+class BucketDigest:
+    """Digest of a set of entries, kept up to date entry by entry.
+
+    Each entry belongs to the bucket of its key; a bucket's digest is the
+    exclusive or of its entries' hashes, so that adding and removing an entry
+    are the same step and the order does not matter.
+    """
+
+    def __init__(self) -> None:
+        self._buckets = [0] * N_BUCKETS
+        self._root = 0
+        self._hash_by_key: dict[str, int] = {}
+
+    @property
+    def root(self) -> int:
+        """Digest of the whole set, 0 when it is empty."""
+        return self._root
+
+    @property
+    def buckets(self) -> bytes:
+        """Digests of all buckets, concatenated."""
+        return _BUCKETS.pack(*self._buckets)
+
+    def put(self, key: str, version: str) -> None:
+        """Add an entry or replace its version."""
+        self._toggle(key, self._hash_by_key.get(key, 0))
+        value = hash_64(f"{key}\n{version}")
+        self._hash_by_key[key] = value
+        self._toggle(key, value)
+
+    def remove(self, key: str) -> None:
+        """Take an entry out, if it is there."""
+        self._toggle(key, self._hash_by_key.pop(key, 0))
+
+    def _toggle(self, key: str, value: int) -> None:
+        self._buckets[bucket_of(key)] ^= value
+        self._root ^= value
+
+
+@functools.lru_cache(maxsize=BUCKET_CACHE_SIZE)
+def bucket_of(key: str) -> int:
+    """Return the number of the bucket that a key belongs to."""
+    return hash_64(key) % N_BUCKETS
+
+
+def differing_buckets(mine: bytes, theirs: bytes) -> tuple[int, ...]:
+    """Compare two :attr:`BucketDigest.buckets`; none when sizes differ."""
+    if len(theirs) != _BUCKETS.size:
+        return ()
+    pairs = zip(_BUCKETS.unpack(mine), _BUCKETS.unpack(theirs), strict=True)
+    return tuple(index for index, (own, other) in enumerate(pairs) if own != other)
--- /dev/null
+++ b/packages/node/src/knapweedspring_node/_membership/_server.py
@@ -0,0 +1,169 @@
+"""The ROUTER socket on the control address and the thread that serves it."""
+
+import threading
+from collections.abc import Callable
+
+import zmq
+from result import Err, Ok, Result
+
+from knapweedspring_core import Counters
+from knapweedspring_node._membership._curve import FirmKeys
+from knapweedspring_node._membership._errors import AddressUnusable, MembershipError
+from knapweedspring_node._membership._links import Reply, TrafficFilter
+from knapweedspring_node._membership._messages import (
+    PAYLOAD_MAX_BYTES,
+    Kind,
+    Request,
+)
+
+__all__ = ["ControlServer"]
+
+_OUTBOX = "inproc://outbox"
+_STOP = b"stop"
+
+#: Handles one request; None when :meth:`ControlServer.reply` follows later.
+Handler = Callable[[Request], Reply | None]
+
+
+class _Sockets:
+    """The sockets of the server.
+
+    Only the server's thread may use the ROUTER, so that replies made by other
+    threads go through a pair of in-process sockets.
+    """
+
+    def __init__(self, context: zmq.Context) -> None:
+        self.router = context.socket(zmq.ROUTER)
+        self.router.linger = 0
+        self.router.maxmsgsize = PAYLOAD_MAX_BYTES
+        self.inbox = context.socket(zmq.PULL)
+        self.inbox.bind(_OUTBOX)
+        self.outbox = context.socket(zmq.PUSH)
+        self.outbox.connect(_OUTBOX)
+
+    def close(self) -> None:
+        """Close all, dropping what has not been sent."""
+        for socket in (self.router, self.inbox, self.outbox):
+            socket.close(0)
+
+
+class ControlServer:
+    """Receives requests and sends the replies.
+
+    :param context: context of the node's control sockets.
+    :param keys: the firm's keys.
+    :param firm: requests of other firms are refused.
+    :param counters: get the bytes by kind.
+    :param traffic_filter: hook of failure tests.
+    :param handler: called in the server's thread; must return quickly.
+    """
+
+    def __init__(
+        self,
+        context: zmq.Context,
+        keys: FirmKeys,
+        firm: str,
+        counters: Counters,
+        traffic_filter: TrafficFilter,
+        handler: Handler,
+    ) -> None:
+        self._context = context
+        self._keys = keys
+        self._firm = firm
+        self._counters = counters
+        self._filter = traffic_filter
+        self._handler = handler
+        self._sockets: _Sockets | None = None
+        self._outbox_lock = threading.Lock()
+
+    def bind(self, address: str) -> Result[str, MembershipError]:
+        """Bind the control address.
+
+        :param address: ``ip:port``; port 0 takes a free one.
+        :return: the bound ``ip:port``.
+        """
+        sockets = _Sockets(self._context)
+        self._keys.secure_server(sockets.router)
+        try:
+            sockets.router.bind(f"tcp://{address}")
+        except zmq.ZMQError as error:
+            sockets.close()
+            return Err(AddressUnusable(f"{address}: {error}"))
+        self._sockets = sockets
+        endpoint = sockets.router.getsockopt_string(zmq.LAST_ENDPOINT)
+        return Ok(endpoint.removeprefix("tcp://"))
+
+    def run(self) -> None:
+        """Serve until :meth:`stop`; the body of the server's thread."""
+        sockets = self._bound()
+        poller = zmq.Poller()
+        poller.register(sockets.router, zmq.POLLIN)
+        poller.register(sockets.inbox, zmq.POLLIN)
+        while True:
+            ready = dict(poller.poll())
+            if sockets.inbox in ready:
+                frames = sockets.inbox.recv_multipart()
+                if frames == [_STOP]:
+                    return
+                self._send(frames)
+            if sockets.router in ready:
+                self._receive(sockets.router.recv_multipart())
+
+    def stop(self) -> None:
+        """Make :meth:`run` return."""
+        with self._outbox_lock:
+            self._bound().outbox.send_multipart((_STOP,))
+
+    def close(self) -> None:
+        """Close the sockets; call after the thread ended."""
+        with self._outbox_lock:
+            if self._sockets is not None:
+                self._sockets.close()
+                self._sockets = None
+
+    def reply(self, request: Request, reply: Reply) -> None:
+        """Send the reply to an earlier request, from any thread."""
+        if not self._filter.may_send(request.sender_address):
+            return
+        with self._outbox_lock:
+            if self._sockets is not None:
+                self._sockets.outbox.send_multipart(_reply_frames(request, reply))
+
+    def _bound(self) -> "_Sockets":
+        if self._sockets is None:
+            raise RuntimeError("bind the control address before serving it")
+        return self._sockets
+
+    def _receive(self, frames: list[bytes]) -> None:
+        request = _parse(frames)
+        if request is None:
+            self._counters.add("control_messages_malformed")
+            return
+        size = sum(len(frame) for frame in frames[1:])
+        self._counters.add("control_bytes_received", request.kind.name, size)
+        if request.firm != self._firm:
+            self._counters.add("control_messages_refused", "firm")
+            return
+        reply = self._handler(request)
+        if reply is not None and self._filter.may_send(request.sender_address):
+            self._send(_reply_frames(request, reply))
+
+    def _send(self, frames: list[bytes]) -> None:
+        size = sum(len(frame) for frame in frames[1:])
+        self._counters.add("control_bytes_sent", Kind(frames[1][0]).name, size)
+        self._bound().router.send_multipart(frames)
+
+
+def _parse(frames: list[bytes]) -> Request | None:
+    if len(frames) != 5 or len(frames[1]) != 1:
+        return None
+    try:
+        kind = Kind(frames[1][0])
+        firm, sender = frames[2].decode(), frames[3].decode()
+    except ValueError:
+        return None
+    return Request(frames[0], kind, firm, sender, frames[4])
+
+
+def _reply_frames(request: Request, reply: Reply) -> list[bytes]:
+    return [request.route, bytes((reply.kind,)), reply.payload]
--- /dev/null
+++ b/packages/node/src/knapweedspring_node/_membership/_settings.py
@@ -0,0 +1,106 @@
+"""Settings of the membership layer and the identity of a node."""
+
+import ipaddress
+import math
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from knapweedspring_node._membership._errors import (
+    AddressUnusable,
+    KeysInvalid,
+    MembershipError,
+)
+
+__all__ = ["Identity", "MembershipSettings", "validate"]
+
+#: Length of a CURVE key in its printable (Z85) form.
+KEY_LENGTH = 40
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """How a node describes itself to its peers."""
+
+    #: Name, unique in the firm's mesh.
+    node_id: str
+    #: Firm whose mesh the node belongs to.
+    firm: str
+    #: Data centre that the node runs in.
+    data_centre: str
+    #: ``ip:port`` for calls.
+    call_address: str
+    #: ``ip:port`` for the read-only pages.
+    admin_address: str
+    #: Larger than that of every process that bore the name before.
+    incarnation: int
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipSettings:
+    """How a node talks with its peers."""
+
+    #: ``ip:port`` to bind; port 0 takes a free one.
+    control_address: str = "127.0.0.1:0"
+    #: ``ip:port`` that peers connect to, when it differs from the bound one.
+    advertised_address: str = ""
+    #: The firm's public CURVE key in printable form.
+    curve_public_key: str = ""
+    #: The firm's secret CURVE key in printable form.
+    curve_secret_key: str = ""
+    #: Talk without encryption; only on loopback.
+    allow_plain: bool = False
+    #: Control addresses to join through.
+    contacts: tuple[str, ...] = ()
+    #: Seconds between two probes of this node.
+    probe_period_s: float = 1.0
+    #: Seconds that a probe waits for its reply.
+    probe_timeout_s: float = 0.5
+    #: Seconds that a suspected node has to refute.
+    suspicion_s: float = 4.0
+    #: Seconds between two comparisons of digests with a random peer.
+    sync_period_s: float = 10.0
+    #: Seconds between two attempts to reach a dead member or a contact.
+    rejoin_period_s: float = 3.0
+    #: Seconds that a dead or departed member is remembered.
+    expiry_s: float = 600.0
+
+
+def validate(settings: MembershipSettings) -> Result[None, MembershipError]:
+    """Check the rules that types alone cannot express."""
+    host = settings.control_address.rpartition(":")[0]
+    try:
+        address = ipaddress.ip_address(host)
+    except ValueError:
+        advice = f"write control_address as ip:port, not {settings.control_address!r}"
+        return Err(AddressUnusable(advice))
+    if address.is_unspecified and not settings.advertised_address:
+        advice = "set advertised_address, since peers cannot connect to a wildcard"
+        return Err(AddressUnusable(advice))
+    if settings.allow_plain and not address.is_loopback:
+        advice = "set the CURVE key pair; allow_plain works on loopback only"
+        return Err(KeysInvalid(advice))
+    if not settings.allow_plain and not _has_keys(settings):
+        advice = f"set both CURVE keys, each of {KEY_LENGTH} characters"
+        return Err(KeysInvalid(advice))
+    return _validate_times(settings)
+
+
+def _has_keys(settings: MembershipSettings) -> bool:
+    keys = (settings.curve_public_key, settings.curve_secret_key)
+    return all(len(key) == KEY_LENGTH for key in keys)
+
+
+def _validate_times(settings: MembershipSettings) -> Result[None, MembershipError]:
+    times = {
+        "probe_period_s": settings.probe_period_s,
+        "probe_timeout_s": settings.probe_timeout_s,
+        "suspicion_s": settings.suspicion_s,
+        "sync_period_s": settings.sync_period_s,
+        "rejoin_period_s": settings.rejoin_period_s,
+        "expiry_s": settings.expiry_s,
+    }
+    for name, value in times.items():
+        if not (value > 0 and math.isfinite(value)):
+            return Err(MembershipError(f"write more than 0 seconds as {name}"))
+    return Ok(None)
--- /dev/null
+++ b/packages/node/src/knapweedspring_node/_membership/_topology.py
@@ -0,0 +1,224 @@
+"""Which peers a node talks to: a few neighbours, whatever the size of the mesh.
+
+Inside a data centre each node probes its successors on a ring of hashed
+names, so that every node is probed by some other, and a few more neighbours
+by rendezvous hashing, which make the graph one of small diameter. Between
+data centres only the relays talk: the first few live nodes of each data
+centre by rendezvous hashing.
+"""
+
+import functools
+import random
+import threading
+import time
+
+from knapweedspring_core import Member
+from knapweedspring_node._membership._digest import hash_64
+from knapweedspring_node._membership._table import LIVE_STATES, MemberTable
+
+__all__ = ["N_RELAYS", "Topology", "relays_of"]
+
+#: Successors on the ring that a node probes.
+N_SUCCESSORS = 2
+#: Further neighbours inside the data centre.
+N_EXTRA_NEIGHBOURS = 4
+#: Relays of one data centre.
+N_RELAYS = 3
+#: Relays of each other data centre that one relay talks to.
+N_REMOTE_RELAYS = 2
+#: Nodes asked to probe a third one.
+N_HELPERS = 3
+#: Neighbours are chosen again at most once in this time.
+REFRESH_MIN_S = 0.5
+
+_RELAY_CACHE_SIZE = 16_384
+
+
+@functools.lru_cache(maxsize=_RELAY_CACHE_SIZE)
+def _relay_rank(node_id: str) -> int:
+    return hash_64(f"relay {node_id}")
+
+
+@functools.lru_cache(maxsize=_RELAY_CACHE_SIZE)
+def _ring_position(node_id: str) -> int:
+    return hash_64(f"ring {node_id}")
+
+
+def relays_of(members: list[Member]) -> list[Member]:
+    """Return the relays among the live members of one data centre."""
+    return sorted(members, key=lambda member: _relay_rank(member.node_id))[:N_RELAYS]
+
+
+class Topology:
+    """Chooses peers from the live members.
+
+    :param table: the members.
+    :param node_id: name of the own node.
+    :param data_centre: data centre of the own node.
+    :param seed: of the random choices.
+    """
+
+    def __init__(
+        self, table: MemberTable, node_id: str, data_centre: str, seed: int
+    ) -> None:
+        self._table = table
+        self._node_id = node_id
+        self._data_centre = data_centre
+        self._random = random.Random(seed)
+        self._lock = threading.Lock()
+        self._version = -1
+        self._refreshed_s = 0.0
+        self._by_data_centre: dict[str, list[Member]] = {}
+        self._neighbour_ids: tuple[str, ...] = ()
+
+    @property
+    def is_relay(self) -> bool:
+        """Whether the node talks with other data centres."""
+        relays = relays_of(self._live(self._data_centre))
+        return any(relay.node_id == self._node_id for relay in relays)
+
+    @property
+    def data_centres(self) -> tuple[str, ...]:
+        """Data centres that have live members."""
+        self._refresh()
+        return tuple(self._by_data_centre)
+
+    def n_live(self, data_centre: str) -> int:
+        """Number of live members of a data centre."""
+        return len(self._live(data_centre))
+
+    def neighbours(self) -> list[Member]:
+        """Peers that this node probes and passes news on to."""
+        self._refresh()
+        found = (self._table.find(node_id) for node_id in self._neighbour_ids)
+        return [
+            member
+            for member in found
+            if member is not None and member.state in LIVE_STATES
+        ]
+
+    def random_peer(self) -> Member | None:
+        """Return a live peer of the own data centre; a relay may get another.
+
+        A relay of a mesh with several data centres takes one of its remote
+        neighbours every other time.
+        """
+        self._refresh()
+        with self._lock:
+            peers = self._peers(self._data_centre)
+            remote = [
+                member
+                for member in self._neighbours_unlocked()
+                if member.data_centre != self._data_centre
+            ]
+            if remote and (not peers or self._random.random() < 0.5):
+                return self._random.choice(remote)
+            return self._random.choice(peers) if peers else None
+
+    def helpers(self, target: Member) -> list[Member]:
+        """Peers that probe ``target`` for this node.
+
+        For a target in another data centre they come from as many data
+        centres as there are, so that one broken line between two of them
+        does not look like a failure.
+        """
+        self._refresh()
+        with self._lock:
+            groups = [
+                [peer for peer in self._peers(name) if peer.node_id != target.node_id]
+                for name in self._by_data_centre
+                if name != self._data_centre or name == target.data_centre
+            ]
+            if target.data_centre == self._data_centre:
+                groups = [
+                    [peer for peer in group if peer.data_centre == self._data_centre]
+                    for group in groups
+                ]
+            return self._one_of_each(groups)
+
+    def choose(self, candidates: list[str]) -> str:
+        """Pick one of several addresses."""
+        with self._lock:
+            return self._random.choice(candidates)
+
+    def shuffled(self, members: list[Member]) -> list[Member]:
+        """Return the members in random order."""
+        with self._lock:
+            return self._random.sample(members, len(members))
+
+    def _one_of_each(self, groups: list[list[Member]]) -> list[Member]:
+        groups = [self._random.sample(group, len(group)) for group in groups if group]
+        chosen: list[Member] = []
+        while groups and len(chosen) < N_HELPERS:
+            for group in groups:
+                chosen.append(group.pop())
+            groups = [group for group in groups if group]
+        return chosen[:N_HELPERS]
+
+    def _live(self, data_centre: str) -> list[Member]:
+        self._refresh()
+        return self._by_data_centre.get(data_centre, [])
+
+    def _peers(self, data_centre: str) -> list[Member]:
+        members = self._by_data_centre.get(data_centre, [])
+        return [member for member in members if member.node_id != self._node_id]
+
+    def _neighbours_unlocked(self) -> list[Member]:
+        wanted = frozenset(self._neighbour_ids)
+        return [
+            member
+            for members in self._by_data_centre.values()
+            for member in members
+            if member.node_id in wanted
+        ]
+
+    def _refresh(self) -> None:
+        with self._lock:
+            version = self._table.live_version
+            now_s = time.monotonic()
+            if version == self._version or (
+                len(self._neighbour_ids) > N_SUCCESSORS
+                and now_s - self._refreshed_s < REFRESH_MIN_S
+            ):
+                return
+            self._version = version
+            self._refreshed_s = now_s
+            groups: dict[str, list[Member]] = {}
+            for member in self._table.members:
+                if member.state in LIVE_STATES:
+                    groups.setdefault(member.data_centre, []).append(member)
+            self._by_data_centre = groups
+            self._neighbour_ids = tuple(dict.fromkeys(self._choose_neighbours()))
+
+    def _choose_neighbours(self) -> list[str]:
+        own = self._by_data_centre.get(self._data_centre, [])
+        return self._successors(own) + self._extra(own) + self._remote_relays(own)
+
+    def _successors(self, own: list[Member]) -> list[str]:
+        node_ids = sorted((member.node_id for member in own), key=_ring_position)
+        if self._node_id not in node_ids:
+            return []
+        position = node_ids.index(self._node_id)
+        ring = node_ids[position + 1 :] + node_ids[:position]
+        return ring[:N_SUCCESSORS]
+
+    def _extra(self, own: list[Member]) -> list[str]:
+        def rank(node_id: str) -> int:
+            return hash_64(f"{self._node_id} {node_id}")
+
+        node_ids = [member.node_id for member in own if member.node_id != self._node_id]
+        return sorted(node_ids, key=rank)[:N_EXTRA_NEIGHBOURS]
+
+    def _remote_relays(self, own: list[Member]) -> list[str]:
+        relay_ids = [relay.node_id for relay in relays_of(own)]
+        if self._node_id not in relay_ids:
+            return []
+        position = relay_ids.index(self._node_id)
+        chosen = []
+        for name, members in self._by_data_centre.items():
+            if name == self._data_centre:
+                continue
+            remote = relays_of(members)
+            for offset in range(min(N_REMOTE_RELAYS, len(remote))):
+                chosen.append(remote[(position + offset) % len(remote)].node_id)
+        return chosen
--- /dev/null
+++ b/packages/node/tests/membership/conftest.py
@@ -0,0 +1,138 @@
+"""Meshes of several membership services in one process, on loopback sockets."""
+
+import itertools
+import threading
+import time
+from dataclasses import replace
+
+import pytest
+
+from knapweedspring_core import Counters, DeclarationStore, EventLog, TimerService
+from knapweedspring_node._membership import (
+    Identity,
+    MembershipService,
+    MembershipSettings,
+    TrafficFilter,
+)
+
+WAIT_MAX_S = 30.0
+SETTINGS = MembershipSettings(
+    allow_plain=True,
+    probe_period_s=0.2,
+    probe_timeout_s=0.3,
+    suspicion_s=1.5,
+    sync_period_s=1.0,
+    rejoin_period_s=0.5,
+)
+
+_incarnations = itertools.count(1)
+
+
+def _wait_until(condition, what="the condition"):
+    deadline = time.monotonic() + WAIT_MAX_S
+    while not condition():
+        assert time.monotonic() < deadline, f"{what} did not come true"
+        time.sleep(0.02)
+
+
+class Blocklist(TrafficFilter):
+    """Drops what the node sends to the listed control addresses."""
+
+    def __init__(self):
+        self.blocked = set()
+
+    def may_send(self, address):
+        return address not in self.blocked
+
+
+class Node:
+    def __init__(self, node_id, data_centre, settings, firm="boerewors"):
+        self.store = DeclarationStore()
+        self.counters = Counters()
+        self.events = EventLog(node_id)
+        self.errors = []
+        self.filter = Blocklist()
+        self.timers = TimerService(self.errors.append)
+        identity = Identity(
+            node_id,
+            firm,
+            data_centre,
+            "127.0.0.1:1",
+            "127.0.0.1:2",
+            next(_incarnations),
+        )
+        self.service = MembershipService(
+            identity,
+            settings,
+            self.store,
+            self.timers,
+            self.events,
+            self.counters,
+            self.filter,
+        )
+        self.address = self.service.bind().unwrap()
+        self.timer_thread = threading.Thread(target=self.timers.run, daemon=True)
+        self.timer_thread.start()
+        self.service.start()
+
+    @property
+    def node_id(self):
+        return self.service.own.node_id
+
+    def states(self):
+        return {member.node_id: member.state for member in self.service.members()}
+
+    def stop(self):
+        self.timers.stop()
+        self.service.stop()
+        assert self.service.join(15)
+        self.timer_thread.join(10)
+
+
+class Mesh:
+    def __init__(self):
+        self.nodes = []
+
+    def add(self, node_id, data_centre="a", settings=SETTINGS, **arguments):
+        contacts = tuple(node.address for node in self.nodes[:3])
+        settings = replace(settings, contacts=settings.contacts or contacts)
+        node = Node(node_id, data_centre, settings, **arguments)
+        self.nodes.append(node)
+        return node
+
+    def kill(self, node):
+        """Stop a node without a word to its peers."""
+        self.nodes.remove(node)
+        node.stop()
+
+    def wait_for_state(self, state, nodes=None):
+        """Wait until each running node holds each given one in a state."""
+        node_ids = [node.node_id for node in nodes or self.nodes]
+        _wait_until(
+            lambda: all(
+                node.states().get(node_id) == state
+                for node in self.nodes
+                for node_id in node_ids
+            ),
+            f"{node_ids} {state} everywhere",
+        )
+
+
+@pytest.fixture
+def wait_until():
+    return _wait_until
+
+
+@pytest.fixture
+def fast_settings():
+    return SETTINGS
+
+
+@pytest.fixture
+def mesh():
+    made = Mesh()
+    yield made
+    errors = [error for node in made.nodes for error in node.errors]
+    for node in made.nodes:
+        node.stop()
+    assert errors == []
