Assemble the node process: parts, supervisor tree, planned stop

The call server binds before the membership, which tells peers its address; pages read the parts only once they serve. Not run yet as a process.

--- /dev/null
+++ b/packages/node/src/knapweedspring_node/__main__.py
@@ -0,0 +1,69 @@
+"""Program of a node: reads its settings, serves, and stops in order on SIGTERM."""
+
+import argparse
+import gc
+import json
+import os
+import signal
+import sys
+import threading
+
+import eliot
+from result import Err
+
+from knapweedspring_core import load_settings
+from knapweedspring_node._node import Node
+from knapweedspring_node._settings import NodeSettings
+
+__all__ = ["main"]
+
+EXIT_OK = 0
+EXIT_SETTINGS = 2
+EXIT_STOP_DEADLINE = 3
+#: Shorter turns of the interpreter lock than the default of 5 ms.
+SWITCH_INTERVAL_S = 0.001
+
+
+def main() -> None:
+    """Run a node until SIGTERM or SIGINT."""
+    parser = argparse.ArgumentParser(prog="knapweedspring-node", description=__doc__)
+    parser.add_argument("--settings", required=True, help="file, JSON with comments")
+    arguments = parser.parse_args()
+    loaded = load_settings(arguments.settings, NodeSettings)
+    if isinstance(loaded, Err):
+        _fail(str(loaded.err_value))
+    eliot.to_file(sys.stderr)
+    sys.setswitchinterval(SWITCH_INTERVAL_S)
+    stop = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stop.set())
+    node = Node(loaded.unwrap())
+    started = node.start()
+    if isinstance(started, Err):
+        _fail(started.err_value.detail)
+    # What lives until the end of the process need not be scanned for garbage.
+    gc.collect()
+    gc.freeze()
+    bound = started.unwrap()
+    ready = {
+        "ready": True,
+        "node_id": node.settings.node_id,
+        "call_address": bound.call_address,
+        "control_address": bound.control_address,
+        "admin_address": bound.admin_address,
+    }
+    print(json.dumps(ready), flush=True)
+    stop.wait()
+    finished = node.stop()
+    sys.stderr.flush()
+    # Threads that wait in a library's call would keep the process for seconds.
+    os._exit(EXIT_OK if finished else EXIT_STOP_DEADLINE)
+
+
+def _fail(detail: str) -> None:
+    print(f"knapweedspring-node: {detail}", file=sys.stderr)
+    sys.exit(EXIT_SETTINGS)
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/node/src/knapweedspring_node/_calls/__init__.py
+++ b/packages/node/src/knapweedspring_node/_calls/__init__.py
@@ -1,7 +1,16 @@
 """The call path of a node: admission, routing, retries, tickets."""
 
 from knapweedspring_node._calls._revocation import PeerRevoker, Revoker
-from knapweedspring_node._calls._server import CallServer
+from knapweedspring_node._calls._server import CallServer, ServerLimits
 from knapweedspring_node._calls._stack import CallPathSettings, CallStack
+from knapweedspring_node._calls._upstreams import LocalUpstream
 
-__all__ = ["CallPathSettings", "CallServer", "CallStack", "PeerRevoker", "Revoker"]
+__all__ = [
+    "CallPathSettings",
+    "CallServer",
+    "CallStack",
+    "LocalUpstream",
+    "PeerRevoker",
+    "Revoker",
+    "ServerLimits",
+]
--- a/packages/node/src/knapweedspring_node/_calls/_errors.py
+++ b/packages/node/src/knapweedspring_node/_calls/_errors.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 __all__ = [
+    "AddressInUse",
     "BadRequest",
     "CallerLeft",
     "DeadlinePassed",
@@ -55,3 +56,14 @@
 @dataclass(frozen=True, slots=True)
 class CallerLeft(OutboundError):
     """The caller closed its connection; the exchange was cancelled."""
+
+
+@dataclass(frozen=True, slots=True)
+class AddressInUse:
+    """The call address cannot be bound."""
+
+    #: The address and the system's reason.
+    detail: str
+
+    def __str__(self) -> str:
+        return self.detail
--- a/packages/node/src/knapweedspring_node/_calls/_revocation.py
+++ b/packages/node/src/knapweedspring_node/_calls/_revocation.py
@@ -1,7 +1,6 @@
 """Revocation: asking a gate whether a run started, and forbidding it if not."""
 
 from abc import ABC, abstractmethod
-from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -10,9 +9,9 @@
 from knapweedspring_core import EventLog, Member, decode, encode
 from knapweedspring_node._calls._context import RunKey
 from knapweedspring_node._calls._run_ledger import RunLedger, RunState
+from knapweedspring_node._membership import MembershipService
 
 __all__ = [
-    "NeverRevokes",
     "PeerRevoker",
     "RevokeAnswer",
     "RevokeHandler",
@@ -62,31 +61,22 @@
         """
 
 
-class NeverRevokes(Revoker):
-    """For a node without control messages: nothing can be ruled out."""
-
-    def revoke(self, gate: Member, key: RunKey, gate_epoch: int) -> RevokeResult:
-        """Answer that the run may have started."""
-        return RevokeResult.MAY_HAVE_STARTED
-
-
 class PeerRevoker(Revoker):
     """Asks over the control messages between nodes.
 
-    :param ask: sends bytes to a node and returns its answer; the arguments are
-        node id, payload and timeout in seconds.
+    :param membership: carries the question.
     """
 
-    def __init__(self, ask: Callable[[str, bytes, float], bytes | None]) -> None:
-        self._ask = ask
+    def __init__(self, membership: MembershipService) -> None:
+        self._membership = membership
 
     def revoke(self, gate: Member, key: RunKey, gate_epoch: int) -> RevokeResult:
         """Ask the gate, waiting at most :data:`ASK_TIMEOUT_S` seconds."""
         payload = encode(RevokeRequest(key, gate_epoch))
-        answer = self._ask(gate.node_id, payload, ASK_TIMEOUT_S)
-        if answer is None:
+        answer = self._membership.ask(gate.node_id, payload, ASK_TIMEOUT_S)
+        if isinstance(answer, Err):
             return RevokeResult.MAY_HAVE_STARTED
-        decoded = decode(answer, RevokeAnswer)
+        decoded = decode(answer.ok_value, RevokeAnswer)
         if isinstance(decoded, Err):
             return RevokeResult.MAY_HAVE_STARTED
         return decoded.ok_value.result
--- a/packages/node/src/knapweedspring_node/_calls/_server.py
+++ b/packages/node/src/knapweedspring_node/_calls/_server.py
@@ -3,14 +3,15 @@
 import contextlib
 import select
 import socket
-import time
+from dataclasses import dataclass
 from typing import Any
 
 from cheroot.server import Gateway, HTTPConnection, HTTPRequest, HTTPServer
-from result import Err
+from result import Err, Ok, Result
 
 from knapweedspring_core import Counters, Header, Outcome, Reason, Refusal
 from knapweedspring_node._calls._call_handler import CallHandler
+from knapweedspring_node._calls._errors import AddressInUse
 from knapweedspring_node._calls._reply import Refused, Relayed, Reply
 from knapweedspring_node._calls._request import (
     BUFFERED_BODY_BYTES,
@@ -19,7 +20,7 @@
     parse_head,
 )
 
-__all__ = ["CallServer"]
+__all__ = ["CallServer", "ServerLimits"]
 
 MAX_HEADER_BYTES = 32_768
 READ_TIMEOUT_S = 10
@@ -62,15 +63,14 @@
 
     def __init__(self, server: Any, sock: socket.socket, *args: Any) -> None:
         super().__init__(server, sock, *args)
-        server.n_open += 1
-        self._counted = True
+        server.open_connections.add(self)
 
     def communicate(self) -> bool:
         """Serve requests until the connection is idle or over.
 
         :return: whether the connection is to be kept open.
         """
-        if self.server.n_open > self.server.n_connections:
+        if len(self.server.open_connections) > self.server.limits.n_connections:
             request = self.RequestHandlerClass(self.server, self)
             request.simple_response("503 Service Unavailable", "too many connections")
             return False
@@ -81,16 +81,14 @@
 
     def close(self) -> None:
         """Close the connection."""
-        if self._counted:
-            self._counted = False
-            self.server.n_open -= 1
+        self.server.open_connections.discard(self)
         super().close()
 
     def _stays(self) -> bool:
         """Wait briefly for the next request if no other connection needs us."""
         if self.rfile.has_data():
             return True
-        if self.server.stopping or self.server.requests.idle < MIN_IDLE_WORKERS:
+        if self.server.draining or self.server.requests.idle < MIN_IDLE_WORKERS:
             return False
         with contextlib.suppress(OSError, ValueError):
             poller = select.poll()
@@ -104,7 +102,17 @@
 
     def respond(self) -> None:
         """Handle the request."""
+        in_hand = self.req.server.requests_in_hand
+        in_hand.add(self)
+        try:
+            self._respond()
+        finally:
+            in_hand.discard(self)
+
+    def _respond(self) -> None:
         request = self.req
+        if request.server.draining:
+            request.close_connection = True
         link = CallerLink(request.conn.socket)
         parsed = parse_head(
             request.method, request.uri, request.inheaders, self._read_body, link
@@ -240,13 +248,20 @@
     return encoded
 
 
+@dataclass(frozen=True, slots=True)
+class ServerLimits:
+    """Bounds of the call server."""
+
+    #: Threads; a call that waits occupies one.
+    n_workers: int
+    #: Connections accepted at once.
+    n_connections: int
+
+
 class CallServer(HTTPServer):
-    """Serves calls.
+    """Serves calls; :meth:`bind`, then :meth:`handle_with`, then ``serve``.
 
     :param bind_address: ``ip:port``; port 0 takes a free one.
-    :param handler: routes the calls.
-    :param n_workers: threads; a call that waits occupies one.
-    :param n_connections: connections accepted at once.
     """
 
     ConnectionClass = _CallConnection
@@ -255,42 +270,53 @@
     request_queue_size = LISTEN_BACKLOG
 
     def __init__(
-        self,
-        bind_address: str,
-        handler: CallHandler,
-        counters: Counters,
-        n_workers: int,
-        n_connections: int,
+        self, bind_address: str, counters: Counters, limits: ServerLimits
     ) -> None:
         host, _, port = bind_address.rpartition(":")
+        n_workers = limits.n_workers
         super().__init__(
             (host, int(port)), _CallGateway, minthreads=n_workers, maxthreads=n_workers
         )
-        self.handler = handler
         self.counters = counters
-        self.n_connections = n_connections
-        self.keep_alive_conn_limit = n_connections
-        self.n_open = 0
-        self.stopping = False
+        self.limits = limits
+        self.keep_alive_conn_limit = limits.n_connections
         self.server_name = "knapweedspring"
+        self.open_connections: set[_CallConnection] = set()
+        self.requests_in_hand: set[_CallGateway] = set()
+        self._handler: CallHandler | None = None
+        self._draining = False
 
     @property
-    def address(self) -> str:
-        """The bound ``ip:port``; call after ``prepare``."""
-        host, port = self.bind_addr[:2]
-        return f"{host}:{port}"
+    def handler(self) -> CallHandler | None:
+        """Routes the calls."""
+        return self._handler
 
-    def begin_stop(self) -> None:
-        """Stop keeping connections; those in use finish their request."""
-        self.stopping = True
+    @property
+    def draining(self) -> bool:
+        """Whether each connection ends with its next answer."""
+        return self._draining
 
-    def wait_idle(self, deadline_at: float) -> bool:
-        """Wait until every worker is idle.
+    @property
+    def n_busy(self) -> int:
+        """Requests whose answer is not complete."""
+        return len(self.requests_in_hand)
+
+    def bind(self) -> Result[str, AddressInUse]:
+        """Bind the address; requests wait until ``serve`` is called.
 
-        :param deadline_at: monotonic seconds.
+        :return: the bound ``ip:port``.
         """
-        while time.monotonic() < deadline_at:
-            if self.requests.idle >= len(self.requests._threads):  # noqa: SLF001
-                return True
-            time.sleep(0.02)
-        return False
+        try:
+            self.prepare()
+        except OSError as error:
+            return Err(AddressInUse(f"{self.bind_addr}: {error}"))
+        host, port = self.bind_addr[:2]
+        return Ok(f"{host}:{port}")
+
+    def handle_with(self, handler: CallHandler) -> None:
+        """Set what routes the calls."""
+        self._handler = handler
+
+    def begin_stop(self) -> None:
+        """End each connection with its next answer."""
+        self._draining = True
--- /dev/null
+++ b/packages/node/src/knapweedspring_node/_facts.py
@@ -0,0 +1,91 @@
+"""What a node tells on its pages, read from its parts."""
+
+from collections.abc import Callable
+
+from knapweedspring_core import (
+    AnnouncedUpstream,
+    DeclarationStatus,
+    DeclarationStore,
+    Event,
+    GateStatus,
+    Member,
+    StatusPage,
+)
+from knapweedspring_node._admin import NodeFacts
+from knapweedspring_node._calls import LocalUpstream
+from knapweedspring_node._node_parts import NodeParts
+
+__all__ = ["PartsFacts", "declaration_statuses"]
+
+
+class PartsFacts(NodeFacts):
+    """Reads the parts of a running node.
+
+    :param parts: returns the parts; called once the pages are served.
+    """
+
+    def __init__(self, parts: Callable[[], NodeParts]) -> None:
+        self._get_parts = parts
+
+    @property
+    def _parts(self) -> NodeParts:
+        return self._get_parts()
+
+    def status(self) -> StatusPage:
+        """Return the node's state."""
+        parts = self._parts
+        own = parts.membership.own
+        return StatusPage(
+            node_id=own.node_id,
+            incarnation=own.incarnation,
+            data_centre=own.data_centre,
+            declarations=declaration_statuses(parts.store),
+            gates=tuple(_gate_status(one) for one in parts.calls.upstreams.all),
+            draining=parts.drain.draining,
+            n_unfinished=parts.drain.n_unfinished,
+            watching=parts.watcher.is_watching,
+            n_platform_calls=parts.platform.n_calls,
+        )
+
+    def members(self) -> tuple[Member, ...]:
+        """Return the membership view."""
+        return self._parts.membership.members()
+
+    def events(self) -> tuple[Event, ...]:
+        """Return the event ring, oldest first."""
+        return self._parts.events.events
+
+    def announce(self, upstream: AnnouncedUpstream) -> None:
+        """Take in what an upstream tells about itself."""
+        self._parts.announcements.announce(upstream)
+
+
+def declaration_statuses(store: DeclarationStore) -> tuple[DeclarationStatus, ...]:
+    """Return the declarations as the store holds them."""
+    return tuple(
+        DeclarationStatus(
+            kind=held.record.key.kind,
+            name=held.record.key.name,
+            version=held.record.version,
+            in_force_version=held.in_force_version,
+            deleted=held.record.deleted,
+            invalid_path="" if held.error is None else held.error.path,
+            advice="" if held.error is None else held.error.advice,
+        )
+        for held in store.objects
+    )
+
+
+def _gate_status(upstream: LocalUpstream) -> GateStatus:
+    announced, gate = upstream.announced, upstream.gate
+    level = gate.load().level
+    return GateStatus(
+        service=announced.service,
+        address=announced.address,
+        state=announced.state,
+        slots=announced.slots,
+        limit=gate.limit,
+        n_in_flight=gate.n_in_flight,
+        n_waiting=gate.n_waiting,
+        shedding_level=0 if level is None else level.priority,
+    )
--- a/packages/node/src/knapweedspring_node/_node.py
+++ b/packages/node/src/knapweedspring_node/_node.py
@@ -1,31 +1,55 @@
-"""One node process: its parts, their supervisor tree, and the planned stop."""
+"""One node process: its parts and their supervisor tree."""
 
 import secrets
 import threading
+import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
+from result import Err, Ok, Result
+
 from knapweedspring_core import (
     Counters,
     DeclarationStore,
     EventLog,
     HttpPlatform,
+    MetricsPage,
+    ObjectRecord,
     Supervisor,
+    ThreadChild,
     TimerService,
 )
+from knapweedspring_node._admin import AdminPages
+from knapweedspring_node._announcements import Announcements
 from knapweedspring_node._calls import (
+    CallPathSettings,
+    CallServer,
     CallStack,
+    PeerRevoker,
+    ServerLimits,
+)
+from knapweedspring_node._config import (
+    PlatformWatcher,
+    Roles,
+    parse_contacts,
+    read_contacts,
 )
+from knapweedspring_node._drain import Drain
+from knapweedspring_node._facts import PartsFacts
 from knapweedspring_node._membership import (
+    Identity,
     MembershipService,
+    MembershipSettings,
 )
+from knapweedspring_node._node_parts import NodeParts
 from knapweedspring_node._settings import NodeSettings
 
-__all__ = ["Node", "StartError"]
+__all__ = ["BoundAddresses", "Node", "StartError"]
 
-STOP_POLL_S = 0.05
-#: An upstream that was silent for so long is not sent new work.
-UPSTREAM_SILENCE_S = 5.0
-SWITCH_INTERVAL_S = 0.001
+REVIEW_PERIOD_S = 0.5
+JOIN_TIMEOUT_S = 2.0
+CONTACTS_RETRY_S = 2.0
+EPOCH_BITS = 62
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,50 +60,207 @@
     detail: str
 
 
+@dataclass(frozen=True, slots=True)
+class BoundAddresses:
+    """Addresses that a node really listens on."""
+
+    #: For calls.
+    call_address: str
+    #: For control messages.
+    control_address: str
+    #: For the read-only pages.
+    admin_address: str
+
+
 class Node:
-    """A node of the mesh.
+    """A node of the mesh; call :meth:`start`, later :meth:`stop`.
 
     :param settings: as read from the settings file.
     """
 
     def __init__(self, settings: NodeSettings) -> None:
         self._settings = settings
-        self._epoch = secrets.randbits(62) | 1
         self._events = EventLog(settings.node_id)
         self._counters = Counters()
         self._store = DeclarationStore()
-        self._timers = TimerService(on_error=self._on_timer_error)
-        self._draining = threading.Event()
-        self._heard_at: dict[str, float] = {}
+        self._timers = TimerService(on_error=self._record_error)
+        self._platform = HttpPlatform(
+            settings.platform_address, data_centre=settings.data_centre
+        )
         self._tree = Supervisor("node")
-        self._platform = HttpPlatform(settings.platform_address)
+        self._stopped = threading.Event()
 
     @property
-    def store(self) -> DeclarationStore:
-        """Declarations in force."""
-        return self._store
+    def settings(self) -> NodeSettings:
+        """Settings of the node."""
+        return self._settings
 
     @property
-    def events(self) -> EventLog:
-        """Changes of state of this node."""
-        return self._events
+    def parts(self) -> NodeParts:
+        """The parts, once :meth:`start` has succeeded."""
+        return self._parts
 
-    @property
-    def counters(self) -> Counters:
-        """Counts of this node."""
-        return self._counters
+    def start(self) -> Result[BoundAddresses, StartError]:
+        """Bind the addresses and start every part.
 
-    @property
-    def draining(self) -> bool:
-        """Whether the node is leaving."""
-        return self._draining.is_set()
+        :return: the addresses, or what to change in the settings.
+        """
+        settings = self._settings
+        server = CallServer(settings.call_address, self._counters, _limits(settings))
+        calls_bound = server.bind()
+        if isinstance(calls_bound, Err):
+            return Err(StartError(str(calls_bound.err_value)))
+        pages = AdminPages(PartsFacts(lambda: self._parts), MetricsPage(self._counters))
+        pages_bound = pages.bind(settings.admin_address)
+        if isinstance(pages_bound, Err):
+            return Err(StartError(pages_bound.err_value.advice))
+        membership = self._make_membership(calls_bound.ok_value, pages_bound.ok_value)
+        control_bound = membership.bind()
+        if isinstance(control_bound, Err):
+            return Err(StartError(str(control_bound.err_value)))
+        self._parts = self._make_parts(membership, server)
+        self._start_tree(server, pages)
+        return Ok(
+            BoundAddresses(
+                calls_bound.ok_value, control_bound.ok_value, pages_bound.ok_value
+            )
+        )
 
-    @property
-    def calls(self) -> CallStack:
-        """The call path."""
-        return self._calls
+    def stop(self) -> bool:
+        """Drain, tell peers and end every part.
 
-    @property
-    def membership(self) -> MembershipService:
-        """Who is there."""
-        return self._membership
+        :return: whether all work in hand finished before the stop deadline.
+        """
+        deadline_ms = self._settings.stop_deadline_ms
+        intent = self._store.upstream_intent(self._settings.node_id)
+        if intent is not None:
+            deadline_ms = intent.stop_deadline_ms
+        finished = self._parts.drain.run(deadline_ms)
+        self._parts.membership.leave()
+        self._stopped.set()
+        self._tree.stop()
+        self._tree.join(JOIN_TIMEOUT_S)
+        return finished
+
+    def _make_membership(
+        self, call_address: str, admin_address: str
+    ) -> MembershipService:
+        settings = self._settings
+        identity = Identity(
+            node_id=settings.node_id,
+            firm=settings.firm,
+            data_centre=settings.data_centre,
+            call_address=call_address,
+            admin_address=admin_address,
+            incarnation=time.time_ns() // 1_000_000,
+        )
+        control = MembershipSettings(
+            control_address=settings.control_address,
+            curve_public_key=settings.curve_public_key,
+            curve_secret_key=settings.curve_secret_key,
+            allow_plain=settings.allow_plain_control,
+            contacts=settings.seeds,
+        )
+        return MembershipService(
+            identity, control, self._store, self._timers, self._events, self._counters
+        )
+
+    def _make_parts(
+        self, membership: MembershipService, server: CallServer
+    ) -> NodeParts:
+        settings = self._settings
+        path = CallPathSettings(
+            node_id=settings.node_id,
+            data_centre=settings.data_centre,
+            # A random start number is never used twice, whatever the clock does.
+            epoch=secrets.randbits(EPOCH_BITS) | 1,
+            mesh_key=bytes.fromhex(settings.mesh_key),
+            ticket_lifetime_s=settings.ticket_lifetime_ms / 1_000,
+        )
+        calls = CallStack(
+            path,
+            self._store,
+            membership,
+            PeerRevoker(membership),
+            self._events,
+            self._counters,
+            lambda: self._parts.drain.draining,
+        )
+        membership.on_ask(calls.revoke_handler.handle)
+        announcements = Announcements(
+            settings.node_id, calls, membership, self._store, self._events
+        )
+        roles = Roles(membership, settings.node_id, settings.data_centre)
+        return NodeParts(
+            events=self._events,
+            store=self._store,
+            platform=self._platform,
+            watcher=self._make_watcher(membership, roles),
+            membership=membership,
+            calls=calls,
+            announcements=announcements,
+            drain=Drain(announcements, calls, server, self._events),
+        )
+
+    def _make_watcher(
+        self, membership: MembershipService, roles: Roles
+    ) -> PlatformWatcher:
+        def add_contacts(record: ObjectRecord) -> None:
+            contacts = parse_contacts(record).contacts
+            membership.add_contacts(tuple(one.control_address for one in contacts))
+
+        return PlatformWatcher(
+            self._platform,
+            self._store,
+            roles,
+            self._events,
+            self._counters,
+            add_contacts,
+        )
+
+    def _start_tree(self, server: CallServer, pages: AdminPages) -> None:
+        parts = self._parts
+        server.handle_with(parts.calls.handler)
+        self._store.subscribe(self._on_record)
+        self._timers.every(REVIEW_PERIOD_S, parts.announcements.review)
+        for child in (
+            self._thread("timers", self._timers.run, self._timers.stop),
+            parts.membership,
+            self._thread("joiner", self._join_by_platform, self._stopped.set),
+            parts.watcher,
+            self._thread("calls", server.serve, server.stop),
+            pages,
+        ):
+            self._tree.add(child)
+        self._tree.start()
+
+    def _thread(
+        self, name: str, run: Callable[[], None], stop: Callable[[], None]
+    ) -> ThreadChild:
+        return ThreadChild(name, run, stop, lambda _, error: self._record_error(error))
+
+    def _join_by_platform(self) -> None:
+        """Read the contact list until the platform answered once."""
+        while not self._stopped.is_set():
+            contacts = read_contacts(self._platform)
+            if isinstance(contacts, Ok):
+                self._parts.membership.add_contacts(contacts.ok_value)
+                return
+            self._stopped.wait(CONTACTS_RETRY_S)
+
+    def _on_record(self, record: ObjectRecord) -> None:
+        key = record.key
+        version = self._store.in_force_version(key)
+        self._events.record("declaration:in-force", key=key, version=version)
+        if key.kind == "Policy":
+            self._parts.calls.apply_policy()
+        elif key.kind == "UpstreamIntent":
+            self._parts.announcements.review()
+
+    def _record_error(self, error: BaseException) -> None:
+        self._counters.add("internal_errors", type(error).__name__)
+        self._events.record("internal:error", error=repr(error))
+
+
+def _limits(settings: NodeSettings) -> ServerLimits:
+    return ServerLimits(settings.n_workers, settings.n_connections)
