Bench the gate's policy in real time

Each rule of admission needs a figure before and after. The bench drives real gates with an open load of three classes and upstreams that sleep, in one process, because a whole mesh hides which rule did what. Two versions were ruled out: a simulated clock, which would leave out locks and late wake-ups, and a closed load, which cannot overload.

--- /dev/null
+++ b/packages/standins/src/knapweedspring_standins/_gate_bench.py
@@ -0,0 +1,294 @@
+"""Bench of the admission policy: variants of one gate or a chain, side by side.
+
+Run it as ``python -m knapweedspring_standins._gate_bench``; each scenario is
+repeated with several seeds and printed as median and range.
+"""
+
+import argparse
+import random
+import statistics
+import sys
+import threading
+from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
+
+from knapweedspring_core import Counters, EventLog
+from knapweedspring_node._calls._admission import Gate, GatePolicy, Rank
+from knapweedspring_node._calls._limit import ConcurrencyLimit, FixedLimit
+from knapweedspring_standins._gate_load import (
+    ClassLoad,
+    FakeUpstream,
+    GateLoadRun,
+    Recorded,
+    SlowDown,
+)
+
+__all__ = ["main"]
+
+WARM_UP_S = 1.0
+WINDOW_S = 0.25
+DRAW_MASK = (1 << 32) - 1
+TOP_PRIORITY = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Variant:
+    """One way to build the gates of a run."""
+
+    #: Proportions of the admission rules.
+    policy: GatePolicy = GatePolicy()
+    #: Builds the limit of a gate with this many slots.
+    limit: Callable[[int], ConcurrencyLimit] = FixedLimit
+    #: Order of arrival, fixed limit, no time bound.
+    passthrough: bool = False
+    #: Whether every hop uses the same draw.
+    same_draw: bool = True
+    #: Whether the entry refuses what deeper gates refuse at present.
+    early_refusal: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """What a variant is run against."""
+
+    #: Slots of each gate, the entry first.
+    slots: tuple[int, ...]
+    #: Median service time at each hop, in seconds.
+    service_s: tuple[float, ...]
+    #: Requests that are sent.
+    classes: tuple[ClassLoad, ...]
+    #: Length of the run in seconds.
+    duration_s: float = 6.0
+    #: Calls that run at once without slowing each other; None for the slots.
+    capacity: int | None = None
+    #: See :class:`FakeUpstream`.
+    contention: float = 0.0
+    #: Slow-down of the deepest upstream.
+    slow_down: SlowDown | None = None
+    #: Attempts beyond the first of a client.
+    client_retries: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Figures:
+    """What a run measured."""
+
+    #: Successful requests a second.
+    goodput: float
+    #: Share of the requests of each class that succeeded, most important first.
+    shares: tuple[float, ...]
+    #: Runs at an upstream for requests that failed, a second.
+    wasted: float
+    #: 99th percentile of the time until a failed attempt was told, in ms.
+    failure_p99_ms: float
+    #: 99th percentile of the time that a successful top-class request took, in ms.
+    top_p99_ms: float
+    #: Seconds from the end of the slow-down until 95% succeed, and go on to.
+    recovery_s: float
+
+
+def _classes(rate: float, deadline_s: float = 1.0) -> tuple[ClassLoad, ...]:
+    """Split a rate: a quarter top class, the rest to two lower ones."""
+    return (
+        ClassLoad("order", 3, rate * 0.25, deadline_s),
+        ClassLoad("lookup", 2, rate * 0.40, deadline_s),
+        ClassLoad("bundle", 1, rate * 0.35, deadline_s),
+    )
+
+
+def _long_bundles() -> tuple[ClassLoad, ...]:
+    """Let bundles, 20 times the work of a lookup, hold most of the slots."""
+    return (
+        ClassLoad("order", 3, 140, 0.25),
+        ClassLoad("lookup", 2, 230, 0.5),
+        ClassLoad("bundle", 1, 40, 4.0, work=20.0),
+    )
+
+
+SCENARIOS = {
+    # 30 slots at 50 ms complete about 570 calls a second.
+    "surge": Scenario((30,), (0.05,), _classes(1_140)),
+    "surge-tight": Scenario((30,), (0.05,), _classes(1_140, 0.25)),
+    "long-bundles": Scenario((30,), (0.05,), _long_bundles(), duration_s=8.0),
+    "slow-down": Scenario(
+        (30,),
+        (0.05,),
+        _classes(450),
+        duration_s=12.0,
+        slow_down=SlowDown(2.0, 5.0, 4.0),
+        client_retries=3,
+    ),
+    "contention": Scenario((30,), (0.05,), _classes(600), capacity=15, contention=1.5),
+    "chain": Scenario((80, 50, 20), (0.02, 0.02, 0.05), _classes(800)),
+    "chain-even": Scenario((40, 30, 20), (0.02, 0.02, 0.05), _classes(1_000, 0.5)),
+}
+
+VARIANTS = {
+    "passthrough": Variant(passthrough=True),
+    "base": Variant(),
+}
+
+
+def _make_gate(slots: int, variant: Variant, seed: int) -> Gate:
+    gate = Gate(
+        slots,
+        10_000,
+        lambda: TOP_PRIORITY,
+        Counters(),
+        EventLog("bench"),
+        policy=variant.policy,
+        limit=variant.limit(slots),
+        rng=random.Random(seed),
+    )
+    gate.set_passthrough(variant.passthrough)
+    return gate
+
+
+def _draw(request_id: int, salt: int) -> int:
+    return random.Random(request_id * 8 + salt).getrandbits(32) & DRAW_MASK
+
+
+def run_once(scenario: Scenario, variant: Variant, seed: int) -> Figures:
+    """Run a variant against a scenario."""
+    threading.stack_size(256 * 1024)
+    # Short turns, so that wake-ups of sleeping threads are not late.
+    sys.setswitchinterval(0.0005)
+    gates = [_make_gate(slots, variant, seed) for slots in scenario.slots]
+    upstreams = [
+        FakeUpstream(
+            service_s,
+            scenario.capacity or slots,
+            scenario.contention,
+            scenario.slow_down if index == len(gates) - 1 else None,
+            seed + index,
+        )
+        for index, (slots, service_s) in enumerate(
+            zip(scenario.slots, scenario.service_s, strict=True)
+        )
+    ]
+
+    def refuses_at_entry(rank: Rank) -> bool:
+        levels = [gate.load().level for gate in gates[1:]]
+        return any(level and not level.admits(rank) for level in levels)
+
+    run = GateLoadRun(
+        gates,
+        upstreams,
+        list(scenario.classes),
+        scenario.duration_s,
+        seed,
+        lambda request_id, hop: _draw(request_id, 0 if variant.same_draw else hop),
+        scenario.client_retries,
+        refuses_at_entry if variant.early_refusal else None,
+    )
+    return _figures(scenario, run.run())
+
+
+def _figures(scenario: Scenario, records: list[Recorded]) -> Figures:
+    until_s = scenario.duration_s - 1.0
+    seen = [record for record in records if WARM_UP_S <= record.sent_s < until_s]
+    seconds = until_s - WARM_UP_S
+    failures = [record for record in seen if not record.succeeded]
+    top_class = scenario.classes[0].name
+    top = [r for r in seen if r.succeeded and r.class_name == top_class]
+    return Figures(
+        goodput=sum(record.succeeded for record in seen) / seconds,
+        shares=tuple(_share(seen, load.name) for load in scenario.classes),
+        wasted=sum(record.n_run for record in failures) / seconds,
+        failure_p99_ms=_p99_ms(failures),
+        top_p99_ms=_p99_ms(top),
+        recovery_s=_recovery_s(scenario, records),
+    )
+
+
+def _p99_ms(records: list[Recorded]) -> float:
+    times_s = sorted(record.ended_s - record.sent_s for record in records)
+    return times_s[int(len(times_s) * 0.99)] * 1_000 if times_s else 0.0
+
+
+def _share(records: list[Recorded], class_name: str) -> float:
+    first = [r for r in records if r.class_name == class_name and r.attempt == 0]
+    n_succeeded = sum(
+        record.succeeded for record in records if record.class_name == class_name
+    )
+    return n_succeeded / max(1, len(first))
+
+
+def _recovery_s(scenario: Scenario, records: list[Recorded]) -> float:
+    """Find the last window after the slow-down in which first attempts failed."""
+    if scenario.slow_down is None:
+        return 0.0
+    ends_s = scenario.slow_down.ends_s
+    recovered_s = 0.0
+    n_windows = int((scenario.duration_s - 1.0 - ends_s) / WINDOW_S)
+    for index in range(n_windows):
+        begin_s = ends_s + index * WINDOW_S
+        sent = [
+            record.succeeded
+            for record in records
+            if record.attempt == 0 and begin_s <= record.sent_s < begin_s + WINDOW_S
+        ]
+        if sent and sum(sent) < 0.95 * len(sent):
+            recovered_s = (index + 1) * WINDOW_S
+    return recovered_s
+
+
+def _spread(values: list[float], digits: int) -> str:
+    low, high = min(values), max(values)
+    return (
+        f"{statistics.median(values):.{digits}f} ({low:.{digits}f}-{high:.{digits}f})"
+    )
+
+
+def _line(name: str, runs: list[Figures]) -> str:
+    shares = "/".join(
+        f"{statistics.median(100 * run.shares[index] for run in runs):.1f}"
+        for index in range(len(runs[0].shares))
+    )
+    cells = [
+        name,
+        _spread([run.goodput for run in runs], 0),
+        shares,
+        _spread([run.wasted for run in runs], 0),
+        _spread([run.failure_p99_ms for run in runs], 0),
+        _spread([run.top_p99_ms for run in runs], 0),
+        _spread([run.recovery_s for run in runs], 2),
+    ]
+    return "| " + " | ".join(cells) + " |"
+
+
+def _run_named(scenario_name: str, variant_name: str, seed: int) -> Figures:
+    return run_once(SCENARIOS[scenario_name], VARIANTS[variant_name], seed)
+
+
+def main() -> None:
+    """Run the chosen variants against the chosen scenarios and print tables."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--scenarios", default=",".join(SCENARIOS))
+    parser.add_argument("--variants", default=",".join(VARIANTS))
+    parser.add_argument("--seeds", type=int, default=3)
+    parser.add_argument("--processes", type=int, default=3)
+    arguments = parser.parse_args()
+    variants = arguments.variants.split(",")
+    with ProcessPoolExecutor(arguments.processes) as pool:
+        for scenario in arguments.scenarios.split(","):
+            print(f"{scenario}, {arguments.seeds} seeds: median (range)")
+            print(
+                "| variant | goodput/s | % by class | wasted/s | failure p99 ms "
+                "| top p99 ms | recovery s |"
+            )
+            print("|---|---|---|---|---|---|---|")
+            futures = {
+                variant: [
+                    pool.submit(_run_named, scenario, variant, seed)
+                    for seed in range(1, arguments.seeds + 1)
+                ]
+                for variant in variants
+            }
+            for variant, runs in futures.items():
+                print(_line(variant, [run.result() for run in runs]), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/standins/tests/test_gate_bench.py
@@ -0,0 +1,14 @@
+"""The bench of the gate tells protection and passthrough apart."""
+
+from dataclasses import replace
+
+import pytest
+
+from knapweedspring_standins._gate_bench import SCENARIOS, VARIANTS, run_once
+
+
+@pytest.mark.parametrize("variant, shed_last", [("base", True), ("passthrough", False)])
+def test_top_class_is_shed_last_only_with_protection(variant, shed_last):
+    scenario = replace(SCENARIOS["surge"], duration_s=4.0)
+    top, _, low = run_once(scenario, VARIANTS[variant], seed=1).shares
+    assert (top > 0.9 and low < 0.5) is shed_last
