Add an adaptive limit that tests what its cuts are worth

A slower service looks the same whether too many calls crowd it or a service below has slowed, but the remedy is opposite: fewer calls help the first and lose throughput in the second. The limit is cut when service times rise, and each cut is kept only if the next window was quicker for it; otherwise the slower times become the baseline. A first version let the baseline rise with every window and was ruled out: under slow growth it followed the crowding and never cut. Levels now tell started calls from new ones, so that both kinds of hop compare rightly.

--- a/packages/node/src/knapweedspring_node/_calls/_admission.py
+++ b/packages/node/src/knapweedspring_node/_calls/_admission.py
@@ -51,6 +51,8 @@
     headroom_share: float = 0.0
     #: Share of the time left, service time deducted, that a call may wait.
     wait_share: float = 1.0
+    #: Whether a call below the measured level is refused instead of queued.
+    refuses_below_level: bool = False
     #: Calls that may wait, each in a thread of the server.
     n_waiting_max: int = 1_000
 
@@ -269,7 +271,7 @@
         if self._passthrough or self._goes_at_once(ask.rank):
             return None
         n_ahead = self._queue.n_ahead_of(ask.rank)
-        if n_ahead >= self._policy.n_waiting_max:
+        if n_ahead >= self._policy.n_waiting_max or self._is_below_level(ask.rank, now):
             return self._refusal(Reason.OVERLOADED)
         left_s = ask.deadline_at - now - self._service_times.of_class(ask.class_name)
         if self._expected_wait_s(n_ahead, now) > left_s * self._policy.wait_share:
@@ -286,6 +288,12 @@
             mean_s = max(mean_s, now - self._sum_admitted_at / self._n_in_flight)
         return (n_ahead + 1) * mean_s / self.limit
 
+    def _is_below_level(self, rank: Rank, now: float) -> bool:
+        if not self._policy.refuses_below_level:
+            return False
+        level = self._meter.level(now)
+        return level is not None and not level.admits(rank)
+
     def _is_doomed(self, waiter: Waiter, n_ahead: int, now: float) -> bool:
         needed_s = self._service_times.of_class(waiter.class_name)
         needed_s += self._expected_wait_s(n_ahead, now)
@@ -322,7 +330,9 @@
         with self._lock:
             if waiter.decided or self._passthrough:
                 return
-            if self._is_doomed(waiter, self._queue.n_ahead(waiter), now):
+            n_ahead = self._queue.n_ahead(waiter)
+            below_level = self._is_below_level(waiter.rank, now)
+            if below_level or self._is_doomed(waiter, n_ahead, now):
                 self._refuse_waiting(waiter, Reason.OVERLOADED)
 
     def _give_up(self, waiter: Waiter, reason: Reason) -> None:
--- a/packages/node/src/knapweedspring_node/_calls/_level_meter.py
+++ b/packages/node/src/knapweedspring_node/_calls/_level_meter.py
@@ -12,6 +12,7 @@
 DRAW_BITS_KEPT = 4
 
 _DRAW_SHIFT = DRAW_BITS - DRAW_BITS_KEPT
+_DRAW_STEP = 1 << _DRAW_SHIFT
 
 
 class LevelMeter:
@@ -39,7 +40,8 @@
     def count_offer(self, rank: Rank, now: float) -> None:
         """Count a call that asks to run."""
         self._roll(now)
-        step = Level(rank.priority, rank.draw >> _DRAW_SHIFT << _DRAW_SHIFT)
+        draw = rank.draw >> _DRAW_SHIFT << _DRAW_SHIFT
+        step = Level(rank.priority, rank.started, draw)
         self._offers[step] = self._offers.get(step, 0) + 1
         self._n_offers += 1
 
@@ -67,14 +69,9 @@
         for step in sorted(self._offers, reverse=True):
             n_left -= self._offers[step]
             if n_left < 0:
-                return Level(step.priority, step.draw + (1 << _DRAW_SHIFT))
+                return Level(step.priority, step.started, step.draw + _DRAW_STEP)
         return None
 
     def _next_step_below(self, level: Level) -> Level | None:
-        """Open the level by one step, or by a class that nobody offers."""
-        if level.draw > 0:
-            return Level(level.priority, max(0, level.draw - (1 << _DRAW_SHIFT)))
-        below = [step for step in self._offers if step.priority < level.priority]
-        if not below:
-            return None
-        return Level(max(below).priority, (1 << DRAW_BITS) - (1 << _DRAW_SHIFT))
+        """Open the level by one step among the ranks that are offered."""
+        return max((step for step in self._offers if step < level), default=None)
--- a/packages/node/src/knapweedspring_node/_calls/_load.py
+++ b/packages/node/src/knapweedspring_node/_calls/_load.py
@@ -13,8 +13,8 @@
 class GateLoad:
     """What a gate says of itself with each answer.
 
-    >>> GateLoad.from_header(GateLoad(3, 30, 0, Level(2, 9)).to_header())
-    GateLoad(free=3, limit=30, n_waiting=0, level=Level(priority=2, draw=9))
+    >>> GateLoad(free=3, limit=30, n_waiting=0, level=Level(2, True, 9)).to_header()
+    '3/30/0/2.1.9'
     """
 
     #: Calls that it would start at once.
@@ -34,10 +34,7 @@
 
     def to_header(self) -> str:
         """Return the compact text for the ``Kws-Load`` header."""
-        level = _NO_LEVEL
-        if self.level is not None:
-            level = f"{self.level.priority}.{self.level.draw}"
-        return f"{self.free}/{self.limit}/{self.n_waiting}/{level}"
+        return f"{self.free}/{self.limit}/{self.n_waiting}/{_level_text(self.level)}"
 
     @classmethod
     def from_header(cls, text: str) -> "GateLoad | None":
@@ -55,8 +52,14 @@
             return None
 
 
+def _level_text(level: Level | None) -> str:
+    if level is None:
+        return _NO_LEVEL
+    return f"{level.priority}.{int(level.started)}.{level.draw}"
+
+
 def _parse_level(text: str) -> Level | None:
     if text == _NO_LEVEL:
         return None
-    priority, _, draw = text.partition(".")
-    return Level(int(priority), int(draw))
+    priority, started, draw = (int(field) for field in text.split("."))
+    return Level(priority, bool(started), draw)
--- a/packages/node/src/knapweedspring_node/_calls/_rank.py
+++ b/packages/node/src/knapweedspring_node/_calls/_rank.py
@@ -30,9 +30,15 @@
 
     #: Calls of a lower priority are refused.
     priority: int
-    #: Calls of equal priority with a lower draw are refused.
+    #: Whether calls of equal priority that are new are refused.
+    started: bool
+    #: Calls that are otherwise equal and have a lower draw are refused.
     draw: int
 
     def admits(self, rank: Rank) -> bool:
         """Tell whether a call of this rank would be admitted."""
-        return (rank.priority, rank.draw) >= (self.priority, self.draw)
+        return (rank.priority, rank.started, rank.draw) >= (
+            self.priority,
+            self.started,
+            self.draw,
+        )
--- a/packages/node/tests/calls/test_levels.py
+++ b/packages/node/tests/calls/test_levels.py
@@ -8,7 +8,7 @@
 from knapweedspring_node._calls._levels import LEVEL_TTL_S, LevelTable
 from knapweedspring_node._calls._rank import Level, Rank
 
-LOW = Rank(1, False, 5)
+LOW = Rank(1, True, 5)
 
 
 class NeverExplores(random.Random):
@@ -23,10 +23,10 @@
 @pytest.mark.parametrize(
     "levels, refused",
     [
-        ({"n1": Level(2, 0)}, True),
-        ({"n1": Level(1, 5)}, False),
-        ({"n1": Level(2, 0), "n2": None}, False),
-        ({"n1": Level(2, 0), "n2": Level(1, 9)}, True),
+        ({"n1": Level(2, True, 0)}, True),
+        ({"n1": Level(1, True, 5)}, False),
+        ({"n1": Level(2, True, 0), "n2": None}, False),
+        ({"n1": Level(2, True, 0), "n2": Level(1, True, 9)}, True),
     ],
 )
 def test_request_is_refused_when_every_gate_seen_lately_would(levels, refused):
@@ -43,20 +43,20 @@
 
 def test_level_expires():
     table = make_table()
-    table.observe("catalogue", "n1", Level(2, 0), now=10.0)
+    table.observe("catalogue", "n1", Level(2, True, 0), now=10.0)
     assert table.refuses("catalogue", LOW, now=10.0 + LEVEL_TTL_S) is None
 
 
 def test_passthrough_refuses_nothing():
     table = make_table()
-    table.observe("catalogue", "n1", Level(2, 0), now=10.0)
+    table.observe("catalogue", "n1", Level(2, True, 0), now=10.0)
     table.set_passthrough(True)
     assert table.refuses("catalogue", LOW, now=10.1) is None
 
 
 def test_a_trickle_of_doomed_requests_explores():
     table = LevelTable(random.Random(3))
-    table.observe("catalogue", "n1", Level(2, 0), now=10.0)
+    table.observe("catalogue", "n1", Level(2, True, 0), now=10.0)
     refusals = [table.refuses("catalogue", LOW, now=10.1) for _ in range(2_000)]
     n_explored = refusals.count(None)
     assert 10 < n_explored < 100
--- /dev/null
+++ b/packages/node/tests/calls/test_limit.py
@@ -0,0 +1,93 @@
+"""The adaptive limit reacts to crowding, and to nothing else for long."""
+
+import random
+
+import pytest
+
+from knapweedspring_node._calls._limit import AdaptiveLimit
+
+SLOTS = 30
+SERVICE_S = 0.05
+
+
+def run(limit, service_s, duration_s, now=0.0, seed=1, offered=SLOTS):
+    """Keep the limit's number of calls running; return the end and all values."""
+    rng = random.Random(seed)
+    values = []
+    end_at = now + duration_s
+    while now < end_at:
+        n_running = min(offered, limit.value)
+        took_s = service_s(n_running) * rng.lognormvariate(0.0, 0.3)
+        now += took_s / n_running
+        limit.record("lookup", took_s, True, now)
+        values.append(limit.value)
+    return now, values
+
+
+def steady(n_running):
+    return SERVICE_S
+
+
+def slow(n_running):
+    return 4.0 * SERVICE_S
+
+
+def crowded(n_running):
+    return SERVICE_S * max(1.0, n_running / 15) ** 1.5
+
+
+def mean(values):
+    return sum(values) / len(values)
+
+
+def test_starts_low_and_reaches_the_slots_within_a_second():
+    limit = AdaptiveLimit(SLOTS)
+    assert limit.value == SLOTS // 10
+    _, values = run(limit, steady, 1.0)
+    assert values[-1] == SLOTS
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_noise_alone_does_not_lower_it(seed):
+    limit = AdaptiveLimit(SLOTS)
+    now, _ = run(limit, steady, 2.0, seed=seed)
+    _, values = run(limit, steady, 60.0, now, seed=seed)
+    assert mean(values) > 0.97 * SLOTS
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_crowding_lowers_it_towards_what_the_upstream_can_run(seed):
+    limit = AdaptiveLimit(SLOTS)
+    now, _ = run(limit, crowded, 2.0, seed=seed)
+    _, values = run(limit, crowded, 20.0, now, seed=seed)
+    assert 11 <= mean(values) <= 20
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_slow_down_for_another_reason_keeps_the_slots_and_ends_quickly(seed):
+    limit = AdaptiveLimit(SLOTS)
+    now, _ = run(limit, steady, 5.0, seed=seed)
+    now, _ = run(limit, slow, 2.0, now, seed=seed)
+    now, values = run(limit, slow, 10.0, now, seed=seed)
+    assert mean(values) > 0.85 * SLOTS
+    now, _ = run(limit, steady, 2.0, now, seed=seed)
+    _, values = run(limit, steady, 5.0, now, seed=seed)
+    assert mean(values) > 0.95 * SLOTS
+
+
+def test_crowding_is_found_again_after_a_slow_down():
+    limit = AdaptiveLimit(SLOTS)
+    now, _ = run(limit, steady, 3.0)
+    now, _ = run(limit, slow, 3.0, now)
+    now, _ = run(limit, crowded, 10.0, now)
+    _, values = run(limit, crowded, 20.0, now)
+    assert mean(values) <= 22
+
+
+def test_resize_caps_the_value():
+    limit = AdaptiveLimit(SLOTS)
+    now, _ = run(limit, steady, 2.0)
+    limit.resize(10)
+    assert limit.value == 10
+    _, values = run(limit, steady, 2.0, now)
+    assert max(values) <= 10
--- a/packages/standins/src/knapweedspring_standins/_gate_bench.py
+++ b/packages/standins/src/knapweedspring_standins/_gate_bench.py
@@ -5,17 +5,22 @@
 """
 
 import argparse
+import math
 import random
 import statistics
 import sys
 import threading
 from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from knapweedspring_core import Counters, EventLog
 from knapweedspring_node._calls._admission import Gate, GatePolicy, Rank
-from knapweedspring_node._calls._limit import ConcurrencyLimit, FixedLimit
+from knapweedspring_node._calls._limit import (
+    AdaptiveLimit,
+    ConcurrencyLimit,
+    FixedLimit,
+)
 from knapweedspring_standins._gate_load import (
     ClassLoad,
     FakeUpstream,
@@ -30,6 +35,9 @@
 WINDOW_S = 0.25
 DRAW_MASK = (1 << 32) - 1
 TOP_PRIORITY = 3
+GRADIENT_LONG_STEP = 0.002
+GRADIENT_SHORT_STEP = 0.1
+GRADIENT_SMOOTHING = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +114,43 @@
     )
 
 
+class GradientLimit(ConcurrencyLimit):
+    """The limit follows long-term over short-term service time."""
+
+    def __init__(self, slots: int) -> None:
+        self._slots = slots
+        self._value = float(slots)
+        self._long_s = 0.0
+        self._short_s = 0.0
+
+    @property
+    def value(self) -> int:
+        """Calls that may run at the same time."""
+        return int(self._value)
+
+    def resize(self, slots: int) -> None:
+        """Take over a changed number of declared slots."""
+        self._slots = slots
+
+    def record(
+        self, class_name: str, service_s: float, succeeded: bool, now: float
+    ) -> None:
+        """Move the limit towards the ratio of the service times."""
+        if not succeeded:
+            return
+        if self._long_s == 0.0:
+            self._long_s = self._short_s = service_s
+        self._long_s += GRADIENT_LONG_STEP * (service_s - self._long_s)
+        self._short_s += GRADIENT_SHORT_STEP * (service_s - self._short_s)
+        if self._long_s > 2.0 * self._short_s:
+            self._long_s *= 0.95
+        gradient = 1.5 * self._long_s / self._short_s
+        gradient = max(0.5, min(1.0, gradient))
+        target = self._value * gradient + math.sqrt(self._value)
+        self._value += GRADIENT_SMOOTHING * (target - self._value)
+        self._value = max(1.0, min(float(self._slots), self._value))
+
+
 SCENARIOS = {
     # 30 slots at 50 ms complete about 570 calls a second.
     "surge": Scenario((30,), (0.05,), _classes(1_140)),
@@ -127,6 +172,15 @@
 VARIANTS = {
     "passthrough": Variant(passthrough=True),
     "base": Variant(),
+    "wait-half": Variant(GatePolicy(wait_share=0.5)),
+    "wait-quarter": Variant(GatePolicy(wait_share=0.25)),
+    "wait-eighth": Variant(GatePolicy(wait_share=0.125)),
+    "adaptive": Variant(limit=AdaptiveLimit),
+    "gradient": Variant(limit=GradientLimit),
+    "level-wait-1": Variant(GatePolicy(refuses_below_level=True)),
+    "level-wait-quarter": Variant(
+        GatePolicy(wait_share=0.25, refuses_below_level=True)
+    ),
 }
 
 
@@ -169,8 +223,9 @@
     ]
 
     def refuses_at_entry(rank: Rank) -> bool:
+        deeper = replace(rank, started=True)
         levels = [gate.load().level for gate in gates[1:]]
-        return any(level and not level.admits(rank) for level in levels)
+        return any(level and not level.admits(deeper) for level in levels)
 
     run = GateLoadRun(
         gates,
