Add callers with open-loop arrivals and hard retries

Overload that outlasts its cause needs clients that neither slow down with the answers nor heed the advice to come back later. Arrivals are Poisson, drawn from a seed, and due by the clock whatever is still under way; a late start is counted rather than hidden. Each logical request keeps one name over all its sends, and each root request as the mesh can tell it another, which lets the checker count retries without the product's ids. A truncated answer that the connection betrays is told apart from one that passes for whole.

--- a/packages/standins/src/knapweedspring_standins/__main__.py
+++ b/packages/standins/src/knapweedspring_standins/__main__.py
@@ -18,6 +18,7 @@
     commands = parser.add_subparsers(dest="command", required=True)
     _add_platform(commands)
     _add_upstream(commands)
+    _add_callers(commands)
     options = parser.parse_args(arguments)
     return options.run(options)
 
@@ -97,5 +98,19 @@
     return 0
 
 
+def _add_callers(commands: "argparse._SubParsersAction") -> None:
+    parser = commands.add_parser("callers", help="callers that follow a plan")
+    parser.add_argument("--plan", required=True, metavar="FILE")
+    parser.add_argument("--result", required=True, metavar="FILE")
+    parser.set_defaults(run=_run_callers)
+
+
+def _run_callers(options: argparse.Namespace) -> int:
+    from knapweedspring_standins._callers import run_callers
+
+    run_callers(options.plan, options.result)
+    return 0
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/packages/standins/src/knapweedspring_standins/_callers.py
@@ -0,0 +1,300 @@
+"""Callers: Poisson arrivals that never wait for answers, and hard retries."""
+
+import hashlib
+import json
+import queue
+import random
+import socket
+import threading
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+from itertools import accumulate
+from pathlib import Path
+
+import msgspec
+import urllib3
+from urllib3.connection import HTTPConnection
+
+from knapweedspring_core import Header
+from knapweedspring_standins._answer import AnswerBody
+from knapweedspring_standins._caller_plan import (
+    CallerPlan,
+    CallerResult,
+    RequestKind,
+)
+from knapweedspring_standins._content import bundle_chunks
+from knapweedspring_standins._records import Answer, SendRecord
+
+__all__ = ["Arrival", "Callers", "arrivals", "run_callers"]
+
+LATE_S = 0.05
+CONNECT_TIMEOUT_S = 2.0
+READ_BYTES = 65_536
+NOT_RUN = "not-run"
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """One logical request."""
+
+    #: Monotonic seconds at which it is due.
+    due_s: float
+    #: Kind of the request.
+    kind: RequestKind
+    #: Name of the logical request.
+    nonce: str
+
+
+def arrivals(plan: CallerPlan) -> Iterator[Arrival]:
+    """Draw the arrivals of a plan; the same for the same seed.
+
+    :param plan: rates, mix and seed.
+    """
+    rng = random.Random(plan.seed)
+    weights = [kind.weight for kind in plan.kinds]
+    ends = accumulate(phase.seconds for phase in plan.phases)
+    due_s = 0.0
+    number = 0
+    for phase, end_s in zip(plan.phases, ends, strict=True):
+        due_s = end_s - phase.seconds
+        while phase.rate > 0:
+            due_s += rng.expovariate(phase.rate)
+            if due_s >= end_s:
+                break
+            number += 1
+            kind = rng.choices(plan.kinds, weights)[0]
+            yield Arrival(plan.start_s + due_s, kind, f"{plan.name}-{number}")
+
+
+class Callers:
+    """Carries out one plan.
+
+    :param plan: what to send, when and how patiently.
+    """
+
+    def __init__(self, plan: CallerPlan) -> None:
+        self._plan = plan
+        self._queue: queue.SimpleQueue[Arrival | None] = queue.SimpleQueue()
+        self._records: list[SendRecord] = []
+        self._n_arrivals = 0
+        self._n_late = 0
+        self._pool = urllib3.PoolManager(
+            num_pools=128,
+            maxsize=plan.n_workers,
+            retries=False,
+            socket_options=[
+                *HTTPConnection.default_socket_options,
+                (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+            ],
+        )
+
+    def run(self) -> CallerResult:
+        """Send everything and wait for the last answer."""
+        workers = [
+            threading.Thread(target=self._work) for _ in range(self._plan.n_workers)
+        ]
+        for worker in workers:
+            worker.start()
+        for arrival in arrivals(self._plan):
+            time.sleep(max(0.0, arrival.due_s - time.monotonic()))
+            self._n_arrivals += 1
+            self._queue.put(arrival)
+        for _ in workers:
+            self._queue.put(None)
+        for worker in workers:
+            worker.join()
+        return CallerResult(tuple(self._records), self._n_arrivals, self._n_late)
+
+    def _work(self) -> None:
+        while (arrival := self._queue.get()) is not None:
+            if time.monotonic() - arrival.due_s > LATE_S:
+                self._n_late += 1
+            _LogicalRequest(self._plan, self._pool, arrival, self._records).run()
+
+
+class _LogicalRequest:
+    """One logical request with all its sends."""
+
+    def __init__(
+        self,
+        plan: CallerPlan,
+        pool: urllib3.PoolManager,
+        arrival: Arrival,
+        records: list[SendRecord],
+    ) -> None:
+        self._plan = plan
+        self._pool = pool
+        self._kind = arrival.kind
+        self._arrival = arrival
+        self._records = records
+        self._random = random.Random(f"{plan.seed}:{arrival.nonce}")
+        self._entries = self._random.choice(plan.entries)
+        self._n_sends = 0
+        self._ticket = ""
+        self._request_id = ""
+        self._body = arrival.nonce.encode().ljust(self._kind.n_body_bytes, b".")
+
+    def run(self) -> None:
+        """Send until an answer is final or the patience ends."""
+        patience = self._plan.patience
+        give_up_s = self._arrival.due_s + patience.total_ms / 1_000
+        while True:
+            record, ticket = self._send()
+            self._records.append(record)
+            if ticket and not self._ticket:
+                # The layer asked for a ticket and gave one; nothing ran.
+                self._ticket = ticket
+                self._request_id = ""
+                continue
+            if self._is_final(record) or self._n_sends >= patience.n_sends_max:
+                return
+            pause_s = patience.pause_ms / 1_000 * self._random.uniform(0.5, 2.0)
+            if time.monotonic() + pause_s >= give_up_s:
+                return
+            time.sleep(pause_s)
+
+    def _is_final(self, record: SendRecord) -> bool:
+        if record.answer in (Answer.WHOLE, Answer.SHORT, Answer.CROSSED):
+            return True
+        if self._kind.repeatable or self._ticket:
+            return bool(self._ticket) and record.outcome in ("unknown", "ran")
+        return record.outcome != NOT_RUN and record.answer is not Answer.UNSENT
+
+    def _send(self) -> tuple[SendRecord, str]:
+        self._n_sends += 1
+        entry = self._random.choice(self._entries)
+        kind = self._kind
+        now = time.monotonic()
+        blank = SendRecord(
+            nonce=self._arrival.nonce,
+            chain=self._chain(),
+            kind=kind.name,
+            request_class=kind.request_class,
+            repeatable=kind.repeatable,
+            entry=entry,
+            arrival_s=self._arrival.due_s,
+            start_s=now,
+            end_s=now,
+            answer=Answer.UNSENT,
+            ticket=self._ticket,
+        )
+        record, ticket = self._exchange(entry, blank)
+        if kind.repeats_with_id or self._ticket:
+            self._request_id = self._request_id or record.request_id
+        return replace(record, end_s=time.monotonic()), ticket
+
+    def _chain(self) -> str:
+        """Sends that the mesh can tell to be one request share a chain."""
+        nonce = self._arrival.nonce
+        if self._ticket:
+            return f"{nonce}.ticket"
+        if self._request_id:
+            return f"{nonce}.1"
+        return f"{nonce}.{self._n_sends}"
+
+    def _headers(self, chain: str) -> dict[str, str]:
+        kind = self._kind
+        headers = {
+            "X-Nonce": self._arrival.nonce,
+            "X-Chain": chain,
+            Header.REQUEST_CLASS.value: kind.request_class,
+            Header.DEADLINE_MS.value: str(int(self._plan.patience.timeout_ms)),
+        }
+        if kind.n_echo_bytes:
+            headers["X-Echo-Bytes"] = str(kind.n_echo_bytes)
+        if self._ticket:
+            headers[Header.TICKET.value] = self._ticket
+        if self._request_id:
+            headers[Header.REQUEST_ID.value] = self._request_id
+        return headers
+
+    def _exchange(self, entry: str, blank: SendRecord) -> tuple[SendRecord, str]:
+        kind = self._kind
+        timeout_s = self._plan.patience.timeout_ms / 1_000
+        try:
+            response = self._pool.request(
+                kind.method,
+                f"http://{entry}/{kind.service}{kind.path}",
+                body=self._body if kind.n_body_bytes else None,
+                headers=self._headers(blank.chain),
+                timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s),
+                preload_content=False,
+            )
+            try:
+                return self._judge(response, blank)
+            finally:
+                # A connection whose answer was read whole is kept already;
+                # any other must not serve another request.
+                response.close()
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as error:
+            return replace(blank, answer=Answer.UNSENT, detail=repr(error)), ""
+        except urllib3.exceptions.TimeoutError:
+            return replace(blank, answer=Answer.GIVEN_UP), ""
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            return replace(blank, answer=Answer.BROKEN, detail=repr(error)), ""
+
+    def _judge(
+        self, response: urllib3.BaseHTTPResponse, blank: SendRecord
+    ) -> tuple[SendRecord, str]:
+        headers = response.headers
+        record = replace(
+            blank,
+            status=response.status,
+            outcome=headers.get(Header.OUTCOME.value, ""),
+            reason=headers.get(Header.REASON.value, ""),
+            request_id=headers.get(Header.REQUEST_ID.value, ""),
+            attempt=headers.get("X-Attempt", ""),
+        )
+        if response.status != 200 or record.outcome:
+            response.read()
+            answer = Answer.REFUSED if record.outcome else Answer.FAILED
+            ticket = headers.get(Header.TICKET.value, "")
+            asked = response.status == 428
+            return replace(record, answer=answer), ticket if asked else ""
+        answer, detail = self._verify(response)
+        return replace(record, answer=answer, detail=detail), ""
+
+    def _verify(self, response: urllib3.BaseHTTPResponse) -> tuple[Answer, str]:
+        if self._kind.n_echo_bytes:
+            return self._verify_bundle(response)
+        try:
+            body = msgspec.json.decode(response.read(), type=AnswerBody)
+        except msgspec.DecodeError as error:
+            return Answer.SHORT, str(error)
+        sent = self._body if self._kind.n_body_bytes else b""
+        if body.nonce != self._arrival.nonce:
+            return Answer.CROSSED, f"answer to {body.nonce}"
+        if body.body_sha256 != hashlib.sha256(sent).hexdigest():
+            return Answer.CROSSED, "answer to another body"
+        return Answer.WHOLE, ""
+
+    def _verify_bundle(self, response: urllib3.BaseHTTPResponse) -> tuple[Answer, str]:
+        nonce = response.headers.get("X-Nonce", "")
+        if nonce != self._arrival.nonce:
+            response.read()
+            return Answer.CROSSED, f"answer to {nonce}"
+        expected = hashlib.sha256()
+        for chunk in bundle_chunks(nonce, self._kind.n_echo_bytes):
+            expected.update(chunk)
+        received = hashlib.sha256()
+        while chunk := response.read(READ_BYTES):
+            received.update(chunk)
+        if received.digest() != expected.digest():
+            return Answer.SHORT, "the bytes differ"
+        return Answer.WHOLE, ""
+
+
+def run_callers(plan_file: str, result_file: str) -> None:
+    """Carry out a plan from a file and write the result to another.
+
+    :param plan_file: JSON of a :class:`CallerPlan`.
+    :param result_file: gets the JSON of a :class:`CallerResult`.
+    """
+    plan = msgspec.json.decode(Path(plan_file).read_bytes(), type=CallerPlan)
+    print(json.dumps({"ready": True}), flush=True)
+    result = Callers(plan).run()
+    Path(result_file).write_bytes(msgspec.json.encode(result))
--- /dev/null
+++ b/packages/standins/tests/test_callers.py
@@ -0,0 +1,115 @@
+"""Callers keep their rate, tell answers apart, and retry as told."""
+
+import json
+import time
+from dataclasses import replace
+
+import pytest
+import urllib3
+
+from knapweedspring_standins._caller_plan import (
+    CallerPlan,
+    Patience,
+    Phase,
+    RequestKind,
+)
+from knapweedspring_standins._callers import Callers, arrivals
+from knapweedspring_standins._records import Answer
+from knapweedspring_standins._upstream import Upstream
+from knapweedspring_standins._upstream_settings import UpstreamSettings
+
+LOOKUP = RequestKind("lookup", "recipes", "/braai", "lookup", 3.0)
+ORDER = RequestKind(
+    "order", "recipes", "/order", "spice-order", 1.0, "POST", False, n_body_bytes=64
+)
+BUNDLE = replace(LOOKUP, name="bundle", n_echo_bytes=200_000)
+PATIENCE = Patience(timeout_ms=2_000, total_ms=4_000, n_sends_max=3, pause_ms=10)
+
+
+@pytest.fixture
+def upstream():
+    settings = UpstreamSettings(service="recipes", n_slots=16, service_ms=5)
+    upstream = Upstream(settings)
+    upstream.start()
+    yield upstream
+    upstream.stop()
+
+
+def plan_for(address, kinds, n_arrivals=20, patience=PATIENCE):
+    phases = (Phase("all", n_arrivals / 50, 50.0),)
+    return CallerPlan(
+        entries=((address,),),
+        kinds=kinds,
+        phases=phases,
+        seed=3,
+        start_s=time.monotonic(),
+        patience=patience,
+        n_workers=8,
+    )
+
+
+def test_arrivals_keep_rate_and_mix_and_repeat_with_the_seed():
+    plan = plan_for("10.0.0.1:80", (LOOKUP, ORDER), n_arrivals=5_000)
+    drawn = list(arrivals(plan))
+    assert drawn == list(arrivals(plan))
+    assert drawn != list(arrivals(replace(plan, seed=4)))
+    assert len(drawn) == pytest.approx(5_000, rel=0.05)
+    n_orders = sum(arrival.kind is ORDER for arrival in drawn)
+    assert n_orders == pytest.approx(len(drawn) / 4, rel=0.1)
+
+
+def test_each_answer_is_recognised(upstream):
+    kinds = (LOOKUP, ORDER, BUNDLE)
+    result = Callers(plan_for(upstream.address, kinds, 40)).run()
+    assert result.n_arrivals == len(result.records) > 0
+    assert {record.answer for record in result.records} == {Answer.WHOLE}
+    assert {record.kind for record in result.records} == {"lookup", "order", "bundle"}
+
+
+def set_fault(upstream, fault):
+    url = f"http://{upstream.address}/-/fault"
+    assert urllib3.request("POST", url, body=json.dumps(fault)).status == 200
+
+
+def test_failures_are_repeated_with_new_chains(upstream):
+    set_fault(upstream, {"shed": True})
+    result = Callers(plan_for(upstream.address, (LOOKUP,))).run()
+    assert {record.answer for record in result.records} == {Answer.FAILED}
+    assert len(result.records) == 3 * result.n_arrivals
+    assert len({record.chain for record in result.records}) == len(result.records)
+
+
+def test_non_repeatable_request_without_ticket_is_sent_once(upstream):
+    set_fault(upstream, {"shed": True})
+    result = Callers(plan_for(upstream.address, (ORDER,))).run()
+    assert len(result.records) == result.n_arrivals
+
+
+@pytest.mark.parametrize("kind", [LOOKUP, BUNDLE])
+def test_truncated_answer_is_broken_not_short(upstream, kind):
+    set_fault(upstream, {"truncate_after": 30})
+    result = Callers(plan_for(upstream.address, (kind,), 5)).run()
+    assert {record.answer for record in result.records} == {Answer.BROKEN}
+
+
+def test_unframed_truncation_is_seen_as_short(upstream):
+    set_fault(upstream, {"truncate_after": 30, "unframed": True})
+    result = Callers(plan_for(upstream.address, (LOOKUP,), 5)).run()
+    assert {record.answer for record in result.records} == {Answer.SHORT}
+
+
+def test_caller_gives_up_after_its_timeout(upstream):
+    set_fault(upstream, {"slow_factor": 100_000})
+    patience = Patience(timeout_ms=100, total_ms=150, n_sends_max=1)
+    plan = plan_for(upstream.address, (LOOKUP,), 3, patience)
+    result = Callers(plan).run()
+    # The upstream obeys the same deadline, so either may end the wait first.
+    assert {r.answer for r in result.records} <= {Answer.GIVEN_UP, Answer.FAILED}
+    assert result.records
+
+
+def test_unreachable_entry_is_unsent():
+    plan = plan_for("127.0.0.1:9", (ORDER,), 3, replace(PATIENCE, n_sends_max=2))
+    result = Callers(plan).run()
+    assert {record.answer for record in result.records} == {Answer.UNSENT}
+    assert len(result.records) == 2 * result.n_arrivals
