--- a/packages/standins/src/knapweedspring_standins/_fault_proxy.py
+++ b/packages/standins/src/knapweedspring_standins/_fault_proxy.py
@@ -27,7 +27,7 @@
 class FaultProxy:
     """Forwards connections to one target and harms them as told.
 
-    :param target: ``ip:port`` that is protected from its callers' bytes.
+    :param target: ``ip:port`` to forward to; empty until :meth:`set_target`.
     :param seed: makes delays and choices repeatable.
     :param identify: names the source of a connection by the port that it
         came from; faults can then be set for that name alone.
@@ -42,8 +42,9 @@
         seed: int,
         identify: Callable[[int], str] = lambda port: "",
     ) -> None:
-        host, _, port = target.rpartition(":")
-        self._target = (host, int(port))
+        self._target = ("", 0)
+        if target:
+            self.set_target(target)
         self._identify = identify
         self._random = random.Random(seed)
         self._faults: dict[str, tuple[Fault, ...]] = {}
@@ -110,6 +111,11 @@
             link.reset()
         self._thread.join()
 
+    def set_target(self, target: str) -> None:
+        """Forward new connections to another ``ip:port``."""
+        host, _, port = target.rpartition(":")
+        self._target = (host, int(port))
+
     def set_faults(self, *faults: Fault, source: str = "") -> None:
         """Replace the faults of one source, or of all that have none.
 
--- a/packages/standins/src/knapweedspring_standins/_mesh.py
+++ b/packages/standins/src/knapweedspring_standins/_mesh.py
@@ -3,7 +3,7 @@
 import functools
 import itertools
 import secrets
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 
 import urllib3
@@ -17,7 +17,11 @@
     ObjectRecord,
     PlatformConflict,
 )
+from knapweedspring_standins._fault_proxy import FaultProxy
+from knapweedspring_standins._faults import BlackHole
 from knapweedspring_standins._journal import JournalPage, read_journal
+from knapweedspring_standins._layout import MeshLayout, NodeFile, ServiceLayout
+from knapweedspring_standins._port_owners import PortOwners
 from knapweedspring_standins._processes import (
     Process,
     ProcessFailed,
@@ -26,97 +30,12 @@
 )
 from knapweedspring_standins._upstream_settings import UpstreamFaults
 
-__all__ = [
-    "DeclaredObject",
-    "Mesh",
-    "MeshLayout",
-    "NodeFile",
-    "Place",
-    "ServiceLayout",
-    "start_mesh",
-]
-
-LOOPBACK_ANY_PORT = "127.0.0.1:0"
+__all__ = ["Mesh", "Place", "start_mesh"]
+
 PAGE_TIMEOUT_S = 5.0
 WRITER = "bench"
 
 
-@dataclass(frozen=True, slots=True)
-class NodeFile:
-    """Settings file of one node."""
-
-    #: Name of the node.
-    node_id: str
-    #: Firm that the mesh belongs to.
-    firm: str
-    #: Data centre of the node.
-    data_centre: str
-    #: Address of the platform, or of a proxy before it.
-    platform_address: str
-    #: Secret of the firm's nodes, hex text.
-    mesh_key: str
-    #: Control addresses to join by.
-    seeds: tuple[str, ...] = ()
-    #: Threads for calls.
-    n_workers: int = 64
-    #: Address for calls.
-    call_address: str = LOOPBACK_ANY_PORT
-    #: Address for control messages.
-    control_address: str = LOOPBACK_ANY_PORT
-    #: Address of the read-only pages.
-    admin_address: str = LOOPBACK_ANY_PORT
-    #: Control messages stay unencrypted on loopback.
-    allow_plain_control: bool = True
-
-
-@dataclass(frozen=True, slots=True)
-class ServiceLayout:
-    """One service and the servers that run it."""
-
-    #: Name of the service.
-    name: str
-    #: Servers, dealt out to the data centres in turn.
-    n_servers: int
-    #: Slots of each server.
-    n_slots: int
-    #: Connections of each server.
-    n_connections: int
-    #: Service time besides child calls, in ms.
-    service_ms: float
-    #: Child calls, as ``[/prefix=]service/path``.
-    calls: tuple[str, ...] = ()
-    #: Further arguments of the upstream's command line.
-    options: tuple[str, ...] = ()
-
-
-@dataclass(frozen=True, slots=True)
-class DeclaredObject:
-    """A declaration and its name."""
-
-    #: Name of the object.
-    name: str
-    #: Content.
-    declaration: Declaration
-
-
-@dataclass(frozen=True, slots=True)
-class MeshLayout:
-    """What a mesh consists of."""
-
-    #: Name of the firm.
-    firm: str
-    #: Names of the data centres.
-    data_centres: tuple[str, ...]
-    #: Services.
-    services: tuple[ServiceLayout, ...]
-    #: Objects written to the platform before the nodes start.
-    objects: tuple[DeclaredObject, ...]
-    #: Threads for calls on each node.
-    n_workers: int = 64
-    #: Seed of the upstreams' service times.
-    seed: int = 1
-
-
 @dataclass(slots=True)
 class Place:
     """One VM: an upstream and the node beside it."""
@@ -131,12 +50,29 @@
     upstream: Process | None = None
     #: Journal files of all upstreams that ran here.
     journal_files: list[Path] = field(default_factory=list)
+    #: Proxy before the node's call address; None without one.
+    call_proxy: FaultProxy | None = None
+    #: Proxy before the node's control address; None without one.
+    control_proxy: FaultProxy | None = None
+
+    @property
+    def proxies(self) -> tuple[FaultProxy, ...]:
+        """Proxies before the node."""
+        both = (self.call_proxy, self.control_proxy)
+        return tuple(proxy for proxy in both if proxy is not None)
 
     @property
     def call_address(self) -> str:
         """Where callers reach the node."""
         return self.node.ready.call_address
 
+    @property
+    def seed_address(self) -> str:
+        """Control address that other nodes join by."""
+        if self.control_proxy is not None:
+            return self.control_proxy.address
+        return self.node.ready.control_address
+
     @property
     def admin_address(self) -> str:
         """Where the node's pages are."""
@@ -162,11 +98,15 @@
     ) -> None:
         self._layout = layout
         self._group = group
+        self._owners = PortOwners()
+        self._seeds = itertools.count(layout.seed)
         self._platform_address = platform_address
+        self._platform_proxy = self._make_proxy()
+        self._platform_proxy.set_target(platform_address)
         self._platform = HttpPlatform(platform_address)
         self._mesh_key = secrets.token_hex(32)
         self._places: list[Place] = []
-        self._seeds = itertools.count(layout.seed)
+        self._n_replaced = 0
         self._pool = urllib3.PoolManager(maxsize=4, num_pools=64, retries=False)
 
     @property
@@ -194,6 +134,18 @@
         """Address of the platform."""
         return self._platform_address
 
+    @property
+    def platform_proxy(self) -> FaultProxy:
+        """Proxy between the nodes and the platform."""
+        return self._platform_proxy
+
+    def close(self) -> None:
+        """Stop the proxies; the group ends the processes."""
+        for place in self._places:
+            for proxy in place.proxies:
+                proxy.stop()
+        self._platform_proxy.stop()
+
     def places_of(self, service: str) -> list[Place]:
         """VMs that run a service."""
         return [place for place in self._places if place.service.name == service]
@@ -221,6 +173,7 @@
         """
         places = [self._start_node(*pair) for pair in placed]
         for place in places:
+            self._own(place)
             place.upstream = self._start_upstream(place)
         for place in places:
             assert place.upstream is not None
@@ -232,6 +185,43 @@
         place.upstream = self._start_upstream(place)
         _ = place.upstream.ready
 
+    def replace(self, place: Place) -> None:
+        """Start a new node and upstream where both ended.
+
+        The new node has another name and the addresses of the old one, as
+        when a VM is replaced behind the same IP number.
+        """
+        old = place.node.ready
+        self._n_replaced += 1
+        place.node_file = replace(
+            place.node_file,
+            node_id=f"{place.service.name}-r{self._n_replaced}",
+            seeds=tuple(p.seed_address for p in self._places if p is not place)[:2],
+            call_address=old.call_address,
+            control_address=old.control_address,
+            admin_address=old.admin_address,
+        )
+        place.node = self._group.start_node(place.node_file)
+        self._own(place)
+        self.replace_upstream(place)
+
+    def partition(self, data_centre: str) -> None:
+        """Cut a data centre off from all others and from the platform."""
+        others = [dc for dc in self._layout.data_centres if dc != data_centre]
+        for place in self._places:
+            inside = place.node_file.data_centre == data_centre
+            for source in others if inside else [data_centre]:
+                for proxy in place.proxies:
+                    proxy.set_faults(BlackHole(), source=source)
+        self._platform_proxy.set_faults(BlackHole(), source=data_centre)
+
+    def heal(self) -> None:
+        """End a partition."""
+        proxies = [proxy for place in self._places for proxy in place.proxies]
+        for proxy in [*proxies, self._platform_proxy]:
+            for source in self._layout.data_centres:
+                proxy.set_faults(source=source)
+
     def set_faults(self, place: Place, faults: UpstreamFaults) -> None:
         """Replace the faults of an upstream."""
         url = f"http://{place.upstream_address}/-/fault"
@@ -280,17 +270,45 @@
             node_id=f"{service.name}-{n_before + 1}",
             firm=self._layout.firm,
             data_centre=data_centre,
-            platform_address=self._platform_address,
+            platform_address=self._platform_proxy.address,
             mesh_key=self._mesh_key,
             seeds=self._seed_addresses(),
             n_workers=self._layout.n_workers,
         )
-        place = Place(file, self._group.start_node(file), service)
+        call_proxy = control_proxy = None
+        if self._layout.partitionable:
+            call_proxy, control_proxy = self._make_proxy(), self._make_proxy()
+            file = replace(
+                file,
+                advertised_call_address=call_proxy.address,
+                advertised_control_address=control_proxy.address,
+            )
+        place = Place(
+            node_file=file,
+            node=self._group.start_node(file),
+            service=service,
+            call_proxy=call_proxy,
+            control_proxy=control_proxy,
+        )
         self._places.append(place)
         return place
 
+    def _make_proxy(self) -> FaultProxy:
+        proxy = FaultProxy("", next(self._seeds), self._owners.owner_of)
+        proxy.start()
+        return proxy
+
+    def _own(self, place: Place) -> None:
+        """Connect what belongs to a node that serves."""
+        ready = place.node.ready
+        self._owners.add(place.node.pid, place.node_file.data_centre)
+        if place.call_proxy is not None:
+            place.call_proxy.set_target(ready.call_address)
+        if place.control_proxy is not None:
+            place.control_proxy.set_target(ready.control_address)
+
     def _seed_addresses(self) -> tuple[str, ...]:
-        return tuple(place.node.ready.control_address for place in self._places[:1])
+        return tuple(place.seed_address for place in self._places[:1])
 
     def _start_upstream(self, place: Place) -> Process:
         service = place.service
--- a/packages/standins/tests/test_fault_proxy.py
+++ b/packages/standins/tests/test_fault_proxy.py
@@ -1,6 +1,7 @@
 """Each fault of the proxy does what its name says, and healing ends it."""
 
 import socket
+import sys
 import threading
 import time
 
@@ -17,7 +18,8 @@
     RateLimit,
     Reorder,
 )
-from knapweedspring_standins._processes import poll_until
+from knapweedspring_standins._port_owners import PortOwners
+from knapweedspring_standins._processes import ProcessGroup, poll_until
 
 BOUND_S = 20.0
 
@@ -206,3 +208,36 @@
         with harmed, connect(proxy) as spared:
             assert exchange(spared) == b"hello"
             assert silent(harmed)
+
+
+def test_source_is_found_by_the_port_of_its_process(echo_address):
+    owners = PortOwners()
+    with (
+        ProcessGroup() as group,
+        FaultProxy(echo_address, 7, owners.owner_of) as proxy,
+    ):
+        port = int(proxy.address.rpartition(":")[2])
+        code = CONNECTED.format(port=port)
+        go = group.directory / "go"
+        command = [sys.executable, "-c", code, str(go)]
+        process = group.start("connected", command)
+        owners.add(process.pid, "pretoria")
+        proxy.set_faults(BlackHole(), source="pretoria")
+        with connect(proxy) as spared:
+            assert exchange(spared) == b"hello"
+        go.touch()
+        assert process.wait(BOUND_S) == 3
+
+
+CONNECTED = """
+import os, socket, sys, time
+while not os.path.exists(sys.argv[1]):
+    time.sleep(0.01)
+sock = socket.create_connection(("127.0.0.1", {port}))
+sock.settimeout(1.0)
+sock.sendall(b"x")
+try:
+    sock.recv(1)
+except TimeoutError:
+    sys.exit(3)
+"""
