Add the bench

One command runs a scenario against both policies on real processes and reduces journals and callers' records to the figures that the users weigh: goodput of whole requests by class and phase, recovery after the cause, attempts, wasted work, latency quantiles and the verdict on every invariant. Callers run in three processes, since one interpreter would bound the rate of hard retries before the mesh does.

--- a/packages/standins/src/knapweedspring_standins/__main__.py
+++ b/packages/standins/src/knapweedspring_standins/__main__.py
@@ -3,6 +3,7 @@
 import argparse
 import sys
 
+from knapweedspring_standins._bench_command import add_bench
 from knapweedspring_standins._upstream_settings import CallRule, UpstreamSettings
 
 __all__ = ["main"]
@@ -19,6 +20,7 @@
     _add_platform(commands)
     _add_upstream(commands)
     _add_callers(commands)
+    add_bench(commands)
     options = parser.parse_args(arguments)
     return options.run(options)
 
--- /dev/null
+++ b/packages/standins/src/knapweedspring_standins/_bench.py
@@ -0,0 +1,260 @@
+"""The bench: a scenario against both policies, with real processes."""
+
+import os
+import threading
+import time
+from collections import Counter
+from dataclasses import dataclass, replace
+from pathlib import Path
+
+import msgspec
+
+from knapweedspring_core import Policy, PolicyMode, RequestClass
+from knapweedspring_standins._analysis import (
+    LogicalRequest,
+    PhaseFigures,
+    Window,
+    attempt_figures,
+    goodput_by_second,
+    latency_figures,
+    logical_requests,
+    phase_figures,
+    recovery_s,
+    windows_of,
+)
+from knapweedspring_standins._bench_report import BenchReport, ModeReport, NodeCost
+from knapweedspring_standins._caller_plan import (
+    CallerPlan,
+    CallerResult,
+    Patience,
+    Phase,
+)
+from knapweedspring_standins._firms import FIRMS, Firm
+from knapweedspring_standins._invariants import Evidence, check_invariants
+from knapweedspring_standins._layout import DeclaredObject
+from knapweedspring_standins._mesh import Mesh, start_mesh
+from knapweedspring_standins._processes import Process, ProcessFailed, ProcessGroup
+from knapweedspring_standins._records import Answer, SendRecord
+from knapweedspring_standins._scenarios import SCENARIOS, Scenario, Stage
+
+__all__ = ["run_bench", "run_mode"]
+
+N_CALLER_PROCESSES = 3
+LEAD_S = 2.0
+CALLERS_TIMEOUT_S = 120.0
+N_EXAMPLES = 8
+
+
+def run_bench(
+    scenario_name: str, firm_name: str, seed: int, modes: tuple[PolicyMode, ...]
+) -> BenchReport:
+    """Run a scenario under each policy.
+
+    :param scenario_name: key of :data:`SCENARIOS`.
+    :param firm_name: key of :data:`FIRMS`.
+    :param seed: of arrivals, service times and faults.
+    :param modes: policies, in order.
+    """
+    firm = FIRMS[firm_name]
+    scenario = SCENARIOS[scenario_name]
+    load_before = os.getloadavg()[0]
+    reports = tuple(run_mode(scenario, firm, seed, mode) for mode in modes)
+    return BenchReport(
+        scenario=scenario_name,
+        firm=firm_name,
+        seed=seed,
+        scaling=(
+            f"slots and connections are 1/{firm.scale} of the stated ones, at "
+            f"service times that make the deepest service saturate at "
+            f"{firm.saturation_rate:.0f} whole requests a second; servers and data "
+            "centres are as stated; network delays are not emulated"
+        ),
+        n_cores=os.cpu_count() or 0,
+        load_before=load_before,
+        windows=tuple(windows_of(scenario.phases, 0.0)),
+        cause_phases=scenario.cause_phases,
+        modes=reports,
+    )
+
+
+def run_mode(scenario: Scenario, firm: Firm, seed: int, mode: PolicyMode) -> ModeReport:
+    """Run a scenario under one policy."""
+    objects = (*firm.layout.objects, DeclaredObject("mesh", Policy(mode)))
+    layout = replace(
+        firm.layout, objects=objects, seed=seed, partitionable=scenario.partitions
+    )
+    with ProcessGroup() as group:
+        mesh = start_mesh(layout, group)
+        try:
+            if not mesh.wait_served():
+                raise ProcessFailed("not every node serves every service")
+            run = _Run(scenario, replace(firm, layout=layout), seed, mesh)
+            return run.report(mode)
+        finally:
+            mesh.close()
+
+
+@dataclass(frozen=True, slots=True)
+class _Usage:
+    """Processor time of a process at one moment."""
+
+    #: The process.
+    process: Process
+    #: Seconds used.
+    cpu_s: float
+
+
+class _Run:
+    """One run on a mesh that serves."""
+
+    def __init__(self, scenario: Scenario, firm: Firm, seed: int, mesh: Mesh) -> None:
+        self._scenario = scenario
+        self._firm = firm
+        self._seed = seed
+        self._mesh = mesh
+        self._start_s = time.monotonic() + LEAD_S
+        self._phases = tuple(
+            replace(phase, rate=phase.rate * firm.saturation_rate)
+            for phase in scenario.phases
+        )
+        self._windows = windows_of(self._phases, self._start_s)
+
+    def report(self, mode: PolicyMode) -> ModeReport:
+        """Carry the run out and reduce it to figures."""
+        usages = [_Usage(p.node, p.node.cpu_s()) for p in self._mesh.places]
+        stage = Stage(self._mesh, self._firm, self._start_s, [])
+        results = self._run_callers(stage)
+        cost = self._cost(usages)
+        evidence = Evidence(
+            journals=tuple(self._mesh.journals()),
+            records=tuple(r for result in results for r in result.records),
+            budgets=self._budgets(),
+            stops=tuple(stage.stops),
+        )
+        requests = logical_requests(evidence.records)
+        figures = phase_figures(requests, self._windows)
+        verdict = check_invariants(evidence)
+        examples = [
+            f"{v.invariant}: {v.subject}: {v.detail}" for v in verdict.violations
+        ]
+        n_seconds = int(self._windows[-1].end_s - self._start_s)
+        goodput = goodput_by_second(requests, self._start_s, n_seconds)
+        return ModeReport(
+            mode=mode.value,
+            phases=tuple(figures),
+            latencies=tuple(latency_figures(requests)),
+            attempts=attempt_figures(evidence, requests),
+            n_extra_attempts_max=verdict.n_extra_attempts_max,
+            recovery_s=self._recovery_s(requests),
+            goodput_part_of_saturation=_surge_part(figures),
+            top_kind_part=self._top_kind_part(figures),
+            violations=verdict.counts(),
+            examples=tuple(examples[:N_EXAMPLES]),
+            answers=_count_answers(evidence.records),
+            n_non_repeatable=verdict.n_non_repeatable,
+            n_not_run=verdict.n_not_run,
+            n_late=sum(result.n_late for result in results),
+            cost=cost,
+            goodput_by_second=tuple(goodput),
+        )
+
+    def _run_callers(self, stage: Stage) -> list[CallerResult]:
+        files = [self._start_callers(number) for number in range(N_CALLER_PROCESSES)]
+        failures: list[BaseException] = []
+        actor = threading.Thread(target=self._act, args=(stage, failures))
+        actor.start()
+        seconds = self._windows[-1].end_s - time.monotonic() + CALLERS_TIMEOUT_S
+        results = []
+        for process, file in files:
+            if process.wait(seconds) != 0:
+                raise ProcessFailed(f"callers failed: {process.stderr_tail()}")
+            results.append(msgspec.json.decode(file.read_bytes(), type=CallerResult))
+        actor.join()
+        if failures:
+            raise ProcessFailed(f"the scenario failed: {failures[0]!r}")
+        return results
+
+    def _act(self, stage: Stage, failures: list[BaseException]) -> None:
+        try:
+            self._scenario.act(stage)
+        except Exception as error:  # noqa: BLE001
+            failures.append(error)
+
+    def _start_callers(self, number: int) -> tuple[Process, Path]:
+        share = tuple(
+            Phase(phase.name, phase.seconds, phase.rate / N_CALLER_PROCESSES)
+            for phase in self._phases
+        )
+        plan = CallerPlan(
+            entries=self._entries(),
+            kinds=self._firm.kinds,
+            phases=share,
+            seed=self._seed * 100 + number,
+            start_s=self._start_s,
+            patience=Patience(),
+            name=f"c{number}",
+        )
+        directory = self._mesh.group.directory
+        plan_file = directory / f"callers-{number}.plan"
+        result_file = directory / f"callers-{number}.result"
+        plan_file.write_bytes(msgspec.json.encode(plan))
+        arguments = ["callers", f"--plan={plan_file}", f"--result={result_file}"]
+        process = self._mesh.group.start_standin(f"callers-{number}", arguments)
+        return process, result_file
+
+    def _entries(self) -> tuple[tuple[str, ...], ...]:
+        return tuple(
+            tuple(
+                place.call_address
+                for place in self._mesh.places
+                if place.node_file.data_centre == data_centre
+            )
+            for data_centre in self._mesh.layout.data_centres
+        )
+
+    def _budgets(self) -> dict[str, int]:
+        return {
+            declared.name: declared.declaration.retry_budget
+            for declared in self._firm.layout.objects
+            if isinstance(declared.declaration, RequestClass)
+        }
+
+    def _window(self, name: str) -> Window:
+        return next(window for window in self._windows if window.name == name)
+
+    def _recovery_s(self, requests: list[LogicalRequest]) -> float | None:
+        if not self._scenario.cause_phases:
+            return None
+        cause_end_s = self._window(self._scenario.cause_phases[-1]).end_s
+        end_s = self._windows[-1].end_s
+        return recovery_s(requests, self._window("base"), cause_end_s, end_s)
+
+    def _top_kind_part(self, figures: list[PhaseFigures]) -> float | None:
+        chosen = [
+            f
+            for f in figures
+            if f.phase in self._scenario.cause_phases and f.kind == self._firm.top_kind
+        ]
+        n_arrivals = sum(f.n_arrivals for f in chosen)
+        return sum(f.n_succeeded for f in chosen) / n_arrivals if n_arrivals else None
+
+    def _cost(self, before: list[_Usage]) -> NodeCost:
+        seconds = time.monotonic() - self._start_s + LEAD_S
+        cores = [(u.process.cpu_s() - u.cpu_s) / seconds for u in before]
+        memory = [place.node.memory_kb() for place in self._mesh.places]
+        return NodeCost(sum(cores) / len(cores), max(cores), max(memory))
+
+
+def _surge_part(figures: list[PhaseFigures]) -> float | None:
+    goodput = {f.phase: f.goodput for f in figures if f.kind == "all"}
+    if "surge" not in goodput or not goodput.get("saturation"):
+        return None
+    return goodput["surge"] / goodput["saturation"]
+
+
+def _count_answers(records: tuple[SendRecord, ...]) -> dict[str, int]:
+    counts = Counter(
+        f"{r.outcome} {r.reason}" if r.answer is Answer.REFUSED else r.answer.value
+        for r in records
+    )
+    return dict(counts.most_common())
--- /dev/null
+++ b/packages/standins/src/knapweedspring_standins/_bench_command.py
@@ -0,0 +1,48 @@
+"""Subcommand ``bench`` of the stand-ins."""
+
+import argparse
+
+import msgspec
+
+from knapweedspring_core import PolicyMode
+from knapweedspring_standins._bench_report import report_text, write_plot
+
+__all__ = ["add_bench"]
+
+FIRM_NAMES = ("boerewors", "pen-care")
+SCENARIO_NAMES = (
+    "steady",
+    "surge",
+    "slow-deep",
+    "platform-outage",
+    "partition",
+    "rolling",
+    "surge-partition",
+)
+
+
+def add_bench(commands: "argparse._SubParsersAction") -> None:
+    """Add the subcommand to a parser."""
+    parser = commands.add_parser("bench", help="one scenario under both policies")
+    parser.add_argument("--scenario", choices=SCENARIO_NAMES, required=True)
+    parser.add_argument("--firm", choices=FIRM_NAMES, default="boerewors")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--mode", choices=("both", *PolicyMode), default="both")
+    parser.add_argument("--output", choices=("text", "json"), default="text")
+    parser.add_argument("--plot", default="", metavar="FILE.svg")
+    parser.set_defaults(run=_run_bench)
+
+
+def _run_bench(options: argparse.Namespace) -> int:
+    from knapweedspring_standins._bench import run_bench
+
+    both = (PolicyMode.PROTECT, PolicyMode.PASSTHROUGH)
+    modes = both if options.mode == "both" else (PolicyMode(options.mode),)
+    report = run_bench(options.scenario, options.firm, options.seed, modes)
+    if options.plot:
+        write_plot(report, options.plot)
+    if options.output == "json":
+        print(msgspec.json.format(msgspec.json.encode(report)).decode())
+    else:
+        print(report_text(report))
+    return 0
--- a/packages/standins/src/knapweedspring_standins/_scenarios.py
+++ b/packages/standins/src/knapweedspring_standins/_scenarios.py
@@ -57,6 +57,11 @@
         """Names of the phases in which the cause lasts; none without one."""
         return ()
 
+    @property
+    def partitions(self) -> bool:
+        """Whether data centres are cut off from each other."""
+        return False
+
     def act(self, stage: Stage) -> None:
         """Do to the mesh what the scenario demands; returns when done."""
         return
@@ -175,6 +180,11 @@
         """The time of the cut."""
         return ("cut",)
 
+    @property
+    def partitions(self) -> bool:
+        """Whether data centres are cut off from each other."""
+        return True
+
     def act(self, stage: Stage) -> None:
         """Cut the first data centre off during the cause."""
         cut_off = stage.mesh.layout.data_centres[0]
