Add the paired latency bench

What a node adds to a call is a fraction of a millisecond, less than the noise of a shared machine between two runs.

--- a/packages/standins/src/knapweedspring_standins/_bench_command.py
+++ b/packages/standins/src/knapweedspring_standins/_bench_command.py
@@ -18,6 +18,7 @@
     "partition",
     "rolling",
     "surge-partition",
+    "latency",
 )
 
 
@@ -29,6 +30,9 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--mode", choices=("both", *PolicyMode), default="both")
     parser.add_argument("--output", choices=("text", "json"), default="text")
+    parser.add_argument(
+        "--seconds", type=float, default=20.0, help="length of each latency level"
+    )
     parser.add_argument("--plot", default="", metavar="FILE.svg")
     parser.set_defaults(run=_run_bench)
 
@@ -36,6 +40,8 @@
 def _run_bench(options: argparse.Namespace) -> int:
     from knapweedspring_standins._bench import run_bench
 
+    if options.scenario == "latency":
+        return _run_latency(options)
     both = (PolicyMode.PROTECT, PolicyMode.PASSTHROUGH)
     modes = both if options.mode == "both" else (PolicyMode(options.mode),)
     report = run_bench(options.scenario, options.firm, options.seed, modes)
@@ -46,3 +52,14 @@
     else:
         print(report_text(report))
     return 0
+
+
+def _run_latency(options: argparse.Namespace) -> int:
+    from knapweedspring_standins._latency import latency_text, run_latency
+
+    report = run_latency(options.seed, options.seconds)
+    if options.output == "json":
+        print(msgspec.json.format(msgspec.json.encode(report)).decode())
+    else:
+        print(latency_text(report))
+    return 0
