Let a caller's repeat start afresh once its budget is spent

Clients that retry hard drop a request id that is refused for its spent budget; repeating it for ever would understate the load that they make. A send without an id begins a chain of its own and one with an id stays in the chain that gave it, so that the checker charges each repeat where the mesh must. Bundles repeat with their id, lookups without, so that both ways are exercised in every run.

--- a/packages/standins/src/knapweedspring_standins/_callers.py
+++ b/packages/standins/src/knapweedspring_standins/_callers.py
@@ -32,6 +32,7 @@
 CONNECT_TIMEOUT_S = 2.0
 READ_BYTES = 65_536
 NOT_RUN = "not-run"
+BUDGET_SPENT = "budget-spent"
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,6 +132,7 @@
         self._random = random.Random(f"{plan.seed}:{arrival.nonce}")
         self._entries = self._random.choice(plan.entries)
         self._n_sends = 0
+        self._n_chains = 0
         self._ticket = ""
         self._request_id = ""
         self._body = arrival.nonce.encode().ljust(self._kind.n_body_bytes, b".")
@@ -180,7 +182,10 @@
             ticket=self._ticket,
         )
         record, ticket = self._exchange(entry, blank)
-        if kind.repeats_with_id or self._ticket:
+        if record.reason == BUDGET_SPENT:
+            # A client that retries hard starts afresh.
+            self._request_id = ""
+        elif kind.repeats_with_id or self._ticket:
             self._request_id = self._request_id or record.request_id
         return replace(record, end_s=time.monotonic()), ticket
 
@@ -189,9 +194,9 @@
         nonce = self._arrival.nonce
         if self._ticket:
             return f"{nonce}.ticket"
-        if self._request_id:
-            return f"{nonce}.1"
-        return f"{nonce}.{self._n_sends}"
+        if not self._request_id:
+            self._n_chains += 1
+        return f"{nonce}.{self._n_chains}"
 
     def _headers(self, chain: str) -> dict[str, str]:
         kind = self._kind
--- a/packages/standins/src/knapweedspring_standins/_firms.py
+++ b/packages/standins/src/knapweedspring_standins/_firms.py
@@ -60,7 +60,13 @@
         RequestKind("lookup", "recipes", "/braai", "lookup", 0.70),
         _exactly_once("spice-order", "orders", "/spice", 0.15),
         RequestKind(
-            "bundle", "library", "/bundle", "bundle", 0.15, n_echo_bytes=50_000
+            name="bundle",
+            service="library",
+            path="/bundle",
+            request_class="bundle",
+            weight=0.15,
+            n_echo_bytes=50_000,
+            repeats_with_id=True,
         ),
     )
     layout = MeshLayout(
--- a/packages/standins/tests/test_callers.py
+++ b/packages/standins/tests/test_callers.py
@@ -113,3 +113,11 @@
     result = Callers(plan).run()
     assert {record.answer for record in result.records} == {Answer.UNSENT}
     assert len(result.records) == 2 * result.n_arrivals
+
+
+def test_repeat_with_the_request_id_stays_in_its_chain(upstream):
+    kind = replace(LOOKUP, repeats_with_id=True)
+    set_fault(upstream, {"shed": True})
+    result = Callers(plan_for(upstream.address, (kind,), 5)).run()
+    # The upstream gives no request ids, so each send is a chain of its own.
+    assert len({record.chain for record in result.records}) == len(result.records)
