Test that a caller's repeat stays in the chain of its request id

The earlier test of this name met a server without request ids and could only see separate chains. A small server that issues an id and then refuses it for its spent budget replaces it, stricter: two sends share a chain and the third begins another.

--- a/packages/standins/tests/test_callers.py
+++ b/packages/standins/tests/test_callers.py
@@ -1,8 +1,10 @@
 """Callers keep their rate, tell answers apart, and retry as told."""
 
 import json
+import threading
 import time
 from dataclasses import replace
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 import pytest
 import urllib3
@@ -115,9 +117,36 @@
     assert len(result.records) == 2 * result.n_arrivals
 
 
-def test_repeat_with_the_request_id_stays_in_its_chain(upstream):
+class _Refusing(BaseHTTPRequestHandler):
+    """Refuses as a node does, the last time for a spent budget."""
+
+    protocol_version = "HTTP/1.1"
+
+    def do_GET(self):
+        request_id = self.headers.get("Kws-Request-Id")
+        reason = "budget-spent" if request_id else "overloaded"
+        self.send_response(503)
+        self.send_header("Content-Length", "0")
+        self.send_header("Kws-Outcome", "unknown")
+        self.send_header("Kws-Reason", reason)
+        self.send_header("Kws-Request-Id", request_id or "issued")
+        self.end_headers()
+
+    def log_message(self, *_):
+        pass
+
+
+def test_repeat_with_the_request_id_stays_in_its_chain():
+    server = ThreadingHTTPServer(("127.0.0.1", 0), _Refusing)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    address = "{}:{}".format(*server.server_address)
     kind = replace(LOOKUP, repeats_with_id=True)
-    set_fault(upstream, {"shed": True})
-    result = Callers(plan_for(upstream.address, (kind,), 5)).run()
-    # The upstream gives no request ids, so each send is a chain of its own.
-    assert len({record.chain for record in result.records}) == len(result.records)
+    result = Callers(plan_for(address, (kind,), 5)).run()
+    server.shutdown()
+    server.server_close()
+    assert {record.request_id for record in result.records} == {"issued"}
+    for nonce in {record.nonce for record in result.records}:
+        sends = [record for record in result.records if record.nonce == nonce]
+        chains = [record.chain for record in sorted(sends, key=lambda r: r.start_s)]
+        # The second send repeats the first; the third starts afresh.
+        assert chains == [f"{nonce}.1", f"{nonce}.1", f"{nonce}.2"]
