Report status per data centre and keep the contacts

Operators need to see what is in force where, at a cost that does not grow with the fleet. Each node posts its state to the first ranked node of its data centre when it changes; that one sums up and writes one object, at most every two seconds. Polling all nodes from the reporter was ruled out, since it costs a call a node and period even when nothing changes. A conflict is followed by a read, and parts of other reporters stay until they are gone or silent.

--- a/packages/core/src/knapweedspring_core/_metrics.py
+++ b/packages/core/src/knapweedspring_core/_metrics.py
@@ -43,6 +43,10 @@
         """Return a counter's value."""
         return self._values.get((name, label), 0)
 
+    def total(self, name: str) -> int:
+        """Return the sum of a counter over all label values."""
+        return sum(value for (key, _), value in self.values.items() if key == name)
+
 
 class MetricsPage:
     """Registers counters and gauges with OpenTelemetry and renders the page."""
--- a/packages/core/src/knapweedspring_core/_status.py
+++ b/packages/core/src/knapweedspring_core/_status.py
@@ -61,12 +61,12 @@
 
 @dataclass(frozen=True, slots=True)
 class BudgetUse:
-    """Retry tokens of the requests that entered at a node, since its start."""
+    """Use of the retry budgets at a node, since its start."""
 
-    #: Tokens that the requests were given.
-    n_granted: int = 0
-    #: Tokens spent on attempts beyond the first.
+    #: Retry tokens that the node spent on attempts beyond the first.
     n_spent: int = 0
+    #: Retries that it did not make, because a budget or the retry ratio was spent.
+    n_denied: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/knapweedspring_core/_status_objects.py
+++ b/packages/core/src/knapweedspring_core/_status_objects.py
@@ -114,7 +114,7 @@
     draining: tuple[DrainStatus, ...] = ()
     #: Shedding by service.
     levels: tuple[ServiceLevel, ...] = ()
-    #: Retry budgets of requests that entered in the data centre.
+    #: Use of the retry budgets in the data centre.
     budget: BudgetUse = BudgetUse()
 
 
--- a/packages/ctl/src/knapweedspring_ctl/_status.py
+++ b/packages/ctl/src/knapweedspring_ctl/_status.py
@@ -74,7 +74,7 @@
         if one.n_shedding
     ]
     budget = part.budget
-    lines.append(f"  retry budget: {budget.n_spent} spent of {budget.n_granted}")
+    lines.append(f"  retries: {budget.n_spent} made, {budget.n_denied} denied")
     rows = [
         (
             str(one.key),
--- a/packages/node/src/knapweedspring_node/_admin/_facts.py
+++ b/packages/node/src/knapweedspring_node/_admin/_facts.py
@@ -35,6 +35,10 @@
     def announce(self, upstream: AnnouncedUpstream) -> None:
         """Take in what an upstream tells about itself."""
 
+    @abstractmethod
+    def take_report(self, page: StatusPage) -> None:
+        """Take in the state of another node, when this one is the reporter."""
+
     def explain(self, request_id: str) -> Explanation:
         """Return what the node knows of a request.
 
--- a/packages/node/src/knapweedspring_node/_admin/_pages.py
+++ b/packages/node/src/knapweedspring_node/_admin/_pages.py
@@ -13,12 +13,14 @@
     MembersPage,
     MetricsPage,
     PageProblem,
+    StatusPage,
 )
 from knapweedspring_node._admin._facts import NodeFacts
 
 __all__ = ["make_application"]
 
 MAX_ANNOUNCEMENT_BYTES = 16_384
+MAX_REPORT_BYTES = 1_000_000
 MAX_SLOTS = 1_000_000
 METRICS_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
@@ -27,7 +29,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _Done:
-    """Answer to an announcement."""
+    """Answer to an announcement or a report."""
 
     #: Node that took it in.
     node_id: str
@@ -77,14 +79,26 @@
     @cherrypy.tools.allow(methods=["POST"])
     def upstreams(self) -> bytes:
         """Take in an upstream's announcement."""
-        body = cherrypy.request.body.read(MAX_ANNOUNCEMENT_BYTES)
-        announced = _read_announcement(body)
+        announced = _read_announcement(_read_body(MAX_ANNOUNCEMENT_BYTES))
         if isinstance(announced, Err):
             cherrypy.response.status = 400
             return _json(announced.err_value)
         self._facts.announce(announced.ok_value)
         return _json(_Done(self._facts.status().node_id))
 
+    @cherrypy.expose
+    @cherrypy.tools.allow(methods=["POST"])
+    def reports(self) -> bytes:
+        """Take in the state of another node of the data centre."""
+        try:
+            body = _read_body(MAX_REPORT_BYTES)
+            page = msgspec.json.decode(body, type=StatusPage)
+        except msgspec.DecodeError as error:
+            cherrypy.response.status = 400
+            return _json(PageProblem(str(error)))
+        self._facts.take_report(page)
+        return _json(_Done(self._facts.status().node_id))
+
 
 def make_application(facts: NodeFacts, metrics: MetricsPage) -> cherrypy.Application:
     """Build the WSGI application of the pages."""
@@ -105,6 +119,11 @@
     return application
 
 
+def _read_body(max_bytes: int) -> bytes:
+    """Read the request's body as far as the bound; more is left unread."""
+    return cherrypy.request.body.read(max_bytes)
+
+
 def _json(page: object) -> bytes:
     cherrypy.response.headers["Content-Type"] = "application/json"
     return msgspec.json.encode(page)
--- a/packages/node/src/knapweedspring_node/_facts.py
+++ b/packages/node/src/knapweedspring_node/_facts.py
@@ -4,6 +4,7 @@
 
 from knapweedspring_core import (
     AnnouncedUpstream,
+    BudgetUse,
     DeclarationStatus,
     DeclarationStore,
     Event,
@@ -43,7 +44,12 @@
             gates=tuple(_gate_status(one) for one in parts.calls.upstreams.all),
             draining=parts.drain.draining,
             n_unfinished=parts.drain.n_unfinished,
+            budget=BudgetUse(
+                n_spent=parts.counters.total("retries"),
+                n_denied=parts.counters.total("retries_denied"),
+            ),
             watching=parts.watcher.is_watching,
+            reporting=parts.reporter.is_reporter,
             n_platform_calls=parts.platform.n_calls,
         )
 
@@ -59,6 +65,10 @@
         """Take in what an upstream tells about itself."""
         self._parts.announcements.announce(upstream)
 
+    def take_report(self, page: StatusPage) -> None:
+        """Take in the state of another node."""
+        self._parts.reporter.take(page)
+
 
 def declaration_statuses(store: DeclarationStore) -> tuple[DeclarationStatus, ...]:
     """Return the declarations as the store holds them."""
--- a/packages/node/src/knapweedspring_node/_node.py
+++ b/packages/node/src/knapweedspring_node/_node.py
@@ -29,8 +29,12 @@
     ServerLimits,
 )
 from knapweedspring_node._config import (
+    ContactsKeeper,
     PlatformWatcher,
+    ReporterParts,
     Roles,
+    StatusReporter,
+    StatusWriter,
     parse_contacts,
     read_contacts,
 )
@@ -87,6 +91,7 @@
         self._platform = HttpPlatform(
             settings.platform_address, data_centre=settings.data_centre
         )
+        self._facts = PartsFacts(lambda: self._parts)
         self._tree = Supervisor("node")
         self._stopped = threading.Event()
 
@@ -110,7 +115,7 @@
         calls_bound = server.bind()
         if isinstance(calls_bound, Err):
             return Err(StartError(str(calls_bound.err_value)))
-        pages = AdminPages(PartsFacts(lambda: self._parts), MetricsPage(self._counters))
+        pages = AdminPages(self._facts, MetricsPage(self._counters))
         pages_bound = pages.bind(settings.admin_address)
         if isinstance(pages_bound, Err):
             return Err(StartError(pages_bound.err_value.advice))
@@ -191,21 +196,38 @@
             settings.node_id, calls, membership, self._store, self._events
         )
         roles = Roles(membership, settings.node_id, settings.data_centre)
+        contacts = ContactsKeeper(self._platform, roles, membership.members)
+        watcher = self._make_watcher(membership, roles, contacts)
         return NodeParts(
             events=self._events,
+            counters=self._counters,
             store=self._store,
             platform=self._platform,
-            watcher=self._make_watcher(membership, roles),
+            watcher=watcher,
+            reporter=self._make_reporter(roles, watcher, contacts),
             membership=membership,
             calls=calls,
             announcements=announcements,
             drain=Drain(announcements, calls, server, self._events),
         )
 
+    def _make_reporter(
+        self, roles: Roles, watcher: PlatformWatcher, contacts: ContactsKeeper
+    ) -> StatusReporter:
+        parts = ReporterParts(
+            roles=roles,
+            read_status=self._facts.status,
+            watcher=watcher,
+            contacts=contacts,
+            writer=StatusWriter(self._platform, roles),
+        )
+        return StatusReporter(parts, self._events, self._counters)
+
     def _make_watcher(
-        self, membership: MembershipService, roles: Roles
+        self, membership: MembershipService, roles: Roles, keeper: ContactsKeeper
     ) -> PlatformWatcher:
         def add_contacts(record: ObjectRecord) -> None:
+            keeper.observe(record)
             contacts = parse_contacts(record).contacts
             membership.add_contacts(tuple(one.control_address for one in contacts))
 
@@ -228,6 +250,7 @@
             parts.membership,
             self._thread("joiner", self._join_by_platform, self._stopped.set),
             parts.watcher,
+            parts.reporter,
             self._thread("calls", server.serve, server.stop),
             pages,
         ):
--- a/packages/node/src/knapweedspring_node/_node_parts.py
+++ b/packages/node/src/knapweedspring_node/_node_parts.py
@@ -2,10 +2,10 @@
 
 from dataclasses import dataclass
 
-from knapweedspring_core import DeclarationStore, EventLog, HttpPlatform
+from knapweedspring_core import Counters, DeclarationStore, EventLog, HttpPlatform
 from knapweedspring_node._announcements import Announcements
 from knapweedspring_node._calls import CallStack
-from knapweedspring_node._config import PlatformWatcher
+from knapweedspring_node._config import PlatformWatcher, StatusReporter
 from knapweedspring_node._drain import Drain
 from knapweedspring_node._membership import MembershipService
 
@@ -18,12 +18,16 @@
 
     #: Changes of state.
     events: EventLog
+    #: Counts of what happened.
+    counters: Counters
     #: Declarations in force.
     store: DeclarationStore
     #: Client of the platform.
     platform: HttpPlatform
     #: Reads the platform while this node has that role.
     watcher: PlatformWatcher
+    #: Tells the data centre's reporter, or the platform, how this node is.
+    reporter: StatusReporter
     #: Who is there.
     membership: MembershipService
     #: The call path.
--- a/packages/node/tests/_admin/test_pages.py
+++ b/packages/node/tests/_admin/test_pages.py
@@ -26,6 +26,7 @@
     def __init__(self):
         self.log = EventLog("n1")
         self.announced = []
+        self.reports = []
 
     def status(self):
         return StatusPage("n1", 7, "sandton")
@@ -39,6 +40,9 @@
     def announce(self, upstream):
         self.announced.append(upstream)
 
+    def take_report(self, page):
+        self.reports.append(page)
+
 
 @pytest.fixture(scope="module")
 def facts():
@@ -132,3 +136,11 @@
     taken = base.removeprefix("http://")
     error = AdminPages(facts, MetricsPage(Counters())).bind(taken).unwrap_err()
     assert taken in error.advice
+
+
+def test_a_report_of_another_node_is_taken_in(base, facts):
+    page = StatusPage("n2", 4, "sandton", draining=True)
+    body = msgspec.json.encode(page)
+    assert urllib3.request("POST", base + "/reports", body=body).status == 200
+    assert facts.reports == [page]
+    assert urllib3.request("POST", base + "/reports", body=b"{}").status == 400
--- /dev/null
+++ b/packages/node/tests/_config/test_status.py
@@ -0,0 +1,194 @@
+"""Status objects say what is in force, and survive a second reporter."""
+
+import threading
+
+import pytest
+import urllib3
+
+from knapweedspring_core import (
+    DataCentreStatus,
+    DeclarationStatus,
+    FixedView,
+    Force,
+    HttpPlatform,
+    Member,
+    MemberState,
+    ObjectKey,
+    StatusPage,
+    parse_contacts,
+    parse_status,
+)
+from knapweedspring_node._config import ContactsKeeper, Roles, StatusWriter
+from knapweedspring_node._config._report_book import ReportBook
+from knapweedspring_standins._platform import PlatformServer
+
+KEY = ObjectKey("RequestClass", "a")
+STATUS_KEY = ObjectKey("Status", "sandton")
+
+
+@pytest.fixture()
+def server():
+    server = PlatformServer()
+    thread = threading.Thread(target=server.serve, daemon=True)
+    thread.start()
+    yield server
+    server.stop()
+    thread.join(10)
+
+
+@pytest.fixture()
+def client(server):
+    return HttpPlatform(server.address)
+
+
+class _Clock:
+    def __init__(self):
+        self.now_s = 100.0
+
+    def __call__(self):
+        return self.now_s
+
+
+class _ChangingView(FixedView):
+    def __init__(self, members):
+        super().__init__(())
+        self.current = members
+
+    def members(self):
+        return self.current
+
+
+def _page(node_id, version, in_force, invalid_path=""):
+    held = DeclarationStatus(
+        "RequestClass", "a", version, in_force, invalid_path=invalid_path
+    )
+    return StatusPage(node_id, 1, "sandton", (held,))
+
+
+def _member(node_id, state=MemberState.ALIVE):
+    return Member(node_id, 1, "sandton", "", f"{node_id}:1", f"{node_id}:2", state)
+
+
+def _force(part, version):
+    return DataCentreStatus("sandton", (part,)).force_of(KEY, version)
+
+
+LIVE = frozenset({"n1", "n2"})
+
+
+@pytest.mark.parametrize(
+    ("pages", "force"),
+    [
+        ([_page("n1", 5, 5), _page("n2", 5, 5)], Force.IN_FORCE),
+        ([_page("n1", 5, 5), _page("n2", 6, 6)], Force.IN_FORCE),
+        ([_page("n1", 5, 5), _page("n2", 4, 4)], Force.LAGGING),
+        ([_page("n1", 5, 5)], Force.LAGGING),
+        ([_page("n1", 4, 4), _page("n2", 4, 4)], Force.LAGGING),
+        ([_page("n1", 5, 4, "$.x"), _page("n2", 5, 4, "$.x")], Force.INVALID),
+        ([], Force.LAGGING),
+    ],
+)
+def test_in_force_needs_every_live_node(pages, force):
+    book = ReportBook()
+    for page in pages:
+        book.take(page)
+    assert _force(book.summarise("n1", LIVE), 5) is force
+
+
+def test_a_report_expires_and_an_older_incarnation_does_not_replace_a_newer():
+    clock = _Clock()
+    book = ReportBook(clock)
+    book.take(StatusPage("n1", 2, "sandton", draining=True))
+    book.take(StatusPage("n1", 1, "sandton"))
+    part = book.summarise("n1", LIVE)
+    assert [one.node_id for one in part.draining] == ["n1"]
+    assert part.n_reporting == 1
+    clock.now_s += 80
+    assert book.summarise("n1", LIVE).n_reporting == 0
+
+
+def _writer(client, node_id, clock, members=()):
+    roles = Roles(FixedView(members), node_id, "sandton")
+    return StatusWriter(client, roles, clock)
+
+
+def _stored(client):
+    return parse_status(client.get(STATUS_KEY).unwrap()).unwrap()
+
+
+def _part(node_id, in_force=5):
+    book = ReportBook()
+    book.take(_page(node_id, 5, in_force))
+    return book.summarise(node_id, frozenset({node_id}))
+
+
+def test_status_is_written_on_change_and_not_more_often_than_allowed(client):
+    clock = _Clock()
+    writer = _writer(client, "n1", clock)
+    assert writer.write_if_due(_part("n1", 4)).unwrap()
+    assert not writer.write_if_due(_part("n1")).unwrap()
+    clock.now_s += 2
+    assert writer.write_if_due(_part("n1")).unwrap()
+    clock.now_s += 2
+    assert not writer.write_if_due(_part("n1")).unwrap()
+    clock.now_s += 30
+    assert writer.write_if_due(_part("n1")).unwrap()
+    assert _stored(client).force_of(KEY, 5) is Force.IN_FORCE
+    # One read in the beginning, then one call for each write.
+    assert client.n_calls == 5
+
+
+def test_two_reporters_keep_each_others_part(client):
+    clock = _Clock()
+    one, other = _writer(client, "n1", clock), _writer(client, "n2", clock)
+    for _ in range(3):
+        one.write_if_due(_part("n1")).unwrap()
+        other.write_if_due(_part("n2", 4)).unwrap()
+        clock.now_s += 31
+    assert [part.reporter for part in _stored(client).parts] == ["n1", "n2"]
+    assert _stored(client).force_of(KEY, 5) is Force.LAGGING
+    for _ in range(3):
+        one.write_if_due(_part("n1")).unwrap()
+        clock.now_s += 50
+    assert [part.reporter for part in _stored(client).parts] == ["n1"]
+    assert _stored(client).force_of(KEY, 5) is Force.IN_FORCE
+
+
+def test_the_part_of_a_dead_reporter_is_dropped_at_once(client):
+    clock = _Clock()
+    _writer(client, "n1", clock).write_if_due(_part("n1")).unwrap()
+    members = (_member("n1", MemberState.DEAD), _member("n2"))
+    _writer(client, "n2", clock, members).write_if_due(_part("n2")).unwrap()
+    assert [part.reporter for part in _stored(client).parts] == ["n2"]
+
+
+def test_a_lost_answer_is_followed_by_a_read_and_one_more_write(server, client):
+    clock = _Clock()
+    writer = _writer(client, "n1", clock)
+    faults = {"lose_answers_after_effect": 1}
+    urllib3.request("POST", f"http://{server.address}/-/fault", json=faults)
+    assert writer.write_if_due(_part("n1")).is_err()
+    assert writer.write_if_due(_part("n1")).unwrap()
+    assert [part.reporter for part in _stored(client).parts] == ["n1"]
+
+
+def test_contacts_are_written_when_they_no_longer_serve(client):
+    clock = _Clock()
+    members = [_member("n1"), _member("n2"), _member("n3")]
+    view = _ChangingView(tuple(members))
+    roles = Roles(view, "n1", "sandton")
+    keeper = ContactsKeeper(client, roles, view.members, clock)
+    assert keeper.write_if_due().unwrap()
+    stored = client.get(ObjectKey("Contacts", "sandton")).unwrap()
+    first = parse_contacts(stored).contacts
+    assert len(first) == 2
+    clock.now_s += 60
+    assert not keeper.write_if_due().unwrap()
+    gone = first[0].node_id
+    view.current = tuple(
+        _member(one.node_id, MemberState.DEAD if one.node_id == gone else one.state)
+        for one in members
+    )
+    assert keeper.write_if_due().unwrap()
+    stored = client.get(ObjectKey("Contacts", "sandton")).unwrap()
+    assert gone not in {one.node_id for one in parse_contacts(stored).contacts}
