--- a/packages/core/src/knapweedspring_core/_events.py
+++ b/packages/core/src/knapweedspring_core/_events.py
@@ -10,6 +10,7 @@
 __all__ = ["Event", "EventLog", "HybridClock", "Stamp"]
 
 RING_CAPACITY = 4_096
+TRACE_CAPACITY = 8_192
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -70,6 +71,8 @@
         self._process = process
         self._clock = clock or HybridClock()
         self._ring: deque[Event] = deque(maxlen=RING_CAPACITY)
+        # A ring of their own, so that busy calls do not push out state changes.
+        self._traces: deque[Event] = deque(maxlen=TRACE_CAPACITY)
 
     @property
     def clock(self) -> HybridClock:
@@ -78,8 +81,8 @@
 
     @property
     def events(self) -> tuple[Event, ...]:
-        """The newest events, oldest first."""
-        return tuple(self._ring)
+        """The newest state changes and traces, oldest first."""
+        return tuple(sorted((*self._ring, *self._traces), key=_stamp_of))
 
     def record(self, kind: str, **fields: object) -> Event:
         """Record a change of state.
@@ -92,3 +95,16 @@
         self._ring.append(event)
         eliot.log_message(message_type=kind, process=self._process, **details)
         return event
+
+    def trace(self, kind: str, **fields: str) -> None:
+        """Record a step of one call, in the ring only: calls are not logged.
+
+        :param kind: what happened, such as ``ticket:attempt``.
+        :param fields: details, already text.
+        """
+        event = Event(self._clock.now(), self._process, kind, fields)
+        self._traces.append(event)
+
+
+def _stamp_of(event: Event) -> Stamp:
+    return event.stamp
--- a/packages/node/src/knapweedspring_node/_calls/_attempts.py
+++ b/packages/node/src/knapweedspring_node/_calls/_attempts.py
@@ -103,7 +103,7 @@
             member = self._pick(plan, excluded)
             if member is None:
                 return self._no_upstream(last, may_have_run)
-            reply = self._attempt(plan, member)
+            reply = self._attempt(plan, member, n_retries + 1)
             if isinstance(reply, Relayed):
                 return reply
             may_have_run = may_have_run or reply.outcome is not Outcome.NOT_RUN
@@ -129,11 +129,12 @@
             retry_after_ms,
         )
 
-    def _attempt(self, plan: CallPlan, member: Member) -> Reply:
+    def _attempt(self, plan: CallPlan, member: Member, attempt: int) -> Reply:
         """Try one upstream, settling the loan of tokens and an uncertain run."""
         n_lent = plan.budget.lend()
         began_at = time.monotonic()
-        sent = self._send(plan, member, n_lent)
+        self._trace_attempt(plan, member, attempt)
+        sent = self._send(plan, member, attempt, n_lent)
         reply = sent.reply
         plan.budget.give_back(min(reply.n_tokens_left, n_lent))
         self._observe(plan, member, reply, time.monotonic() - began_at)
@@ -141,10 +142,22 @@
             return self._revoke_uncertain(plan, member, reply, sent.gate_epoch)
         return reply
 
-    def _send(self, plan: CallPlan, member: Member, n_tokens: int) -> "_Sent":
+    def _trace_attempt(self, plan: CallPlan, member: Member, attempt: int) -> None:
+        if plan.run_key is not None:
+            self._events.trace(
+                "ticket:attempt",
+                request=plan.request_id,
+                ticket=str(plan.run_key),
+                attempt=str(attempt),
+                gate=member.node_id,
+            )
+
+    def _send(
+        self, plan: CallPlan, member: Member, attempt: int, n_tokens: int
+    ) -> "_Sent":
         for _ in range(MAX_EPOCH_CHANGES):
             epoch = self._epochs.get(member.node_id, 0)
-            reply = self._send_once(plan, member, n_tokens, epoch)
+            reply = self._send_once(plan, member, attempt, n_tokens, epoch)
             if reply.gate_epoch:
                 self._epochs[member.node_id] = reply.gate_epoch
             if not _is_epoch_change(reply):
@@ -152,16 +165,16 @@
         return _Sent(reply, epoch)
 
     def _send_once(
-        self, plan: CallPlan, member: Member, n_tokens: int, epoch: int
+        self, plan: CallPlan, member: Member, attempt: int, n_tokens: int, epoch: int
     ) -> Reply:
         left_ms = int((plan.deadline_at - time.monotonic()) * 1_000) - HOP_MARGIN_MS
         if left_ms <= 0:
             refusal = Refusal(Outcome.NOT_RUN, Reason.DEADLINE)
             return Refused(refusal, n_tokens_left=n_tokens)
         if member.node_id == self._own_id:
-            hop = plan.hop(left_ms, n_tokens, self._gate_side.epoch)
+            hop = plan.hop(attempt, left_ms, n_tokens, self._gate_side.epoch)
             return self._gate_side.run(plan.request, hop)
-        hop = plan.hop(left_ms, n_tokens, epoch)
+        hop = plan.hop(attempt, left_ms, n_tokens, epoch)
         return self._remote.run(member, plan.request, hop, plan.deadline_at)
 
     def _observe(
@@ -177,6 +190,13 @@
             self._picker.succeeded(member.node_id, latency_s)
             return
         self._counters.add("attempts_refused", reply.refusal.reason)
+        self._events.trace(
+            "call:attempt-refused",
+            request=plan.request_id,
+            gate=member.node_id,
+            outcome=reply.outcome,
+            reason=reply.refusal.reason,
+        )
         kind = _FAILURE_KINDS.get(reply.refusal.reason)
         if kind is not None:
             self._picker.failed(member.node_id, kind)
--- a/packages/node/src/knapweedspring_node/_calls/_context.py
+++ b/packages/node/src/knapweedspring_node/_calls/_context.py
@@ -32,6 +32,9 @@
     #: Counter within the process.
     sequence: int
 
+    def __str__(self) -> str:
+        return f"{self.owner}.{self.epoch:x}.{self.sequence:x}"
+
 
 @dataclass(frozen=True, slots=True)
 class HopContext:
@@ -55,6 +58,8 @@
     n_tokens: int
     #: Whether the call may run again.
     repeatable: bool
+    #: Number of the attempt at this call, 1 for the first.
+    attempt: int = 1
     #: Identity of the run when it may not.
     run_key: RunKey | None = None
     #: Process of the gate that the run key was sent to; 0 when not yet known.
--- a/packages/node/src/knapweedspring_node/_calls/_entry_side.py
+++ b/packages/node/src/knapweedspring_node/_calls/_entry_side.py
@@ -107,7 +107,9 @@
             Outcome.NOT_RUN, Reason.TICKET_REQUIRED, TICKET_RETRY_AFTER_MS, detail
         )
         self._counters.add("tickets_issued")
-        return Refused(refusal, ticket=self._tickets.issue(service))
+        issued = self._tickets.issue(service)
+        self._events.trace("ticket:issued", ticket=str(issued.key), service=service)
+        return Refused(refusal, ticket=issued.text)
 
     # Whole requests.
 
@@ -161,7 +163,15 @@
         if refusal is not None:
             self._counters.add("early_refusals", plan.class_name)
             return Refused(refusal, request_id=plan.request_id)
-        return _identified(self._attempts.run(plan), plan.request_id)
+        reply = self._attempts.run(plan)
+        self._events.trace(
+            "call:settled",
+            request=plan.request_id,
+            service=plan.request.service,
+            request_class=plan.class_name,
+            outcome=reply.outcome if isinstance(reply, Refused) else Outcome.RAN,
+        )
+        return _identified(reply, plan.request_id)
 
     # Requests that run at most once.
 
@@ -208,8 +218,7 @@
         """Run a claimed ticket; whatever happens, its record is settled."""
         reply: Reply = refused(Outcome.UNKNOWN, Reason.INTERNAL_ERROR)
         key = ticket.key
-        request_id = f"{key.owner}.{key.epoch:x}.{key.sequence:x}"
-        self._events.record("ticket:claimed", run=request_id, service=request.service)
+        request_id = str(key)
         try:
             plan = CallPlan(
                 request=request,
@@ -227,7 +236,12 @@
         finally:
             self._tickets.settle(ticket, reply)
             outcome = reply.outcome if isinstance(reply, Refused) else Outcome.RAN
-            self._events.record("ticket:settled", run=request_id, outcome=outcome)
+            self._events.trace(
+                "ticket:outcome",
+                request=request_id,
+                ticket=request_id,
+                outcome=outcome,
+            )
 
     def _forward(
         self, request: CallRequest, owner_id: str, deadline_at: float, forwarded: bool
--- a/packages/node/src/knapweedspring_node/_calls/_gate_side.py
+++ b/packages/node/src/knapweedspring_node/_calls/_gate_side.py
@@ -125,7 +125,9 @@
             return Refusal(Outcome.NOT_RUN, Reason.REVOKED)
         if earlier is RunState.STARTED:
             return Refusal(Outcome.UNKNOWN, Reason.TICKET_SPENT)
-        self._events.record("gate:started", run=_run_text(hop))
+        self._events.trace(
+            "gate:started", ticket=str(hop.run_key), attempt=str(hop.attempt)
+        )
         return None
 
     def _exchange(self, request: CallRequest, run: _Run) -> Reply:
@@ -210,6 +212,7 @@
         hop = run.call.hop
         if hop.run_key is not None:
             self._ledger.withdraw(hop.run_key)
+            self._events.trace("gate:withdrawn", ticket=str(hop.run_key))
         n_tokens_left = run.call.budget.close()
         self._end(run, succeeded=False)
         refusal = Refusal(Outcome.NOT_RUN, reason)
@@ -224,6 +227,9 @@
 
     def _end(self, run: _Run, succeeded: bool) -> None:
         self._in_flight.end(run.call)
+        key = run.call.hop.run_key
+        if key is not None:
+            self._events.trace("gate:finished", ticket=str(key))
         run.admission.finish(time.monotonic() - run.started_at, succeeded=succeeded)
 
     def _refuse(
@@ -258,8 +264,3 @@
         yield chunk
         if time.monotonic() > deadline_at:
             raise TimeoutError("the deadline passed while the answer was streamed")
-
-
-def _run_text(hop: HopContext) -> str:
-    key = hop.run_key
-    return "" if key is None else f"{key.owner}.{key.epoch:x}.{key.sequence:x}"
--- a/packages/node/src/knapweedspring_node/_calls/_plan.py
+++ b/packages/node/src/knapweedspring_node/_calls/_plan.py
@@ -33,9 +33,12 @@
     #: Identity of the run when it may not be repeated.
     run_key: RunKey | None = None
 
-    def hop(self, time_left_ms: int, n_tokens: int, gate_epoch: int) -> HopContext:
+    def hop(
+        self, attempt: int, time_left_ms: int, n_tokens: int, gate_epoch: int
+    ) -> HopContext:
         """Return the context of one attempt.
 
+        :param attempt: number of the attempt, 1 for the first.
         :param time_left_ms: until the deadline, in ms.
         :param n_tokens: retry tokens lent to the attempt.
         :param gate_epoch: process of the gate, 0 when not yet known.
@@ -50,6 +53,7 @@
             time_left_ms=time_left_ms,
             n_tokens=n_tokens,
             repeatable=self.repeatable,
+            attempt=attempt,
             run_key=self.run_key,
             gate_epoch=gate_epoch,
         )
--- a/packages/node/src/knapweedspring_node/_calls/_revocation.py
+++ b/packages/node/src/knapweedspring_node/_calls/_revocation.py
@@ -108,7 +108,5 @@
         if earlier is RunState.STARTED:
             return RevokeResult.MAY_HAVE_STARTED
         if earlier is None:
-            key = request.key
-            run = f"{key.owner}.{key.epoch:x}.{key.sequence:x}"
-            self._events.record("gate:revoked", run=run)
+            self._events.trace("gate:revoked", ticket=str(request.key))
         return RevokeResult.NEVER_STARTED
--- a/packages/node/src/knapweedspring_node/_calls/_server.py
+++ b/packages/node/src/knapweedspring_node/_calls/_server.py
@@ -259,7 +259,7 @@
 
 
 class CallServer(HTTPServer):
-    """Serves calls; :meth:`bind`, then :meth:`handle_with`, then ``serve``.
+    """Serves calls; :meth:`listen`, then :meth:`handle_with`, then ``serve``.
 
     :param bind_address: ``ip:port``; port 0 takes a free one.
     """
@@ -301,7 +301,7 @@
         """Requests whose answer is not complete."""
         return len(self.requests_in_hand)
 
-    def bind(self) -> Result[str, AddressInUse]:
+    def listen(self) -> Result[str, AddressInUse]:
         """Bind the address; requests wait until ``serve`` is called.
 
         :return: the bound ``ip:port``.
--- a/packages/node/src/knapweedspring_node/_calls/_tickets.py
+++ b/packages/node/src/knapweedspring_node/_calls/_tickets.py
@@ -20,7 +20,7 @@
 from knapweedspring_node._calls._reply import Refused, Relayed, Reply
 from knapweedspring_node._calls._seal import Seal
 
-__all__ = ["Claim", "ClaimState", "Ticket", "TicketBook"]
+__all__ = ["Claim", "ClaimState", "IssuedTicket", "Ticket", "TicketBook"]
 
 MAX_RECORDS = 50_000
 MAX_HELD_BYTES = 64 * 1_024 * 1_024
@@ -38,6 +38,16 @@
     expires_at_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class IssuedTicket:
+    """A fresh ticket."""
+
+    #: The run that it allows.
+    key: RunKey
+    #: Text for the caller.
+    text: str
+
+
 class ClaimState(Enum):
     """What a caller that presents a ticket finds."""
 
@@ -73,7 +83,8 @@
 class TicketBook:
     """Issues tickets and keeps those that were used until they expire.
 
-    A ticket that was never presented costs no memory: its text holds all.
+    A ticket's text holds all that is needed to run it; of one that was not yet
+    presented only the expiry is kept, for the planned stop.
 
     :param seal: authenticates the texts.
     :param lifetime_s: how long a ticket may be used.
@@ -88,7 +99,7 @@
         self._lock = threading.Lock()
         self._records: OrderedDict[RunKey, _Record] = OrderedDict()
         self._held_bytes = 0
-        self._last_expiry = 0.0
+        self._unused: OrderedDict[RunKey, float] = OrderedDict()
 
     @property
     def n_records(self) -> int:
@@ -96,20 +107,31 @@
         return len(self._records)
 
     @property
-    def has_live_tickets(self) -> bool:
-        """Whether a ticket issued here may still be presented."""
-        return time.monotonic() < self._last_expiry
+    def n_unfinished(self) -> int:
+        """Tickets that are running, or issued and neither presented nor expired.
+
+        Only this process can run them, so a planned stop waits for them.
+        """
+        now = time.monotonic()
+        with self._lock:
+            self._forget_expired_unused(now)
+            n_running = sum(record.running for record in self._records.values())
+            return n_running + len(self._unused)
 
     def new_key(self) -> RunKey:
         """Return the key of a run that this node alone will ever start."""
         return RunKey(self._node_id, self._epoch, next(self._sequence))
 
-    def issue(self, service: str) -> str:
-        """Return the text of a fresh ticket."""
-        expires_at = time.monotonic() + self._lifetime_s
-        self._last_expiry = max(self._last_expiry, expires_at)
-        expires_at_ms = int(expires_at * 1_000)
-        return self._seal.close(Ticket(self.new_key(), service, expires_at_ms))
+    def issue(self, service: str) -> IssuedTicket:
+        """Return a fresh ticket."""
+        now = time.monotonic()
+        expires_at = now + self._lifetime_s
+        key = self.new_key()
+        with self._lock:
+            self._unused[key] = expires_at
+            self._forget_expired_unused(now)
+        text = self._seal.close(Ticket(key, service, int(expires_at * 1_000)))
+        return IssuedTicket(key, text)
 
     def read(self, text: str, service: str) -> Result[Ticket, Refusal]:
         """Check a ticket's text, whoever owns it."""
@@ -142,6 +164,7 @@
             return Err(Refusal(Outcome.UNKNOWN, Reason.TICKET_EXPIRED))
         with self._lock:
             self._expire(now)
+            self._unused.pop(ticket.key, None)
             record = self._records.get(ticket.key)
             if record is None:
                 if len(self._records) >= MAX_RECORDS:
@@ -167,6 +190,13 @@
             record.reply = held
             record.condition.notify_all()
 
+    def _forget_expired_unused(self, now: float) -> None:
+        while self._unused:
+            key, expires_at = next(iter(self._unused.items()))
+            if expires_at > now and len(self._unused) <= MAX_RECORDS:
+                return
+            del self._unused[key]
+
     def _expire(self, now: float) -> None:
         for key, record in list(itertools.islice(self._records.items(), 8)):
             if record.expires_at <= now and not record.running:
--- a/packages/node/src/knapweedspring_node/_drain.py
+++ b/packages/node/src/knapweedspring_node/_drain.py
@@ -40,14 +40,15 @@
 
     @property
     def n_unfinished(self) -> int:
-        """Requests in hand."""
-        return max(self._server.n_busy, self._calls.n_in_flight)
+        """Requests in hand, and tickets that only this node can run."""
+        n_requests = max(self._server.n_busy, self._calls.n_in_flight)
+        return n_requests + self._calls.tickets.n_unfinished
 
     def run(self, stop_deadline_ms: int) -> bool:
         """Close the gates, tell peers, and wait until the work in hand is done.
 
         Tickets issued here can be run by no other node, so the node also waits
-        until none is live.
+        until each was used or has expired.
 
         :param stop_deadline_ms: when to give up waiting, in ms.
         :return: whether everything finished in time.
@@ -62,8 +63,8 @@
             if time.monotonic() >= give_up_at:
                 self._events.record(
                     "node:stop-deadline-hit",
-                    n_unfinished=self.n_unfinished,
-                    has_live_tickets=self._calls.tickets.has_live_tickets,
+                    n_requests=self._server.n_busy,
+                    n_tickets=self._calls.tickets.n_unfinished,
                 )
                 return False
             time.sleep(POLL_S)
@@ -75,4 +76,4 @@
         # not-run serves them better than a broken connection.
         if time.monotonic() < began_at + MIN_DRAIN_S:
             return True
-        return bool(self.n_unfinished) or self._calls.tickets.has_live_tickets
+        return self.n_unfinished > 0
--- a/packages/node/src/knapweedspring_node/_node.py
+++ b/packages/node/src/knapweedspring_node/_node.py
@@ -107,7 +107,7 @@
         """
         settings = self._settings
         server = CallServer(settings.call_address, self._counters, _limits(settings))
-        calls_bound = server.bind()
+        calls_bound = server.listen()
         if isinstance(calls_bound, Err):
             return Err(StartError(str(calls_bound.err_value)))
         pages = AdminPages(PartsFacts(lambda: self._parts), MetricsPage(self._counters))
@@ -150,12 +150,13 @@
             node_id=settings.node_id,
             firm=settings.firm,
             data_centre=settings.data_centre,
-            call_address=call_address,
+            call_address=settings.advertised_call_address or call_address,
             admin_address=admin_address,
             incarnation=time.time_ns() // 1_000_000,
         )
         control = MembershipSettings(
             control_address=settings.control_address,
+            advertised_address=settings.advertised_control_address,
             curve_public_key=settings.curve_public_key,
             curve_secret_key=settings.curve_secret_key,
             allow_plain=settings.allow_plain_control,
--- a/packages/node/src/knapweedspring_node/_settings.py
+++ b/packages/node/src/knapweedspring_node/_settings.py
@@ -36,8 +36,13 @@
     n_connections: int = 2_000
     #: Longest time a planned stop may take, in milliseconds.
     stop_deadline_ms: int = 30_000
-    #: How long a ticket may be used, in milliseconds.
-    ticket_lifetime_ms: int = 120_000
+    #: How long a ticket may be used, in milliseconds; less than the stop deadline,
+    #: so that a planned stop can wait for the tickets that were not used.
+    ticket_lifetime_ms: int = 25_000
+    #: Address for calls that peers are told, when it differs from the bound one.
+    advertised_call_address: str = ""
+    #: Control address that peers are told, when it differs from the bound one.
+    advertised_control_address: str = ""
     #: Allows control messages without encryption; only for loopback addresses.
     allow_plain_control: bool = False
     #: CURVE secret key of the firm's mesh (Z85 text); empty with plain control.
--- a/packages/node/tests/calls/test_tickets.py
+++ b/packages/node/tests/calls/test_tickets.py
@@ -16,7 +16,7 @@
 
 
 def _ticket(book, service="orders"):
-    return book.read(book.issue(service), service).unwrap()
+    return book.read(book.issue(service).text, service).unwrap()
 
 
 def _answer(body=b"done"):
@@ -113,8 +113,8 @@
 
 def test_forged_foreign_and_misdirected_tickets_are_refused():
     book = _book()
-    text = book.issue("orders")
-    foreign = _book(key=bytes(32)).issue("orders")
+    text = book.issue("orders").text
+    foreign = _book(key=bytes(32)).issue("orders").text
     forged = ("A" if text[0] != "A" else "B") + text[1:]
     for bad, service in ((forged, "orders"), (foreign, "orders"), (text, "recipes")):
         refusal = book.read(bad, service).unwrap_err()
@@ -127,3 +127,22 @@
     assert _book().owns(ticket)
     assert not _book(epoch=8).owns(ticket)
     assert not _book(node_id="node-2").owns(ticket)
+
+
+def test_stop_waits_for_tickets_that_are_unused_or_running():
+    book = _book()
+    first, second = _ticket(book), _ticket(book)
+    assert book.n_unfinished == 2
+    book.claim(first, 1, _soon())
+    assert book.n_unfinished == 2
+    book.settle(first, _answer())
+    assert book.n_unfinished == 1
+    book.claim(second, 1, _soon())
+    book.settle(second, _answer())
+    assert book.n_unfinished == 0
+
+
+def test_stop_does_not_wait_for_expired_tickets():
+    book = _book(lifetime_s=0.0)
+    book.issue("orders")
+    assert book.n_unfinished == 0
