Test membership under lost links, partitions, deaths and replacement

Several services in one process with real sockets; a filter hook drops what a node sends to chosen addresses.

--- a/packages/node/src/knapweedspring_node/_calls/_attempts.py
+++ b/packages/node/src/knapweedspring_node/_calls/_attempts.py
@@ -116,9 +116,7 @@
 
     def _pick(self, plan: CallPlan, excluded: frozenset[str]) -> Member | None:
         time_left_s = plan.deadline_at - time.monotonic()
-        return self._picker.pick(
-            plan.request.service, plan.rank, excluded, time_left_s
-        )
+        return self._picker.pick(plan.request.service, plan.rank, excluded, time_left_s)
 
     def _no_upstream(self, last: Refused | None, may_have_run: bool) -> Refused:
         if last is not None:
@@ -226,9 +224,7 @@
 
 
 def _is_epoch_change(reply: Reply) -> bool:
-    return (
-        isinstance(reply, Refused) and reply.refusal.reason is Reason.GATE_RESTARTED
-    )
+    return isinstance(reply, Refused) and reply.refusal.reason is Reason.GATE_RESTARTED
 
 
 def _honest(reply: Refused, may_have_run: bool) -> Refused:
--- a/packages/node/src/knapweedspring_node/_calls/_call_handler.py
+++ b/packages/node/src/knapweedspring_node/_calls/_call_handler.py
@@ -64,6 +64,4 @@
 
     def _is_forwarded(self, request: CallRequest) -> bool:
         text = request.layer(Header.FORWARDED)
-        return bool(text) and isinstance(
-            self._forward_seal.open(text, ForwardMark), Ok
-        )
+        return bool(text) and isinstance(self._forward_seal.open(text, ForwardMark), Ok)
--- a/packages/node/src/knapweedspring_node/_calls/_classify.py
+++ b/packages/node/src/knapweedspring_node/_calls/_classify.py
@@ -57,9 +57,7 @@
     return Refusal(Outcome.NOT_RUN, Reason.UNKNOWN_SERVICE, 0, detail)
 
 
-def _class_name(
-    service: Service, store: DeclarationStore, request: CallRequest
-) -> str:
+def _class_name(service: Service, store: DeclarationStore, request: CallRequest) -> str:
     for rule in service.rules:
         if _matches(rule, request):
             return rule.request_class
--- a/packages/node/src/knapweedspring_node/_calls/_gate_side.py
+++ b/packages/node/src/knapweedspring_node/_calls/_gate_side.py
@@ -25,7 +25,7 @@
 )
 from knapweedspring_node._calls._in_flight import InFlightTable, RunningCall
 from knapweedspring_node._calls._outbound import Answer, ConnectionPools, OutboundCall
-from knapweedspring_node._calls._reply import Refused, Relayed, Reply, refused
+from knapweedspring_node._calls._reply import Refused, Relayed, Reply
 from knapweedspring_node._calls._request import CallRequest
 from knapweedspring_node._calls._run_ledger import RunLedger, RunState
 from knapweedspring_node._calls._upstreams import LocalUpstream, LocalUpstreams
@@ -263,5 +263,3 @@
 def _run_text(hop: HopContext) -> str:
     key = hop.run_key
     return "" if key is None else f"{key.owner}.{key.epoch:x}.{key.sequence:x}"
-
-
--- a/packages/node/src/knapweedspring_node/_calls/_server.py
+++ b/packages/node/src/knapweedspring_node/_calls/_server.py
@@ -177,7 +177,9 @@
         for chunk in reply.chunks or ():
             request.write(chunk)
 
-    def _write_refusal(self, reply: Refused, headers: list[tuple[bytes, bytes]]) -> None:
+    def _write_refusal(
+        self, reply: Refused, headers: list[tuple[bytes, bytes]]
+    ) -> None:
         request = self.req
         refusal = reply.refusal
         status = 201 if _is_issued_ticket(request, reply) else refusal.status
--- a/packages/node/tests/membership/conftest.py
+++ b/packages/node/tests/membership/conftest.py
@@ -20,7 +20,7 @@
     allow_plain=True,
     probe_period_s=0.2,
     probe_timeout_s=0.3,
-    suspicion_s=1.5,
+    suspicion_s=1.0,
     sync_period_s=1.0,
     rejoin_period_s=0.5,
 )
@@ -46,7 +46,9 @@
 
 
 class Node:
-    def __init__(self, node_id, data_centre, settings, firm="boerewors"):
+    def __init__(
+        self, node_id, data_centre, settings, firm="boerewors", incarnation=None
+    ):
         self.store = DeclarationStore()
         self.counters = Counters()
         self.events = EventLog(node_id)
@@ -85,6 +87,8 @@
     def stop(self):
         self.timers.stop()
         self.service.stop()
+
+    def join(self):
         assert self.service.join(15)
         self.timer_thread.join(10)
 
@@ -104,6 +108,26 @@
         """Stop a node without a word to its peers."""
         self.nodes.remove(node)
         node.stop()
+        node.join()
+
+    def cut(self, first, second):
+        """Drop what the first nodes send to the second ones."""
+        for node in first:
+            node.filter.blocked |= {other.address for other in second}
+
+    def part(self, first, second):
+        """Cut two groups of nodes off from each other."""
+        self.cut(first, second)
+        self.cut(second, first)
+
+    def heal(self):
+        """Let everything through again."""
+        for node in self.nodes:
+            node.filter.blocked = set()
+
+    def count(self, name):
+        """Sum a counter over the running nodes."""
+        return sum(node.counters.get(name) for node in self.nodes)
 
     def wait_for_state(self, state, nodes=None):
         """Wait until each running node holds each given one in a state."""
@@ -135,4 +159,6 @@
     errors = [error for node in made.nodes for error in node.errors]
     for node in made.nodes:
         node.stop()
+    for node in made.nodes:
+        node.join()
     assert errors == []
