--- a/packages/standins/src/knapweedspring_standins/_platform.py
+++ b/packages/standins/src/knapweedspring_standins/_platform.py
@@ -123,6 +123,11 @@
         start_response(_STATUS_LINES[answer.status], headers)
         return [body]
 
+    def go_down(self) -> None:
+        """Break off the waiting watches and every later call."""
+        self._control.replace(Faults(down=True))
+        self._table.interrupt()
+
     def _answer(self, request: _Request) -> _Answer | None:
         if request.path.startswith("/-/"):
             return self._answer_control(request)
@@ -135,7 +140,8 @@
         if self._control.breaks_off(request.data_centre):
             return None
         if operation == "list":
-            return _Answer(200, _wire_revision(self._table.list_all()))
+            listed = self._table.list_all(_kinds(request))
+            return _Answer(200, _wire_revision(listed))
         if operation == "watch":
             return self._answer_watch(request)
         key = ObjectKey(parts[1], parts[2])
@@ -150,7 +156,7 @@
             wait_ms = min(int(query.get("wait_ms", ["0"])[0]), MAX_WATCH_MS)
         except ValueError:
             return _Answer(400, _WireProblem("watch and wait_ms are numbers"))
-        watched = self._table.watch(version, wait_ms / 1_000)
+        watched = self._table.watch(version, wait_ms / 1_000, _kinds(request))
         if self._control.breaks_off(request.data_centre):
             return None
         if isinstance(watched, Err):
@@ -203,9 +209,10 @@
     """
 
     def __init__(self, port: int = 0) -> None:
+        self._app = _PlatformApp()
         self._server = Server(
             ("127.0.0.1", port),
-            _PlatformApp(),
+            self._app,
             numthreads=N_THREADS,
             request_queue_size=256,
             shutdown_timeout=1,
@@ -224,7 +231,8 @@
         self._server.serve()
 
     def stop(self) -> None:
-        """End :meth:`serve`."""
+        """End :meth:`serve` and the waiting watches."""
+        self._app.go_down()
         self._server.stop()
 
 
@@ -263,6 +271,12 @@
     return request.method.lower()
 
 
+def _kinds(request: _Request) -> frozenset[str]:
+    """Kinds that a list or watch is limited to."""
+    texts = parse_qs(request.query).get("kinds", [])
+    return frozenset(kind for text in texts for kind in text.split(","))
+
+
 def _answer_get(record: ObjectRecord | None) -> _Answer:
     if record is None:
         return _Answer(404, _WireProblem("no such object"))
