Carry the levels of deeper gates to the entry

A request that a deep gate will refuse wastes the work of every service above it. An answer now adds to its load the levels that its own call met further down, so no node needs to be told the call graph: the entry counts, per service and class, how many answers carry the level of a deeper service, and refuses only for one that at least half of such requests reach. Levels last one second, a fiftieth of the doomed requests explores, tables are bounded, and nothing is added while no gate refuses. Learning the graph from the upstreams' own calls was ruled out, since it needs state beside each call and goes stale.

--- a/packages/node/src/knapweedspring_node/_calls/_admission.py
+++ b/packages/node/src/knapweedspring_node/_calls/_admission.py
@@ -51,8 +51,9 @@
     headroom_share: float = 0.0
     #: Share of the time left, service time deducted, that a call may wait.
     wait_share: float = 1.0
-    #: Whether a call below the measured level is refused instead of queued.
-    refuses_below_level: bool = False
+    #: The same for a call below the measured level, which most likely waits in
+    #: vain because better ranks keep arriving.
+    wait_share_below_level: float = 1.0
     #: Calls that may wait, each in a thread of the server.
     n_waiting_max: int = 1_000
 
@@ -211,16 +212,19 @@
         asked_at = self._clock()
         with self._lock:
             self._meter.count_offer(ask.rank, asked_at)
-            refusal = self._refusal_on_arrival(ask, asked_at)
-            if refusal is not None:
-                return Err(refusal)
+            if self._closed:
+                return Err(self._refusal(Reason.DRAINING))
+            if ask.deadline_at <= asked_at:
+                return Err(self._refusal(Reason.DEADLINE))
             if self._goes_at_once(ask.rank):
                 self._take_slot(asked_at)
                 return Ok(Admission(self, ask, asked_at, 0.0))
             waiter = Waiter(ask.rank, ask.class_name, ask.deadline_at)
+            if not self._may_wait(waiter, asked_at):
+                return Err(self._refusal(Reason.OVERLOADED))
             self._queue.push(waiter, in_order_of_arrival=self._passthrough)
             if not self._passthrough:
-                self._displace_doomed(asked_at)
+                self._displace_hopeless(asked_at)
         self._wait(waiter, ask)
         if waiter.refusal is not None:
             return Err(waiter.refusal)
@@ -256,6 +260,7 @@
     def _take_slot(self, now: float) -> None:
         self._n_in_flight += 1
         self._sum_admitted_at += now
+        self._meter.count_admission()
 
     def _start_waiting(self, now: float) -> None:
         while (first := self._queue.first) and self._has_slot_for(first.rank):
@@ -263,20 +268,13 @@
             self._take_slot(now)
             first.admit(now)
 
-    def _refusal_on_arrival(self, ask: Ask, now: float) -> Refusal | None:
-        if self._closed:
-            return self._refusal(Reason.DRAINING)
-        if ask.deadline_at <= now:
-            return self._refusal(Reason.DEADLINE)
-        if self._passthrough or self._goes_at_once(ask.rank):
-            return None
-        n_ahead = self._queue.n_ahead_of(ask.rank)
-        if n_ahead >= self._policy.n_waiting_max or self._is_below_level(ask.rank, now):
-            return self._refusal(Reason.OVERLOADED)
-        left_s = ask.deadline_at - now - self._service_times.of_class(ask.class_name)
-        if self._expected_wait_s(n_ahead, now) > left_s * self._policy.wait_share:
-            return self._refusal(Reason.OVERLOADED)
-        return None
+    def _may_wait(self, waiter: Waiter, now: float) -> bool:
+        if self._passthrough:
+            return True
+        n_ahead = self._queue.n_ahead_of(waiter.rank)
+        if n_ahead >= self._policy.n_waiting_max:
+            return False
+        return not self._is_hopeless(waiter, n_ahead, now, self._policy.wait_share)
 
     def _expected_wait_s(self, n_ahead: int, now: float) -> float:
         """Estimate the wait behind ``n_ahead`` calls.
@@ -288,23 +286,27 @@
             mean_s = max(mean_s, now - self._sum_admitted_at / self._n_in_flight)
         return (n_ahead + 1) * mean_s / self.limit
 
-    def _is_below_level(self, rank: Rank, now: float) -> bool:
-        if not self._policy.refuses_below_level:
+    def _is_hopeless(
+        self, waiter: Waiter, n_ahead: int, now: float, wait_share: float = 1.0
+    ) -> bool:
+        """Tell whether a call behind ``n_ahead`` others would be admitted too late."""
+        needed_s = self._service_times.of_class(waiter.class_name)
+        left_s = waiter.deadline_at - now - needed_s
+        wait_s = self._expected_wait_s(n_ahead, now)
+        if wait_s > left_s * wait_share:
+            return True
+        share_below = self._policy.wait_share_below_level
+        if wait_s <= left_s * share_below:
             return False
         level = self._meter.level(now)
-        return level is not None and not level.admits(rank)
-
-    def _is_doomed(self, waiter: Waiter, n_ahead: int, now: float) -> bool:
-        needed_s = self._service_times.of_class(waiter.class_name)
-        needed_s += self._expected_wait_s(n_ahead, now)
-        return now + needed_s > waiter.deadline_at
+        return level is not None and not level.admits(waiter.rank)
 
-    def _displace_doomed(self, now: float) -> None:
+    def _displace_hopeless(self, now: float) -> None:
         """Refuse the last calls when those before them leave no time for them."""
         while (last := self._queue.last) is not None:
             n_ahead = len(self._queue) - 1
             too_many = len(self._queue) > self._policy.n_waiting_max
-            if not too_many and not self._is_doomed(last, n_ahead, now):
+            if not too_many and not self._is_hopeless(last, n_ahead, now):
                 return
             self._refuse_waiting(last, Reason.DISPLACED)
 
@@ -330,9 +332,7 @@
         with self._lock:
             if waiter.decided or self._passthrough:
                 return
-            n_ahead = self._queue.n_ahead(waiter)
-            below_level = self._is_below_level(waiter.rank, now)
-            if below_level or self._is_doomed(waiter, n_ahead, now):
+            if self._is_hopeless(waiter, self._queue.n_ahead(waiter), now):
                 self._refuse_waiting(waiter, Reason.OVERLOADED)
 
     def _give_up(self, waiter: Waiter, reason: Reason) -> None:
--- a/packages/node/src/knapweedspring_node/_calls/_level_meter.py
+++ b/packages/node/src/knapweedspring_node/_calls/_level_meter.py
@@ -8,6 +8,11 @@
 MIN_OFFERS = 20
 #: A window with few offers stays open this long.
 WINDOW_MAX_S = 0.5
+#: What earlier windows still count, so that a window without a finished call
+#: does not look like an upstream without capacity.
+KEPT_SHARE = 0.75
+MIN_KEPT = 0.05
+MAX_FADES = 20.0
 #: Classes are told apart at this fineness: 16 steps each.
 DRAW_BITS_KEPT = 4
 
@@ -19,8 +24,8 @@
     """Compares what was offered with what was admitted, window by window.
 
     In a window with refusals the level is the rank that the admitted calls would
-    reach down to if the best of all offers had been admitted. In a window without,
-    it steps down, so that it opens gradually when the overload ends.
+    reach down to if they had been the best of the offers. In a window without, it
+    steps down, so that it opens gradually when the overload ends.
 
     Not thread-safe: the gate's lock guards it.
     """
@@ -28,8 +33,9 @@
     def __init__(self) -> None:
         self._level: Level | None = None
         self._opened_at = 0.0
-        self._offers: dict[Level, int] = {}
+        self._offers: dict[Level, float] = {}
         self._n_offers = 0
+        self._n_admitted = 0.0
         self._n_refused = 0
 
     def level(self, now: float) -> Level | None:
@@ -42,9 +48,13 @@
         self._roll(now)
         draw = rank.draw >> _DRAW_SHIFT << _DRAW_SHIFT
         step = Level(rank.priority, rank.started, draw)
-        self._offers[step] = self._offers.get(step, 0) + 1
+        self._offers[step] = self._offers.get(step, 0.0) + 1.0
         self._n_offers += 1
 
+    def count_admission(self) -> None:
+        """Count a call that takes a slot."""
+        self._n_admitted += 1.0
+
     def count_refusal(self) -> None:
         """Count a call that was refused for want of capacity."""
         self._n_refused += 1
@@ -60,12 +70,17 @@
         elif self._level is not None:
             self._level = self._next_step_below(self._level)
         self._opened_at = now
-        self._offers = {}
         self._n_offers = 0
         self._n_refused = 0
+        self._fade(KEPT_SHARE ** min(MAX_FADES, age_s / WINDOW_S))
+
+    def _fade(self, kept_share: float) -> None:
+        kept = {step: n * kept_share for step, n in self._offers.items()}
+        self._offers = {step: n for step, n in kept.items() if n > MIN_KEPT}
+        self._n_admitted *= kept_share
 
     def _level_of_admitted(self) -> Level | None:
-        n_left = self._n_offers - self._n_refused
+        n_left = self._n_admitted
         for step in sorted(self._offers, reverse=True):
             n_left -= self._offers[step]
             if n_left < 0:
--- a/packages/node/src/knapweedspring_node/_calls/_load.py
+++ b/packages/node/src/knapweedspring_node/_calls/_load.py
@@ -4,7 +4,7 @@
 
 from knapweedspring_node._calls._rank import Level
 
-__all__ = ["GateLoad"]
+__all__ = ["GateLoad", "format_level", "parse_level"]
 
 _NO_LEVEL = "-"
 
@@ -34,32 +34,41 @@
 
     def to_header(self) -> str:
         """Return the compact text for the ``Kws-Load`` header."""
-        return f"{self.free}/{self.limit}/{self.n_waiting}/{_level_text(self.level)}"
+        return f"{self.free}/{self.limit}/{self.n_waiting}/{format_level(self.level)}"
 
     @classmethod
     def from_header(cls, text: str) -> "GateLoad | None":
-        """Parse the text of :meth:`to_header`.
+        """Parse the text of :meth:`to_header`, whatever is appended to it.
 
         :return: the load, or None when the text is malformed.
         """
-        fields = text.split("/")
+        fields = text.partition(";")[0].split("/")
         if len(fields) != 4:
             return None
         try:
             free, limit, n_waiting = (int(field) for field in fields[:3])
-            return cls(free, limit, n_waiting, _parse_level(fields[3]))
         except ValueError:
             return None
+        level = parse_level(fields[3])
+        if level is None and fields[3] != _NO_LEVEL:
+            return None
+        return cls(free, limit, n_waiting, level)
 
 
-def _level_text(level: Level | None) -> str:
+def format_level(level: Level | None) -> str:
+    """Return the compact text of a level."""
     if level is None:
         return _NO_LEVEL
     return f"{level.priority}.{int(level.started)}.{level.draw}"
 
 
-def _parse_level(text: str) -> Level | None:
-    if text == _NO_LEVEL:
+def parse_level(text: str) -> Level | None:
+    """Parse the text of :func:`format_level`.
+
+    :return: the level; None when there is none or the text is malformed.
+    """
+    try:
+        priority, started, draw = (int(field) for field in text.split("."))
+    except ValueError:
         return None
-    priority, started, draw = (int(field) for field in text.split("."))
     return Level(priority, bool(started), draw)
--- a/packages/node/tests/calls/test_levels.py
+++ b/packages/node/tests/calls/test_levels.py
@@ -47,6 +47,65 @@
     assert table.refuses("catalogue", LOW, now=10.0 + LEVEL_TTL_S) is None
 
 
+def _entry_after(n_answers, n_reaching, level="2.1.0", deeper="catalogue"):
+    """Return a table whose calls to orders reached a deeper service."""
+    table = make_table()
+    for index in range(n_answers):
+        text = f"9/9/0/-;{deeper}={level}" if index < n_reaching else "9/9/0/-"
+        table.take_in("orders", "lookup", text, now=10.0)
+    return table
+
+
+@pytest.mark.parametrize(
+    "n_reaching, level, class_name, refused",
+    [
+        (20, "2.1.0", "lookup", True),
+        (2, "2.1.0", "lookup", False),
+        (20, "1.1.0", "lookup", False),
+        (20, "2.1.0", "bundle", False),
+        (20, "-", "lookup", False),
+        (20, "nonsense", "lookup", False),
+    ],
+)
+def test_request_is_refused_for_a_service_that_most_like_it_reach(
+    n_reaching, level, class_name, refused
+):
+    table = _entry_after(20, n_reaching, level)
+    rank = Rank(1, False, 5)
+    refusal = table.refuses("orders", rank, 10.1, class_name)
+    assert (refusal is not None) is refused
+    assert table.refuses("orders", rank, 12.0, class_name) is None
+
+
+def test_new_request_is_compared_as_started_with_deeper_levels():
+    table = _entry_after(20, 20, level="1.1.5")
+    assert table.refuses("orders", Rank(1, False, 5), 10.1, "lookup") is None
+    assert table.refuses("orders", Rank(1, False, 4), 10.1, "lookup") is not None
+
+
+def test_levels_travel_up_the_whole_chain():
+    deep = make_table()
+    deep.observe("catalogue", "n9", Level(2, True, 7), now=10.0)
+    middle = make_table()
+    text = "1/9/0/-" + deep.carried(["catalogue"], "lookup", now=10.0)
+    middle.take_in("stock", "lookup", text, now=10.0)
+    carried = middle.carried(["stock"], "lookup", now=10.0)
+    assert carried == ";catalogue=2.1.7"
+    assert middle.carried(["stock"], "lookup", now=12.0) == ""
+    assert middle.carried(["licences"], "lookup", now=10.0) == ""
+
+
+def test_memory_is_bounded_whatever_answers_claim():
+    table = make_table()
+    for index in range(3_000):
+        text = "1/1/0/-" + "".join(f";s{index}-{n}=9.1.1" for n in range(50))
+        table.take_in(f"orders-{index}", "lookup", text, now=10.0)
+        table.observe(f"orders-{index}", "n1", Level(1, True, 1), now=10.0)
+    assert len(table._routes) <= 1_024
+    assert len(table._gates) <= 256
+    assert max(len(route._n_reached) for route in table._routes.values()) <= 8
+
+
 def test_passthrough_refuses_nothing():
     table = make_table()
     table.observe("catalogue", "n1", Level(2, True, 0), now=10.0)
--- a/packages/standins/src/knapweedspring_standins/_gate_bench.py
+++ b/packages/standins/src/knapweedspring_standins/_gate_bench.py
@@ -177,10 +177,8 @@
     "wait-eighth": Variant(GatePolicy(wait_share=0.125)),
     "adaptive": Variant(limit=AdaptiveLimit),
     "gradient": Variant(limit=GradientLimit),
-    "level-wait-1": Variant(GatePolicy(refuses_below_level=True)),
-    "level-wait-quarter": Variant(
-        GatePolicy(wait_share=0.25, refuses_below_level=True)
-    ),
+    "level-0": Variant(GatePolicy(wait_share_below_level=0.0)),
+    "level-tenth": Variant(GatePolicy(wait_share_below_level=0.1)),
 }
 
 
