Feed the live call flow's outcomes to routing, levels and limits

The flow told the picker too much and too little: a gate that refused for want of time counted as a failed node, while an upstream that answers errors at once counted as a good one and would have drawn calls. Errors of the upstream now count as failures, refusals for lack of time do not, and setting a node aside is recorded. An answer carries the levels that its call met further down. A quick error no longer enters the service times as a success, nor does the zero of a run that was refused after admission. Judging by status 503 alone was ruled out, because an upstream that crashes answers 500 or 502.

--- a/packages/node/src/knapweedspring_node/_calls/_attempts.py
+++ b/packages/node/src/knapweedspring_node/_calls/_attempts.py
@@ -31,6 +31,8 @@
 #: Lets the gate's own answer at the deadline arrive before this node gives up.
 HOP_MARGIN_MS = 3
 
+STATUS_ERROR = 500
+
 _FINAL_REASONS = frozenset(
     {Reason.DEADLINE, Reason.CALLER_LEFT, Reason.BUDGET_SPENT, Reason.TICKET_SPENT}
 )
@@ -169,17 +171,22 @@
     ) -> None:
         load = GateLoad.from_header(reply.load) if reply.load else None
         if load is not None:
+            service, now = plan.request.service, time.monotonic()
             self._picker.observe(member.node_id, load)
-            self._levels.observe(
-                plan.request.service, member.node_id, load.level, time.monotonic()
-            )
-        if isinstance(reply, Relayed):
-            self._picker.succeeded(member.node_id, latency_s)
-            return
-        self._counters.add("attempts_refused", reply.refusal.reason)
-        kind = _FAILURE_KINDS.get(reply.refusal.reason)
+            self._levels.observe(service, member.node_id, load.level, now)
+            self._levels.take_in(service, plan.class_name, reply.load, now)
+        if isinstance(reply, Refused):
+            self._counters.add("attempts_refused", reply.refusal.reason)
+        kind = _failure_kind(reply)
         if kind is not None:
-            self._picker.failed(member.node_id, kind)
+            self._note_failure(member, kind)
+        elif isinstance(reply, Relayed):
+            self._picker.succeeded(member.node_id, latency_s)
+
+    def _note_failure(self, member: Member, kind: FailureKind) -> None:
+        if self._picker.failed(member.node_id, kind):
+            self._counters.add("nodes_set_aside", kind)
+            self._events.record("routing:set-aside", node=member.node_id, failure=kind)
 
     def _revoke_uncertain(
         self, plan: CallPlan, member: Member, reply: Refused, gate_epoch: int
@@ -223,6 +230,16 @@
         time.sleep(max(0.0, min(pause_s, left_s)))
 
 
+def _failure_kind(reply: Reply) -> FailureKind | None:
+    """Return what a reply says against the node that it came from."""
+    if isinstance(reply, Relayed):
+        return FailureKind.ERROR if reply.status >= STATUS_ERROR else None
+    if reply.refusal.reason is Reason.DEADLINE and reply.outcome is Outcome.NOT_RUN:
+        # The gate had no time left for the call; nothing is wrong with it.
+        return None
+    return _FAILURE_KINDS.get(reply.refusal.reason)
+
+
 def _is_epoch_change(reply: Reply) -> bool:
     return isinstance(reply, Refused) and reply.refusal.reason is Reason.GATE_RESTARTED
 
--- a/packages/node/src/knapweedspring_node/_calls/_gate_side.py
+++ b/packages/node/src/knapweedspring_node/_calls/_gate_side.py
@@ -24,6 +24,7 @@
     PeerUnreachable,
 )
 from knapweedspring_node._calls._in_flight import InFlightTable, RunningCall
+from knapweedspring_node._calls._levels import LevelTable
 from knapweedspring_node._calls._outbound import Answer, ConnectionPools, OutboundCall
 from knapweedspring_node._calls._reply import Refused, Relayed, Reply
 from knapweedspring_node._calls._request import CallRequest
@@ -32,6 +33,7 @@
 
 __all__ = ["GateSide"]
 
+STATUS_ERROR = 500
 STATUS_SHED = 503
 _DROPPED_ANSWER_HEADERS = frozenset(
     {"connection", "keep-alive", "transfer-encoding", "trailer", "upgrade"}
@@ -61,6 +63,7 @@
         in_flight: InFlightTable,
         ledger: RunLedger,
         store: DeclarationStore,
+        levels: LevelTable,
         events: EventLog,
         counters: Counters,
         epoch: int,
@@ -70,6 +73,7 @@
         self._in_flight = in_flight
         self._ledger = ledger
         self._store = store
+        self._levels = levels
         self._events = events
         self._counters = counters
         self._epoch = epoch
@@ -104,7 +108,7 @@
         admission = admitted.ok_value
         refusal_of_run = self._start_run(hop)
         if refusal_of_run is not None:
-            admission.finish(0.0, succeeded=True)
+            admission.finish(0.0, succeeded=False)
             return self._refuse(hop, upstream, refusal_of_run)
         call = self._in_flight.begin(hop, deadline_at)
         run = _Run(upstream, admission, call, time.monotonic())
@@ -155,6 +159,7 @@
 
     def _relay(self, run: _Run, answer: Answer) -> Relayed:
         n_tokens_left = run.call.budget.close()
+        succeeded = answer.status < STATUS_ERROR
         headers = tuple(
             (name, value)
             for name, value in answer.headers
@@ -172,20 +177,27 @@
         )
         if answer.body is not None:
             answer.release(True)
-            self._end(run, succeeded=True)
-            return replace(relayed, load=run.upstream.gate.load().to_header())
+            self._end(run, succeeded=succeeded)
+            return replace(relayed, load=self._load_text(run.upstream, run.call))
 
         def close(whole: bool) -> None:
             answer.release(whole)
-            self._end(run, succeeded=whole)
+            self._end(run, succeeded=whole and succeeded)
 
         return replace(
             relayed,
             chunks=_until_deadline(answer.chunks or iter(()), run.call.deadline_at),
             close=close,
-            load=run.upstream.gate.load().to_header(),
+            load=self._load_text(run.upstream, run.call),
         )
 
+    def _load_text(self, upstream: LocalUpstream, call: RunningCall) -> str:
+        """Return the gate's load and the levels that the call met further down."""
+        deeper = self._levels.carried(
+            call.child_services, call.hop.class_name, time.monotonic()
+        )
+        return upstream.gate.load().to_header() + deeper
+
     def _failed(self, run: _Run, error: OutboundError) -> Refused:
         self._counters.add("upstream_exchange_failed", type(error).__name__)
         if isinstance(error, PeerUnreachable):
--- a/packages/node/src/knapweedspring_node/_calls/_in_flight.py
+++ b/packages/node/src/knapweedspring_node/_calls/_in_flight.py
@@ -77,6 +77,12 @@
         """Calls of the upstream that were let through."""
         return self._n_children_started
 
+    @property
+    def child_services(self) -> frozenset[str]:
+        """Services that the upstream has called for this request."""
+        with self._lock:
+            return frozenset(child.target.split("/", 2)[1] for child in self._children)
+
     def begin_child(self, child: ChildCall, repeatable: bool) -> Result[None, Refusal]:
         """Account for a call of the upstream; a repeated one is a retry.
 
--- a/packages/node/src/knapweedspring_node/_calls/_stack.py
+++ b/packages/node/src/knapweedspring_node/_calls/_stack.py
@@ -92,6 +92,7 @@
             self._in_flight,
             self._ledger,
             store,
+            self._levels,
             events,
             counters,
             epoch,
