Add the demo

One command brings up platform, four nodes over two data centres and two services, declares the classes, loads the mesh at half and at twice its saturation, sends one ticket three times over two nodes, drains an upstream under load and ends with the checker's verdict in a table. Callers get 500 workers, as 256 started requests late in a trial of the surge.

--- a/packages/standins/src/knapweedspring_standins/__main__.py
+++ b/packages/standins/src/knapweedspring_standins/__main__.py
@@ -21,6 +21,7 @@
     _add_upstream(commands)
     _add_callers(commands)
     add_bench(commands)
+    _add_demo(commands)
     options = parser.parse_args(arguments)
     return options.run(options)
 
@@ -114,5 +115,16 @@
     return 0
 
 
+def _add_demo(commands: "argparse._SubParsersAction") -> None:
+    parser = commands.add_parser("demo", help="the main job at a small size")
+    parser.set_defaults(run=_run_demo)
+
+
+def _run_demo(_: argparse.Namespace) -> int:
+    from knapweedspring_standins._demo import print_demo
+
+    return print_demo()
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/packages/standins/src/knapweedspring_standins/_caller_plan.py
+++ b/packages/standins/src/knapweedspring_standins/_caller_plan.py
@@ -76,7 +76,7 @@
     #: How callers wait and retry.
     patience: Patience = Patience()
     #: Requests that can be under way at once.
-    n_workers: int = 256
+    n_workers: int = 500
     #: Prefix of the nonces, unique over the processes of a run.
     name: str = "c"
 
--- /dev/null
+++ b/packages/standins/src/knapweedspring_standins/_demo.py
@@ -0,0 +1,289 @@
+"""The demo: the main job end to end at a small size, with a table at the end."""
+
+import time
+from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+
+import urllib3
+
+from knapweedspring_core import Header, RequestClass, RouteRule, Service
+from knapweedspring_standins._analysis import (
+    LogicalRequest,
+    latency_figures,
+    logical_requests,
+)
+from knapweedspring_standins._caller_plan import (
+    CallerPlan,
+    Patience,
+    Phase,
+    RequestKind,
+)
+from knapweedspring_standins._callers import Callers
+from knapweedspring_standins._invariants import (
+    Evidence,
+    PlannedStop,
+    check_invariants,
+)
+from knapweedspring_standins._journal import EntryKind
+from knapweedspring_standins._layout import (
+    DeclaredObject,
+    MeshLayout,
+    ServiceLayout,
+)
+from knapweedspring_standins._mesh import Mesh, start_mesh
+from knapweedspring_standins._processes import (
+    ProcessGroup,
+)
+from knapweedspring_standins._records import SendRecord
+
+__all__ = ["DemoRow", "print_demo", "run_demo"]
+
+SEED = 1
+N_DEEP_SLOTS = 4
+DEEP_MS = 80.0
+SATURATION_RATE = 2 * N_DEEP_SLOTS / (DEEP_MS / 1_000)
+OVERLOAD_PART = 2.0
+CALL_TIMEOUT_S = 10.0
+STOP_TIMEOUT_S = 40.0
+
+SERVICES = (
+    ServiceLayout("orders", 2, 24, 200, 10.0, ("recipes/blend",)),
+    ServiceLayout("recipes", 2, N_DEEP_SLOTS, 100, DEEP_MS),
+)
+OBJECTS = (
+    DeclaredObject("spice-order", RequestClass(100, False, 4_000, 2)),
+    DeclaredObject("lookup", RequestClass(50, True, 2_000, 2)),
+    DeclaredObject("recipes", Service("lookup")),
+    DeclaredObject(
+        "orders", Service("lookup", (RouteRule("spice-order", "POST", "/spice"),))
+    ),
+)
+LOOKUP = RequestKind("lookup", "recipes", "/braai", "lookup", 0.8)
+ORDER = RequestKind(
+    name="spice-order",
+    service="orders",
+    path="/spice",
+    request_class="spice-order",
+    weight=0.2,
+    method="POST",
+    repeatable=False,
+    n_body_bytes=200,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class DemoRow:
+    """One line of the table."""
+
+    #: What was done.
+    step: str
+    #: What was seen.
+    result: str
+    #: Whether it was as it must be.
+    ok: bool
+
+
+def run_demo() -> tuple[DemoRow, ...]:
+    """Run the demo.
+
+    :return: the lines of the table.
+    :raises ProcessFailed: a process did not get ready.
+    """
+    layout = MeshLayout(
+        firm="boerewors",
+        data_centres=("johannesburg", "pretoria"),
+        services=SERVICES,
+        objects=(),
+        n_workers=96,
+        seed=SEED,
+    )
+    with ProcessGroup() as group:
+        mesh = start_mesh(layout, group)
+        try:
+            return _Demo(mesh).run()
+        finally:
+            mesh.close()
+
+
+class _Demo:
+    """The steps, on a mesh that knows no declaration yet."""
+
+    def __init__(self, mesh: Mesh) -> None:
+        self._mesh = mesh
+        self._records: list[SendRecord] = []
+        self._stops: list[PlannedStop] = []
+
+    def run(self) -> tuple[DemoRow, ...]:
+        """Carry the steps out in order."""
+        return (
+            self._declare(),
+            self._load("calls at half of saturation", 4.0, 0.5),
+            self._load("overload, twice saturation", 6.0, OVERLOAD_PART),
+            self._repeat_ticket(),
+            self._drain(),
+            self._check(),
+        )
+
+    def _declare(self) -> DemoRow:
+        begin_s = time.monotonic()
+        for declared in OBJECTS:
+            self._mesh.declare(declared.name, declared.declaration)
+        served = self._mesh.wait_served()
+        seconds = time.monotonic() - begin_s
+        result = f"every node serves both services after {seconds:.1f} s"
+        return DemoRow(f"declare {len(OBJECTS)} objects", result, served)
+
+    def _load(self, step: str, seconds: float, part: float) -> DemoRow:
+        plan = CallerPlan(
+            entries=self._entries(),
+            kinds=(LOOKUP, ORDER),
+            phases=(Phase(step, seconds, part * SATURATION_RATE),),
+            seed=SEED,
+            start_s=time.monotonic() + 0.5,
+            patience=Patience(total_ms=4_000.0),
+            n_workers=200,
+            name=step.partition(" ")[0].rstrip(","),
+        )
+        result = Callers(plan).run()
+        self._records += result.records
+        requests = logical_requests(result.records)
+        orders_ok = _part(requests, ORDER.name) >= 0.99
+        return DemoRow(step, _load_text(requests), orders_ok)
+
+    def _entries(self) -> tuple[tuple[str, ...], ...]:
+        return tuple(
+            tuple(
+                place.call_address
+                for place in self._mesh.places
+                if place.node_file.data_centre == data_centre
+            )
+            for data_centre in self._mesh.layout.data_centres
+        )
+
+    def _repeat_ticket(self) -> DemoRow:
+        first, second = (place.call_address for place in self._mesh.places[:2])
+        asked = urllib3.request(
+            "POST", f"http://{first}/tickets/orders", timeout=CALL_TIMEOUT_S
+        )
+        ticket = asked.headers.get(Header.TICKET.value, "")
+        attempts = [_order(address, ticket) for address in (first, second, second)]
+        n_started = sum(
+            entry.kind is EntryKind.STARTED and entry.nonce == "ticketed"
+            for page in self._mesh.journals()
+            for entry in page.entries
+        )
+        same = len(set(attempts)) == 1 and attempts[0] != ""
+        result = f"3 sends over 2 nodes, ran {n_started} time, answers equal: {same}"
+        step = "one ticket sent three times"
+        return DemoRow(step, result, same and n_started == 1)
+
+    def _drain(self) -> DemoRow:
+        leaving = self._mesh.places_of("recipes")[0]
+        upstream = leaving.upstream
+        assert upstream is not None
+        address = leaving.upstream_address
+        plan = CallerPlan(
+            entries=self._entries(),
+            kinds=(LOOKUP,),
+            phases=(Phase("drain", 6.0, 0.3 * SATURATION_RATE),),
+            seed=SEED,
+            start_s=time.monotonic(),
+            n_workers=64,
+            name="drain",
+        )
+        callers = _InBackground(Callers(plan))
+        time.sleep(1.5)
+        at_s = time.monotonic()
+        upstream.terminate()
+        code = upstream.wait(STOP_TIMEOUT_S)
+        self._stops.append(PlannedStop(address, "", at_s, time.monotonic()))
+        records = callers.records()
+        self._records += records
+        last_s = max(
+            (
+                entry.time_s - at_s
+                for page in self._mesh.journals()
+                for entry in page.entries
+                if entry.upstream == address and entry.kind is EntryKind.RECEIVED
+            ),
+            default=0.0,
+        )
+        requests = logical_requests(records)
+        result = (
+            f"last new work {max(0.0, last_s):.2f} s after the announcement; "
+            + _load_text(requests)
+        )
+        ok = code == 0 and _part(requests, LOOKUP.name) == 1.0
+        return DemoRow("drain one upstream under load", result, ok)
+
+    def _check(self) -> DemoRow:
+        budgets = {
+            declared.name: declared.declaration.retry_budget
+            for declared in OBJECTS
+            if isinstance(declared.declaration, RequestClass)
+        }
+        journals = tuple(self._mesh.journals())
+        evidence = Evidence(journals, tuple(self._records), budgets, tuple(self._stops))
+        report = check_invariants(evidence)
+        broken = Counter(violation.invariant.value for violation in report.violations)
+        result = (
+            f"{report.n_sends} sends, {report.n_attempts} attempts, "
+            f"{report.n_non_repeatable} orders, {report.n_not_run} not-run: "
+            f"{'no violation' if report.ok else dict(broken)}"
+        )
+        return DemoRow("check what must always hold", result, report.ok)
+
+
+class _InBackground:
+    """Callers that run while something else happens."""
+
+    def __init__(self, callers: Callers) -> None:
+        self._pool = ThreadPoolExecutor(max_workers=1)
+        self._future = self._pool.submit(callers.run)
+
+    def records(self) -> tuple[SendRecord, ...]:
+        """Wait for the end and return what was noted."""
+        result = self._future.result()
+        self._pool.shutdown()
+        return result.records
+
+
+def _part(requests: list[LogicalRequest], kind: str) -> float:
+    chosen = [request.succeeded for request in requests if request.kind == kind]
+    return sum(chosen) / len(chosen) if chosen else 1.0
+
+
+def _load_text(requests: list[LogicalRequest]) -> str:
+    parts = [
+        f"{figures.kind} {_part(requests, figures.kind):.0%} of "
+        f"{sum(r.kind == figures.kind for r in requests)}, "
+        f"median {figures.p50_ms:.0f} ms"
+        for figures in latency_figures(requests)
+    ]
+    return "; ".join(parts)
+
+
+def _order(address: str, ticket: str) -> str:
+    """Send one order; return the attempt that answered it."""
+    answer = urllib3.request(
+        "POST",
+        f"http://{address}/orders/spice",
+        body=b"casings",
+        headers={Header.TICKET.value: ticket, "X-Nonce": "ticketed"},
+        timeout=CALL_TIMEOUT_S,
+        retries=False,
+    )
+    return answer.headers.get("X-Attempt", "") if answer.status == 200 else ""
+
+
+def print_demo() -> int:
+    """Run the demo and print its table; 0 when everything was as it must be."""
+    begin_s = time.monotonic()
+    rows = run_demo()
+    width = max(len(row.step) for row in rows)
+    for row in rows:
+        mark = "ok  " if row.ok else "FAIL"
+        print(f"{mark} {row.step:{width}}  {row.result}")
+    print(f"{time.monotonic() - begin_s:.0f} s")
+    return 0 if all(row.ok for row in rows) else 1
