End the platform stand-in at SIGTERM also while calls wait

The server's worker threads are no daemons, so that the exit in the signal handler left the process running for as long as a thread waited; a trial with four nodes left one behind.

--- /dev/null
+++ b/packages/ctl/src/knapweedspring_ctl/_drain.py
@@ -0,0 +1,150 @@
+"""``drain``: declares that the upstream beside a node leaves."""
+
+import time
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from knapweedspring_core import (
+    DataCentreStatus,
+    Intent,
+    ObjectKey,
+    Platform,
+    PlatformRefused,
+    ResolvedWriter,
+    UpstreamIntent,
+    WriteConflict,
+)
+from knapweedspring_ctl._errors import CtlError
+from knapweedspring_ctl._exits import ExitCode
+from knapweedspring_ctl._files import normal_content
+from knapweedspring_ctl._output import Output
+from knapweedspring_ctl._plan import normal_form
+from knapweedspring_ctl._platform_access import (
+    open_platform,
+    operator_name,
+    read_declarations,
+    read_statuses,
+)
+from knapweedspring_ctl._settings import CtlSettings
+
+__all__ = ["DrainOptions", "drain_node"]
+
+WRITE_GIVE_UP_S = 20.0
+POLL_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class DrainOptions:
+    """What ``drain`` was asked to do."""
+
+    #: Name of the node.
+    node_id: str
+    #: Declare that it joins again instead.
+    undo: bool
+    #: Time for in-flight work and live tickets before a stop, in ms.
+    stop_deadline_ms: int
+    #: Wait until the node has nothing left to finish.
+    wait: bool
+    #: Seconds to wait at most.
+    timeout_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class DrainReport:
+    """Result of ``drain``."""
+
+    #: Name of the node.
+    node_id: str
+    #: Version of the ``UpstreamIntent``.
+    version: int
+    #: Whether the node has nothing left to finish; None when not waited for.
+    drained: bool | None = None
+    #: What it still waits for, as last reported.
+    n_unfinished: int | None = None
+
+
+def drain_node(
+    settings: CtlSettings, options: DrainOptions, output: Output
+) -> Result[ExitCode, CtlError]:
+    """Write the ``UpstreamIntent`` of a node, and perhaps wait for its drain."""
+    opened = open_platform(settings)
+    if isinstance(opened, Err):
+        return opened
+    platform = opened.ok_value
+    written = _write_intent(settings, platform, options)
+    if isinstance(written, Err):
+        return written
+    version = written.ok_value
+    if not options.wait or options.undo:
+        output.data(
+            DrainReport(options.node_id, version),
+            f"UpstreamIntent/{options.node_id} version {version}",
+        )
+        return Ok(ExitCode.OK)
+    report = _wait(platform, options, version)
+    output.data(report, _describe(report))
+    return Ok(ExitCode.OK if report.drained else ExitCode.TIMEOUT)
+
+
+def _write_intent(
+    settings: CtlSettings, platform: Platform, options: DrainOptions
+) -> Result[int, CtlError]:
+    key = ObjectKey("UpstreamIntent", options.node_id)
+    read = read_declarations(platform)
+    if isinstance(read, Err):
+        return read
+    stored = read.ok_value.get(key)
+    intent = Intent.JOINING if options.undo else Intent.LEAVING
+    content = normal_content(UpstreamIntent(intent, options.stop_deadline_ms))
+    if stored is not None and normal_form(stored.content) == content:
+        return Ok(stored.version)
+    writer = ResolvedWriter(platform, operator_name(settings), WRITE_GIVE_UP_S)
+    version = 0 if stored is None else stored.version
+    written = writer.put(key, content, version)
+    if isinstance(written, Ok):
+        return Ok(written.ok_value.version)
+    error = written.err_value
+    if isinstance(error, WriteConflict):
+        now = "deleted" if error.current is None else error.current.content
+        message = f"another operator changed {key} meanwhile; it is now {now}"
+        return Err(CtlError(ExitCode.CONFLICT, message))
+    if isinstance(error, PlatformRefused):
+        return Err(CtlError(ExitCode.INVALID, f"the platform refuses {key}: {error}"))
+    message = f"it is not known whether {key} was written: {error.detail}"
+    return Err(CtlError(ExitCode.UNSURE, message))
+
+
+def _wait(platform: Platform, options: DrainOptions, version: int) -> DrainReport:
+    give_up_at = time.monotonic() + options.timeout_s
+    n_unfinished: int | None = None
+    while True:
+        read = read_statuses(platform)
+        if isinstance(read, Ok):
+            n_unfinished = _n_unfinished(read.ok_value, options.node_id)
+            if n_unfinished == 0:
+                return DrainReport(options.node_id, version, True, 0)
+        if time.monotonic() + POLL_S > give_up_at:
+            return DrainReport(options.node_id, version, False, n_unfinished)
+        time.sleep(POLL_S)
+
+
+def _n_unfinished(statuses: tuple[DataCentreStatus, ...], node_id: str) -> int | None:
+    """Read what a draining node still waits for.
+
+    :return: None while no data centre says that it drains.
+    """
+    for status in statuses:
+        for part in status.parts:
+            for drain in part.draining:
+                if drain.node_id == node_id:
+                    return drain.n_unfinished
+    return None
+
+
+def _describe(report: DrainReport) -> str:
+    if report.drained:
+        return f"{report.node_id} has nothing left to finish"
+    if report.n_unfinished is None:
+        return f"no data centre reports that {report.node_id} drains"
+    return f"{report.node_id} still has {report.n_unfinished} to finish"
--- a/packages/standins/src/knapweedspring_standins/_platform.py
+++ b/packages/standins/src/knapweedspring_standins/_platform.py
@@ -6,8 +6,10 @@
 """
 
 import argparse
+import os
 import signal
 import socket
+import threading
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -242,15 +244,15 @@
     :param port: port on 127.0.0.1; 0 takes a free one.
     """
     server = PlatformServer(port)
-
-    def leave(*_: object) -> None:
-        raise SystemExit(0)
-
-    signal.signal(signal.SIGTERM, leave)
-    signal.signal(signal.SIGINT, leave)
+    threading.Thread(target=server.serve, daemon=True).start()
+    stop = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stop.set())
     ready = f'{{"ready": true, "address": "{server.address}"}}'
     print(ready, flush=True)
-    server.serve()
+    stop.wait()
+    # The server's threads would keep the process while a watch waits.
+    os._exit(0)
 
 
 def _read_request(environ: dict[str, Any]) -> _Request:
