--- a/packages/core/src/knapweedspring_core/_declarations.py
+++ b/packages/core/src/knapweedspring_core/_declarations.py
@@ -12,6 +12,7 @@
 from result import Err, Ok, Result
 
 from knapweedspring_core._errors import DeclarationError
+from knapweedspring_core._unknown_fields import first_unknown_field
 
 __all__ = [
     "DECLARATION_TYPES",
@@ -174,31 +175,12 @@
 
 def _unknown_field(declaration: Declaration, content: str) -> DeclarationError | None:
     """Find a field that no data class has, such as a mistyped one."""
-    written = msgspec.json.decode(content)
-    understood = msgspec.to_builtins(declaration)
-    path = _first_unknown(written, understood, "$")
+    path = first_unknown_field(msgspec.json.decode(content), declaration)
     if path is None:
         return None
     return DeclarationError(path, "remove the field or correct its name")
 
 
-def _first_unknown(written: Any, understood: Any, path: str) -> str | None:
-    if isinstance(written, dict) and isinstance(understood, dict):
-        for name, value in written.items():
-            below = f"{path}.{name}"
-            if name not in understood:
-                return below
-            found = _first_unknown(value, understood[name], below)
-            if found is not None:
-                return found
-    if isinstance(written, list):
-        for index, value in enumerate(written):
-            found = _first_unknown(value, understood[index], f"{path}[{index}]")
-            if found is not None:
-                return found
-    return None
-
-
 def _validate(declaration: Declaration) -> DeclarationError | None:
     """Check the rules that types alone cannot express."""
     if isinstance(declaration, RequestClass):
--- a/packages/core/src/knapweedspring_core/_settings.py
+++ b/packages/core/src/knapweedspring_core/_settings.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from knapweedspring_core._errors import SettingsError
+from knapweedspring_core._unknown_fields import first_unknown_field
 
 __all__ = ["load_settings", "parse_settings"]
 
@@ -29,9 +30,14 @@
     except ValueError as error:
         return Err(SettingsError(file, f"not JSON with comments: {error}"))
     try:
-        return Ok(msgspec.convert(raw, settings_type, strict=True))
+        settings = msgspec.convert(raw, settings_type, strict=True)
     except msgspec.ValidationError as error:
         return Err(SettingsError(file, str(error)))
+    unknown = first_unknown_field(raw, settings)
+    if unknown is not None:
+        advice = "remove the field or correct its name"
+        return Err(SettingsError(file, f"{unknown}: {advice}"))
+    return Ok(settings)
 
 
 def load_settings(file: str, settings_type: type[T]) -> Result[T, SettingsError]:
--- a/packages/core/tests/test_settings.py
+++ b/packages/core/tests/test_settings.py
@@ -20,3 +20,8 @@
     error = parse_settings('{"slots": "four"}', _Settings, "node.json").unwrap_err()
     assert error.file == "node.json"
     assert "$.slots" in error.detail
+
+
+def test_a_field_that_is_not_known_is_named():
+    error = parse_settings('{"slots": 4, "nmae": "y"}', _Settings).unwrap_err()
+    assert error.detail.startswith("$.nmae:")
--- a/packages/ctl/src/knapweedspring_ctl/_main.py
+++ b/packages/ctl/src/knapweedspring_ctl/_main.py
@@ -3,21 +3,32 @@
 import argparse
 import sys
 from collections.abc import Callable, Sequence
+from typing import TypeAlias
 
 from result import Err, Result
 
 from knapweedspring_ctl._apply import ApplyOptions, apply_file
+from knapweedspring_ctl._check import ROLES, check_settings
+from knapweedspring_ctl._drain import DrainOptions, drain_node
 from knapweedspring_ctl._errors import CtlError
 from knapweedspring_ctl._exits import ExitCode
+from knapweedspring_ctl._explain import explain_request
 from knapweedspring_ctl._get import diff_file, get_objects
 from knapweedspring_ctl._output import Output
 from knapweedspring_ctl._settings import SETTINGS_VARIABLE, CtlSettings, find_settings
 from knapweedspring_ctl._status import show_node_status, show_status
+from knapweedspring_ctl._timeline import (
+    TimelineFormat,
+    TimelineOptions,
+    show_timeline,
+)
 
 __all__ = ["main"]
 
 DEFAULT_TIMEOUT_S = 30.0
+DEFAULT_STOP_DEADLINE_MS = 30_000
 
+Commands: TypeAlias = "argparse._SubParsersAction[argparse.ArgumentParser]"
 Command = Callable[
     [argparse.Namespace, CtlSettings, Output], Result[ExitCode, CtlError]
 ]
@@ -56,6 +67,10 @@
     _add_apply(commands, common)
     _add_get(commands, common)
     _add_status(commands, common)
+    _add_drain(commands, common)
+    _add_explain(commands, common)
+    _add_timeline(commands, common)
+    _add_check(commands, common)
     return parser
 
 
@@ -76,10 +91,7 @@
     return common
 
 
-def _add_apply(
-    commands: "argparse._SubParsersAction[argparse.ArgumentParser]",
-    common: argparse.ArgumentParser,
-) -> None:
+def _add_apply(commands: Commands, common: argparse.ArgumentParser) -> None:
     apply = commands.add_parser(
         "apply", parents=[common], help="write the declarations of a file"
     )
@@ -91,10 +103,7 @@
     apply.set_defaults(command=_run_apply)
 
 
-def _add_get(
-    commands: "argparse._SubParsersAction[argparse.ArgumentParser]",
-    common: argparse.ArgumentParser,
-) -> None:
+def _add_get(commands: Commands, common: argparse.ArgumentParser) -> None:
     get = commands.add_parser("get", parents=[common], help="show declarations")
     get.add_argument("selector", nargs="?", help="Kind or Kind/name; all if omitted")
     get.set_defaults(
@@ -113,10 +122,7 @@
     )
 
 
-def _add_status(
-    commands: "argparse._SubParsersAction[argparse.ArgumentParser]",
-    common: argparse.ArgumentParser,
-) -> None:
+def _add_status(commands: Commands, common: argparse.ArgumentParser) -> None:
     status = commands.add_parser(
         "status",
         parents=[common],
@@ -125,9 +131,81 @@
     status.set_defaults(command=_run_status)
 
 
+def _add_drain(commands: Commands, common: argparse.ArgumentParser) -> None:
+    drain = commands.add_parser(
+        "drain", parents=[common], help="declare that the upstream of a node leaves"
+    )
+    drain.add_argument("node_id", metavar="NODE", help="name of the node")
+    drain.add_argument(
+        "--undo", action="store_true", help="declare that it joins again"
+    )
+    drain.add_argument(
+        "--stop-deadline-ms",
+        type=int,
+        default=DEFAULT_STOP_DEADLINE_MS,
+        metavar="MS",
+        help="time for work in hand and live tickets (default %(default)s)",
+    )
+    _add_wait(drain)
+    drain.set_defaults(command=_run_drain)
+
+
+def _add_explain(commands: Commands, common: argparse.ArgumentParser) -> None:
+    explain = commands.add_parser(
+        "explain", parents=[common], help="show what became of a request"
+    )
+    explain.add_argument("request_id", help="value of Kws-Request-Id")
+    explain.set_defaults(
+        command=lambda options, settings, output: explain_request(
+            settings, options.request_id, output
+        )
+    )
+
+
+def _add_timeline(commands: Commands, common: argparse.ArgumentParser) -> None:
+    timeline = commands.add_parser(
+        "timeline", parents=[common], help="merge the events of all nodes"
+    )
+    timeline.add_argument(
+        "--format",
+        choices=[str(form) for form in TimelineFormat],
+        default=None,
+        help="text, jsonl (one JSON object a line) or html (a page with a picture)",
+    )
+    timeline.add_argument(
+        "--kind", default="", metavar="PREFIX", help="only kinds that begin with it"
+    )
+    timeline.add_argument(
+        "--file",
+        action="append",
+        default=[],
+        metavar="FILE",
+        help="saved /events page to read instead of asking nodes; may be repeated",
+    )
+    timeline.set_defaults(command=_run_timeline)
+
+
+def _add_check(commands: Commands, common: argparse.ArgumentParser) -> None:
+    check = commands.add_parser(
+        "check-settings", parents=[common], help="check a file without using it"
+    )
+    check.add_argument("file", help="JSON with comments")
+    check.add_argument(
+        "--role",
+        choices=ROLES,
+        default=ROLES[0],
+        help="what the file is for (default %(default)s)",
+    )
+    check.set_defaults(
+        command=lambda options, _, output: check_settings(
+            options.file, options.role, output
+        )
+    )
+
+
 def _add_wait(parser: argparse.ArgumentParser) -> None:
     parser.add_argument(
-        "--wait", action="store_true", help="until it is in force in every data centre"
+        "--wait", action="store_true", help="until it is done in every data centre"
     )
     parser.add_argument(
         "--timeout",
@@ -145,6 +223,29 @@
     return apply_file(settings, wanted, output)
 
 
+def _run_drain(
+    options: argparse.Namespace, settings: CtlSettings, output: Output
+) -> Result[ExitCode, CtlError]:
+    wanted = DrainOptions(
+        node_id=options.node_id,
+        undo=options.undo,
+        stop_deadline_ms=options.stop_deadline_ms,
+        wait=options.wait,
+        timeout_s=options.timeout,
+    )
+    return drain_node(settings, wanted, output)
+
+
+def _run_timeline(
+    options: argparse.Namespace, settings: CtlSettings, output: Output
+) -> Result[ExitCode, CtlError]:
+    as_json = options.output == "json"
+    default = TimelineFormat.JSON_LINES if as_json else TimelineFormat.TEXT
+    form = TimelineFormat(options.format or default)
+    wanted = TimelineOptions(form, options.kind, tuple(options.file))
+    return show_timeline(settings, wanted, output)
+
+
 def _run_status(
     options: argparse.Namespace, settings: CtlSettings, output: Output
 ) -> Result[ExitCode, CtlError]:
--- /dev/null
+++ b/packages/ctl/tests/test_timeline.py
@@ -0,0 +1,94 @@
+"""Events of several processes come out in the order of causes and effects."""
+
+import json
+import xml.dom.minidom
+
+import msgspec
+import pytest
+
+from knapweedspring_core import Event, EventLog, EventsPage, HybridClock, Stamp
+from knapweedspring_ctl import ExitCode, main
+
+
+def _event(wall_us, counter, process, kind, **fields):
+    return Event(Stamp(wall_us, counter), process, kind, fields)
+
+
+@pytest.fixture()
+def save(tmp_path):
+    def write(process, *events):
+        path = tmp_path / f"{process}.json"
+        path.write_bytes(msgspec.json.encode(EventsPage(process, events)))
+        return ["--file", str(path)]
+
+    return write
+
+
+@pytest.fixture()
+def two_files(save):
+    first = save(
+        "n1",
+        _event(1_000_000, 0, "n1", "node:draining"),
+        _event(3_000_000, 0, "n1", "node:drained"),
+    )
+    second = save(
+        "n2",
+        _event(1_000_000, 1, "n2", "membership:state", node="n1"),
+        _event(2_000_000, 0, "n2", "upstream:state", service="<orders>"),
+    )
+    return first + second
+
+
+def test_text_and_json_lines_are_in_one_order(two_files, capsys):
+    assert main(["timeline", *two_files]) == ExitCode.OK
+    lines = capsys.readouterr().out.splitlines()
+    assert [line.split()[1:3] for line in lines] == [
+        ["n1", "node:draining"],
+        ["n2", "membership:state"],
+        ["n2", "upstream:state"],
+        ["n1", "node:drained"],
+    ]
+    main(["timeline", *two_files, "--format", "jsonl", "--kind", "node:"])
+    events = [json.loads(line) for line in capsys.readouterr().out.splitlines()]
+    assert [event["kind"] for event in events] == ["node:draining", "node:drained"]
+
+
+def test_the_page_has_a_lane_for_each_process_and_a_mark_for_each_event(
+    two_files, capsys
+):
+    main(["timeline", *two_files, "--format", "html"])
+    page = capsys.readouterr().out
+    picture = page[page.index("<svg") : page.index("</svg>") + len("</svg>")]
+    svg = xml.dom.minidom.parseString(picture)
+    marks = svg.getElementsByTagName("circle")
+    assert len(marks) == 4
+    assert len({mark.getAttribute("cy") for mark in marks}) == 2
+    xs = [float(mark.getAttribute("cx")) for mark in marks]
+    assert xs == sorted(xs)
+    assert "&lt;orders&gt;" in page
+    for reference in ("src=", "href=", "http:", "https:"):
+        assert reference not in page
+
+
+def test_an_effect_follows_its_cause_though_its_clock_lags(save, capsys):
+    cause = EventLog("n1", HybridClock())
+    effect = EventLog("n2", HybridClock())
+    cause.clock.observe(Stamp(4_000_000_000_000_000, 0))
+    sent = cause.record("hand:sent")
+    effect.clock.observe(sent.stamp)
+    effect.record("hand:received")
+    files = save("n2", *effect.events) + save("n1", *cause.events)
+    main(["timeline", *files])
+    kinds = [line.split()[2] for line in capsys.readouterr().out.splitlines()]
+    assert kinds == ["hand:sent", "hand:received"]
+
+
+def test_without_events_the_page_says_so(save, capsys):
+    main(["timeline", *save("n1"), "--format", "html"])
+    assert "No events." in capsys.readouterr().out
+
+
+def test_a_file_that_is_no_page_is_told(tmp_path, capsys):
+    path = tmp_path / "x.json"
+    path.write_text("[]")
+    assert main(["timeline", "--file", str(path)]) == ExitCode.INVALID
--- a/packages/node/src/knapweedspring_node/__main__.py
+++ b/packages/node/src/knapweedspring_node/__main__.py
@@ -11,9 +11,8 @@
 import eliot
 from result import Err
 
-from knapweedspring_core import load_settings
 from knapweedspring_node._node import Node
-from knapweedspring_node._settings import NodeSettings
+from knapweedspring_node._settings_rules import load_node_settings
 
 __all__ = ["main"]
 
@@ -29,7 +28,7 @@
     parser = argparse.ArgumentParser(prog="knapweedspring-node", description=__doc__)
     parser.add_argument("--settings", required=True, help="file, JSON with comments")
     arguments = parser.parse_args()
-    loaded = load_settings(arguments.settings, NodeSettings)
+    loaded = load_node_settings(arguments.settings)
     if isinstance(loaded, Err):
         _fail(str(loaded.err_value))
     eliot.to_file(sys.stderr)
