Follow a request's ticket in explain, and prove drain with real processes

Gates name the ticket that they run and not the request, so that explain showed only the entry node's side. It now asks again for each ticket that the events of the request name.

--- a/packages/ctl/src/knapweedspring_ctl/_explain.py
+++ b/packages/ctl/src/knapweedspring_ctl/_explain.py
@@ -5,7 +5,7 @@
 from knapweedspring_core import Explanation
 from knapweedspring_ctl._errors import CtlError
 from knapweedspring_ctl._exits import ExitCode
-from knapweedspring_ctl._nodes import find_nodes, read_all_explanations
+from knapweedspring_ctl._nodes import NodePages, find_nodes, read_all_explanations
 from knapweedspring_ctl._output import Output
 from knapweedspring_ctl._platform_access import open_platform
 from knapweedspring_ctl._settings import CtlSettings
@@ -23,13 +23,11 @@
     found = find_nodes(settings, platform)
     if isinstance(found, Err):
         return found
-    answers = read_all_explanations(found.ok_value, request_id)
-    known: list[Explanation] = []
-    for answer in answers:
-        if isinstance(answer, Err):
-            output.message(f"left out: {answer.err_value.message}")
-        elif answer.ok_value.events:
-            known.append(answer.ok_value)
+    known = _ask(found.ok_value, request_id, output)
+    # Gates name the ticket that they run, not the request.
+    tickets = {event.fields.get("ticket", "") for one in known for event in one.events}
+    for ticket in sorted(tickets - {"", request_id}):
+        known += _ask(found.ok_value, ticket, output)
     if not known:
         message = (
             f"no node knows request {request_id}; nodes remember a bounded number "
@@ -40,3 +38,15 @@
     text = "\n".join(format_event(event) for event in events)
     output.data(Timeline(events), text)
     return Ok(ExitCode.OK)
+
+
+def _ask(
+    nodes: tuple[NodePages, ...], request_id: str, output: Output
+) -> list[Explanation]:
+    known: list[Explanation] = []
+    for answer in read_all_explanations(nodes, request_id):
+        if isinstance(answer, Err):
+            output.message(f"left out: {answer.err_value.message}")
+        elif answer.ok_value.events:
+            known.append(answer.ok_value)
+    return known
--- /dev/null
+++ b/packages/ctl/tests/test_nodes.py
@@ -0,0 +1,85 @@
+"""Commands find every node through one of them and bring their pages together."""
+
+import json
+
+import pytest
+
+from knapweedspring_core import Counters, EventLog, Member, MetricsPage, StatusPage
+from knapweedspring_ctl import ExitCode, main
+from knapweedspring_node._admin import AdminPages, NodeFacts
+
+
+class _Facts(NodeFacts):
+    def __init__(self, node_id):
+        self.node_id = node_id
+        self.log = EventLog(node_id)
+        self.view = ()
+
+    def status(self):
+        return StatusPage(self.node_id, 1, "sandton")
+
+    def members(self):
+        return self.view
+
+    def events(self):
+        return self.log.events
+
+    def announce(self, upstream):
+        raise NotImplementedError
+
+    def take_report(self, page):
+        raise NotImplementedError
+
+
+@pytest.fixture(scope="module")
+def mesh():
+    facts = [_Facts("n1"), _Facts("n2")]
+    pages = [AdminPages(one, MetricsPage(Counters())) for one in facts]
+    addresses = [page.bind("127.0.0.1:0").unwrap() for page in pages]
+    view = tuple(
+        Member(one.node_id, 1, "sandton", "", "", address)
+        for one, address in zip(facts, addresses, strict=True)
+    )
+    for one, page in zip(facts, pages, strict=True):
+        one.view = view
+        page.start()
+    facts[0].log.trace("call:attempt", request="r1", ticket="t1")
+    facts[1].log.trace("gate:started", ticket="t1")
+    facts[1].log.trace("gate:started", ticket="t2")
+    facts[0].log.trace("call:settled", request="r1")
+    yield addresses
+    for page in pages:
+        page.stop()
+        page.join(20)
+
+
+def test_explain_joins_the_events_of_a_request_and_of_its_ticket(mesh, capsys):
+    assert main(["explain", "r1", "--node", mesh[1]]) == ExitCode.OK
+    lines = capsys.readouterr().out.splitlines()
+    assert [line.split()[1:3] for line in lines] == [
+        ["n1", "call:attempt"],
+        ["n2", "gate:started"],
+        ["n1", "call:settled"],
+    ]
+
+
+def test_explain_of_an_unknown_request(mesh, capsys):
+    assert main(["explain", "r9", "--node", mesh[0]]) == ExitCode.NOT_FOUND
+    assert "r9" in capsys.readouterr().err
+
+
+def test_timeline_asks_every_node(mesh, capsys):
+    main(["timeline", "--node", mesh[0], "--output", "json"])
+    lines = capsys.readouterr().out.splitlines()
+    assert {json.loads(line)["process"] for line in lines} == {"n1", "n2"}
+
+
+def test_status_of_one_node(mesh, capsys):
+    assert main(["status", "--node", mesh[0]]) == ExitCode.OK
+    assert "node n1 of sandton" in capsys.readouterr().out
+
+
+@pytest.mark.parametrize("command", [["timeline"], ["explain", "r1"], ["status"]])
+def test_without_an_address_the_command_says_what_to_name(command, capsys):
+    assert main(command) == ExitCode.USAGE
+    assert "name" in capsys.readouterr().err
--- a/packages/node/src/knapweedspring_node/_admin/_facts.py
+++ b/packages/node/src/knapweedspring_node/_admin/_facts.py
@@ -42,11 +42,11 @@
     def explain(self, request_id: str) -> Explanation:
         """Return what the node knows of a request.
 
-        By default the events that name the request.
+        :param request_id: id of a request, or a ticket that its events name.
         """
         events = tuple(
             event
             for event in self.events()
-            if event.fields.get("request", "") == request_id
+            if request_id in (event.fields.get("request"), event.fields.get("ticket"))
         )
         return Explanation(request_id, self.status().node_id, events)
--- a/packages/node/tests/_config/test_failures.py
+++ b/packages/node/tests/_config/test_failures.py
@@ -234,6 +234,18 @@
     assert stored in outputs[codes.index(ExitCode.CONFLICT)][1]
 
 
+def test_a_drained_node_is_reported_with_nothing_left_to_finish(mesh, key):
+    drained = mesh.start("drained", "sandton")
+    mesh.wait(lambda: _n_alive(drained) >= 5)
+    code, out, err = mesh.run_ctl("drain", "drained", "--wait", "--output", "json")
+    assert code == ExitCode.OK, err
+    assert json.loads(out)["drained"] is True
+    assert _page(drained).draining
+    assert mesh.run_ctl("drain", "drained", "--undo")[0] == ExitCode.OK
+    mesh.wait(lambda: not _page(drained).draining)
+    drained.kill()
+
+
 def test_another_node_reports_when_the_reporter_dies(mesh, key):
     extra = [mesh.start(f"extra-{index}", "centurion") for index in range(2)]
 
