Export gauges of gates, members, declarations and roles

The metrics page had counters only, so that a scraper could not alarm on a queue, an invalid declaration or a node that drains. The gauges are read from the node's state when the page is pulled, and cost calls nothing.

--- a/packages/core/src/knapweedspring_core/_metrics.py
+++ b/packages/core/src/knapweedspring_core/_metrics.py
@@ -5,7 +5,7 @@
 """
 
 from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import CallbackOptions, Observation
@@ -65,6 +65,20 @@
 
         self._meter.create_observable_gauge(name, callbacks=[observe], unit=unit)
 
+    def add_gauges(self, name: str, read: Callable[[], Mapping[str, float]]) -> None:
+        """Register a gauge with one value for each value of the label ``of``.
+
+        :param name: metric name, such as ``gate_waiting``.
+        :param read: called when the page is pulled.
+        """
+
+        def observe(_: CallbackOptions) -> Iterable[Observation]:
+            return [
+                Observation(value, {"of": label}) for label, value in read().items()
+            ]
+
+        self._meter.create_observable_gauge(name, callbacks=[observe])
+
     def render(self) -> bytes:
         """Return the page in the text format that scrapers pull."""
         self._register_new_counters()
--- /dev/null
+++ b/packages/node/src/knapweedspring_node/_admin/_gauges.py
@@ -0,0 +1,52 @@
+"""Gauges of a node, read from its state when the metrics page is pulled."""
+
+from collections.abc import Callable
+
+from knapweedspring_core import GateStatus, MetricsPage
+from knapweedspring_node._admin._facts import NodeFacts
+
+__all__ = ["register_gauges"]
+
+
+def register_gauges(metrics: MetricsPage, facts: NodeFacts) -> None:
+    """Register the gauges; their names are in docs/OPERATORS.md.
+
+    :param metrics: the metrics page.
+    :param facts: the node's state.
+    """
+    for name, read in _GATE_GAUGES.items():
+        metrics.add_gauges(name, _by_service(facts, read))
+    metrics.add_gauges("members", lambda: _members_by_state(facts))
+    metrics.add_gauge(
+        "declarations_invalid",
+        lambda: sum(bool(one.invalid_path) for one in facts.status().declarations),
+    )
+    metrics.add_gauge("node_draining", lambda: facts.status().draining)
+    metrics.add_gauge("node_unfinished", lambda: facts.status().n_unfinished)
+    metrics.add_gauge("platform_watching", lambda: facts.status().watching)
+    metrics.add_gauge("platform_reporting", lambda: facts.status().reporting)
+    metrics.add_gauge("platform_calls", lambda: facts.status().n_platform_calls)
+
+
+_GATE_GAUGES: dict[str, Callable[[GateStatus], float]] = {
+    "gate_in_flight": lambda gate: gate.n_in_flight,
+    "gate_waiting": lambda gate: gate.n_waiting,
+    "gate_limit": lambda gate: gate.limit,
+    "gate_shedding_level": lambda gate: gate.shedding_level,
+}
+
+
+def _by_service(
+    facts: NodeFacts, read: Callable[[GateStatus], float]
+) -> Callable[[], dict[str, float]]:
+    def read_all() -> dict[str, float]:
+        return {gate.service: read(gate) for gate in facts.status().gates}
+
+    return read_all
+
+
+def _members_by_state(facts: NodeFacts) -> dict[str, float]:
+    counts: dict[str, float] = {}
+    for member in facts.members():
+        counts[member.state] = counts.get(member.state, 0) + 1
+    return counts
--- a/packages/node/src/knapweedspring_node/_admin/_server.py
+++ b/packages/node/src/knapweedspring_node/_admin/_server.py
@@ -8,6 +8,7 @@
 
 from knapweedspring_core import Child, MetricsPage
 from knapweedspring_node._admin._facts import NodeFacts
+from knapweedspring_node._admin._gauges import register_gauges
 from knapweedspring_node._admin._pages import make_application
 
 __all__ = ["AdminError", "AdminPages"]
@@ -34,6 +35,7 @@
     """
 
     def __init__(self, facts: NodeFacts, metrics: MetricsPage) -> None:
+        register_gauges(metrics, facts)
         self._application = make_application(facts, metrics)
         self._server: Server | None = None
         self._thread = threading.Thread(target=self._serve, name=self.name)
--- a/packages/node/tests/_admin/test_pages.py
+++ b/packages/node/tests/_admin/test_pages.py
@@ -11,6 +11,7 @@
     Counters,
     EventLog,
     Explanation,
+    GateStatus,
     Member,
     MembersPage,
     MetricsPage,
@@ -29,7 +30,8 @@
         self.reports = []
 
     def status(self):
-        return StatusPage("n1", 7, "sandton")
+        gate = GateStatus("orders", "127.0.0.1:9", UpstreamState.READY, 4, 3, 2, 1, 100)
+        return StatusPage("n1", 7, "sandton", gates=(gate,))
 
     def members(self):
         return (MEMBER,)
@@ -73,7 +75,7 @@
 
 
 def test_status_and_members(base):
-    assert _get(base, "/status", StatusPage) == StatusPage("n1", 7, "sandton")
+    assert _get(base, "/status", StatusPage) == _Facts().status()
     assert _get(base, "/members", MembersPage) == MembersPage("n1", (MEMBER,))
 
 
@@ -88,6 +90,9 @@
     answer = urllib3.request("GET", base + "/metrics")
     assert answer.headers["Content-Type"].startswith("text/plain")
     assert b'calls_refused_total{of="overloaded"' in answer.data
+    assert b'gate_waiting{of="orders"' in answer.data
+    assert b'members{of="alive"' in answer.data
+    assert b"declarations_invalid" in answer.data
 
 
 def test_an_announcement_reaches_the_node(base, facts):
