--- a/packages/node/src/knapweedspring_node/_node.py
+++ b/packages/node/src/knapweedspring_node/_node.py
@@ -1,5 +1,6 @@
 """One node process: its parts and their supervisor tree."""
 
+import random
 import secrets
 import threading
 import time
@@ -52,7 +53,8 @@
 
 REVIEW_PERIOD_S = 0.5
 JOIN_TIMEOUT_S = 2.0
-CONTACTS_RETRY_S = 2.0
+CONTACTS_RETRY_MIN_S = 1.0
+CONTACTS_RETRY_MAX_S = 8.0
 EPOCH_BITS = 62
 
 
@@ -264,13 +266,19 @@
         return ThreadChild(name, run, stop, lambda _, error: self._record_error(error))
 
     def _join_by_platform(self) -> None:
-        """Read the contact list until the platform answered once."""
-        while not self._stopped.is_set():
+        """Read the contact list until the platform answered or a peer is known.
+
+        A peer knows the rest of the mesh; going on to ask would let the calls of
+        nodes that start in an outage grow with their number.
+        """
+        pause_s = CONTACTS_RETRY_MIN_S
+        while not self._stopped.is_set() and len(self._parts.membership.members()) < 2:
             contacts = read_contacts(self._platform)
             if isinstance(contacts, Ok):
                 self._parts.membership.add_contacts(contacts.ok_value)
                 return
-            self._stopped.wait(CONTACTS_RETRY_S)
+            self._stopped.wait(random.uniform(0, pause_s))
+            pause_s = min(pause_s * 2, CONTACTS_RETRY_MAX_S)
 
     def _on_record(self, record: ObjectRecord) -> None:
         key = record.key
