Let the settings say which data centres must confirm a change

A data centre that is given up leaves its status object behind, and a wait then never ended: nothing tells one that is gone from one that is cut off. When the settings name data centres, only these must confirm. Dropping a status object by age was ruled out, because a data centre that is cut off must be named as lagging.

--- a/packages/ctl/src/knapweedspring_ctl/_settings.py
+++ b/packages/ctl/src/knapweedspring_ctl/_settings.py
@@ -23,7 +23,7 @@
     platform: str = ""
     #: ``ip:port`` of the pages of any node, besides the contacts on the platform.
     nodes: tuple[str, ...] = ()
-    #: Data centres that must confirm a change, besides those with a status object.
+    #: Data centres that must confirm a change; all with a status object when empty.
     data_centres: tuple[str, ...] = ()
     #: Name under which changes are written; the user and host when empty.
     operator: str = ""
--- a/packages/ctl/src/knapweedspring_ctl/_wait.py
+++ b/packages/ctl/src/knapweedspring_ctl/_wait.py
@@ -94,15 +94,15 @@
     """Wait until the versions are in force, or the time is up.
 
     :param versions: the version to wait for, by declaration.
-    :param data_centres: data centres that must confirm, besides those that have
-        a status object.
+    :param data_centres: data centres that must confirm; all that have a status
+        object when empty.
     """
     started_at = time.monotonic()
     view = _StatusView(platform)
     while True:
         left_s = timeout_s - (time.monotonic() - started_at)
         view.update(max(0.0, min(left_s, WATCH_WAIT_S)))
-        asked = tuple(sorted({*data_centres, *view.statuses}))
+        asked = tuple(sorted(data_centres or view.statuses))
         lags = _lags(view.statuses, versions, asked)
         elapsed_s = time.monotonic() - started_at
         if (asked and not lags) or elapsed_s >= timeout_s:
--- a/packages/node/tests/_config/test_failures.py
+++ b/packages/node/tests/_config/test_failures.py
@@ -265,3 +265,13 @@
     version = mesh.put(key, '{"priority": 1}')
     mesh.wait(lambda: _in_force(second, key) == version)
     second.kill()
+    # A data centre without nodes would keep the waits of later tests.
+    gone = ObjectKey("Status", "centurion")
+    mesh.client.delete(gone, "test", mesh.client.get(gone).unwrap().version).unwrap()
+
+
+def test_slow_answers_delay_a_change_and_lose_nothing(mesh, key, write_file):
+    mesh.fault(slow_ms=700)
+    code, _, err = mesh.run_ctl("apply", write_file(1), "--wait", "--timeout", "60")
+    assert code == ExitCode.OK, err
+    assert mesh.everywhere(key, mesh.client.get(key).unwrap().version)
--- a/packages/standins/src/knapweedspring_standins/_platform.py
+++ b/packages/standins/src/knapweedspring_standins/_platform.py
@@ -31,6 +31,8 @@
 __all__ = ["PlatformServer", "run_platform"]
 
 N_THREADS = 96
+#: How often the server looks whether it was told to stop.
+STOP_CHECK_S = 0.05
 MAX_WATCH_MS = 60_000
 MAX_CONTENT_BYTES = 1_000_000
 
@@ -220,6 +222,7 @@
             shutdown_timeout=1,
         )
         self._server.gateway = _Gateway
+        self._server.expiration_interval = STOP_CHECK_S
         self._server.prepare()
 
     @property
