Keep status reports cheap in large data centres

The ranking and the description of the declarations are now made again only when the view or the store changed, the sum only when a report differs in more than counts, and unchanged reports are repeated every five minutes.

--- a/packages/core/src/knapweedspring_core/__init__.py
+++ b/packages/core/src/knapweedspring_core/__init__.py
@@ -92,6 +92,7 @@
     DeclarationStore,
     HeldObject,
     InvalidObject,
+    declared_key,
 )
 from knapweedspring_core._supervisor import (
     Child,
@@ -179,6 +180,7 @@
     "WriteConflict",
     "WriteError",
     "WriteUnsure",
+    "declared_key",
     "decode",
     "encode",
     "load_settings",
--- a/packages/core/src/knapweedspring_core/_store.py
+++ b/packages/core/src/knapweedspring_core/_store.py
@@ -36,7 +36,13 @@
 )
 from knapweedspring_core._errors import DeclarationError
 
-__all__ = ["CHECKPOINT_KEY", "DeclarationStore", "HeldObject", "InvalidObject"]
+__all__ = [
+    "CHECKPOINT_KEY",
+    "DeclarationStore",
+    "HeldObject",
+    "InvalidObject",
+    "declared_key",
+]
 
 LAST_VALID_PREFIX = "LastValid:"
 
@@ -85,6 +91,7 @@
         self._in_force: dict[ObjectKey, Declaration] = {}
         self._invalid: dict[ObjectKey, InvalidObject] = {}
         self._existing: frozenset[str] = frozenset()
+        self._objects: tuple[HeldObject, ...] | None = None
         self._top_priority = 0
         self._subscribers: list[Callable[[ObjectRecord], None]] = []
 
@@ -96,10 +103,15 @@
 
     @property
     def objects(self) -> tuple[HeldObject, ...]:
-        """What is held of each declaration, in the order of their keys."""
+        """What is held of each declaration, in the order of their keys.
+
+        The same tuple is returned until something changes.
+        """
         with self._lock:
-            declared = [key for key in self._records if key.kind in DECLARATION_TYPES]
-            return tuple(self._held(key) for key in sorted(declared))
+            if self._objects is None:
+                keys = [key for key in self._records if key.kind in DECLARATION_TYPES]
+                self._objects = tuple(self._held(key) for key in sorted(keys))
+            return self._objects
 
     @property
     def is_empty(self) -> bool:
@@ -125,6 +137,8 @@
         """
         with self._lock:
             changed = self._merge(record)
+            if changed:
+                self._objects = None
         for new in changed:
             for callback in self._subscribers:
                 callback(new)
@@ -188,7 +202,7 @@
             return self._merge_checkpoint(record)
         if kind in DECLARATION_TYPES:
             return self._merge_declaration(self._unless_deleted(record))
-        target = _target_of_last_valid(record.key)
+        target = declared_key(record.key)
         if target is None:
             return []
         changed = self._raise(record)
@@ -274,9 +288,11 @@
         return max(classes, default=0)
 
 
-def _target_of_last_valid(key: ObjectKey) -> ObjectKey | None:
-    """Return the declaration that a ``LastValid`` record stands for."""
+def declared_key(key: ObjectKey) -> ObjectKey | None:
+    """Return the declaration that a record of the store is about.
+
+    :param key: key of a record that a subscriber was told of.
+    :return: None when it is about no declaration in particular.
+    """
     kind = key.kind.removeprefix(LAST_VALID_PREFIX)
-    if kind == key.kind or kind not in DECLARATION_TYPES:
-        return None
-    return ObjectKey(kind, key.name)
+    return ObjectKey(kind, key.name) if kind in DECLARATION_TYPES else None
--- a/packages/core/tests/test_store.py
+++ b/packages/core/tests/test_store.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from knapweedspring_core import DeclarationStore, ObjectKey, ObjectRecord
+from knapweedspring_core import (
+    DeclarationStore,
+    ObjectKey,
+    ObjectRecord,
+    declared_key,
+)
 
 KEY = ObjectKey("RequestClass", "spice-order")
 
@@ -120,6 +125,13 @@
         assert first.objects == second.objects
 
 
+def test_a_record_names_the_declaration_that_it_is_about():
+    assert declared_key(KEY) == KEY
+    kept = ObjectKey("LastValid:RequestClass", "spice-order")
+    assert declared_key(kept) == KEY
+    assert declared_key(ObjectKey("Checkpoint", "objects")) is None
+
+
 def test_kinds_of_the_system_itself_are_no_declarations():
     store = DeclarationStore()
     assert not store.merge(ObjectRecord(ObjectKey("Status", "sandton"), 3))
--- a/packages/node/src/knapweedspring_node/_config/_report_book.py
+++ b/packages/node/src/knapweedspring_node/_config/_report_book.py
@@ -17,11 +17,13 @@
     StatusPage,
 )
 
-__all__ = ["MAX_NAMED", "ReportBook"]
+__all__ = ["MAX_NAMED", "REPORT_PERIOD_S", "ReportBook", "without_counts"]
 
-#: A node that was silent for longer counts as not reporting. Nodes repeat an
-#: unchanged report every ``REPORT_PERIOD_S``.
-REPORT_EXPIRY_S = 75.0
+#: How often a node repeats an unchanged report. Changes are sent at once and until
+#: they arrive, so that this only guards against a reporter that forgot.
+REPORT_PERIOD_S = 300.0
+#: A node that was silent for longer counts as not reporting.
+REPORT_EXPIRY_S = 2.5 * REPORT_PERIOD_S
 
 #: Nodes named in one list of a status object; their number is always given.
 MAX_NAMED = 8
@@ -43,6 +45,12 @@
         self._now = now
         self._lock = threading.Lock()
         self._reports: dict[str, _Report] = {}
+        self._n_changes = 0
+
+    @property
+    def n_changes(self) -> int:
+        """Grows when a report differs from the one before in more than counts."""
+        return self._n_changes
 
     def take(self, page: StatusPage) -> None:
         """Keep a node's report, unless it is older than the one held."""
@@ -50,6 +58,8 @@
             held = self._reports.get(page.node_id)
             if held is not None and held.page.incarnation > page.incarnation:
                 return
+            if held is None or without_counts(held.page) != without_counts(page):
+                self._n_changes += 1
             self._reports[page.node_id] = _Report(page, self._now())
 
     def summarise(self, reporter: str, live_ids: frozenset[str]) -> ReporterPart:
@@ -92,6 +102,14 @@
         return tuple(sorted(pages, key=lambda page: page.node_id))
 
 
+def without_counts(page: StatusPage) -> StatusPage:
+    """Leave out of a report what changes with every call."""
+    gates = tuple(
+        replace(gate, limit=0, n_in_flight=0, n_waiting=0) for gate in page.gates
+    )
+    return replace(page, gates=gates, budget=BudgetUse(), n_platform_calls=0)
+
+
 def _declarations(
     pages: tuple[StatusPage, ...], live_ids: frozenset[str]
 ) -> tuple[DeclarationForce, ...]:
--- a/packages/node/src/knapweedspring_node/_config/_reporter.py
+++ b/packages/node/src/knapweedspring_node/_config/_reporter.py
@@ -2,6 +2,7 @@
 
 import random
 import threading
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
@@ -10,10 +11,8 @@
 from result import Ok, Result
 
 from knapweedspring_core import (
-    BudgetUse,
     Counters,
     EventLog,
-    GateStatus,
     Member,
     PlatformConflict,
     PlatformError,
@@ -22,7 +21,12 @@
     ThreadChild,
 )
 from knapweedspring_node._config._contacts_keeper import ContactsKeeper
-from knapweedspring_node._config._report_book import MAX_NAMED, ReportBook
+from knapweedspring_node._config._report_book import (
+    MAX_NAMED,
+    REPORT_PERIOD_S,
+    ReportBook,
+    without_counts,
+)
 from knapweedspring_node._config._roles import Roles
 from knapweedspring_node._config._status_writer import StatusWriter
 from knapweedspring_node._config._watcher import PlatformWatcher
@@ -31,8 +35,6 @@
 
 #: How often a node looks whether there is something to report.
 TICK_S = 0.5
-#: How often an unchanged report is repeated, in ticks.
-TICKS_PER_REPORT = 60
 SEND_TIMEOUT_S = 1.0
 BACKOFF_MIN_S = 0.5
 BACKOFF_MAX_S = 8.0
@@ -54,6 +56,20 @@
     writer: StatusWriter
 
 
+@dataclass(frozen=True, slots=True)
+class _Inputs:
+    """What a summary is made from."""
+
+    n_changes: int
+    members: tuple[Member, ...]
+
+    def same_as(self, other: "_Inputs | None") -> bool:
+        """Compare by identity: a view returns the same tuple until it changes."""
+        if other is None:
+            return False
+        return self.n_changes == other.n_changes and self.members is other.members
+
+
 class StatusReporter(ThreadChild):
     """Sends a node's state to the reporter of its data centre when it changed.
 
@@ -77,8 +93,9 @@
         self._stopped = threading.Event()
         self._random = random.Random()
         self._sent: StatusPage | None = None
-        self._sent_to = ""
-        self._ticks_since_sent = 0
+        self._sent_to: tuple[str, int] | None = None
+        self._sent_at = float("-inf")
+        self._settled: _Inputs | None = None
         self._was_reporter = False
         self._backoff_s = BACKOFF_MIN_S
 
@@ -117,10 +134,24 @@
             self._send(page, reporter)
 
     def _write_to_platform(self) -> None:
-        self._after(self._parts.writer.write_if_due(self._summary()), "status")
+        inputs = _Inputs(self._book.n_changes, self._parts.roles.members())
+        if self._is_summary_due(inputs):
+            written = self._parts.writer.write_if_due(self._summary())
+            self._after(written, "status")
+            self._settled = inputs if isinstance(written, Ok) else None
         if self._parts.watcher.is_watching:
             self._after(self._parts.contacts.write_if_due(), "contacts")
 
+    def _is_summary_due(self, inputs: _Inputs) -> bool:
+        """Tell whether summing up could lead to a write.
+
+        The sum over a large data centre takes some tens of milliseconds.
+        """
+        writer = self._parts.writer
+        if not writer.may_write:
+            return False
+        return writer.is_heartbeat_due or not inputs.same_as(self._settled)
+
     def _after(self, written: Result[bool, PlatformError], what: str) -> None:
         if isinstance(written, Ok):
             if written.ok_value:
@@ -143,11 +174,10 @@
         )
 
     def _send(self, page: StatusPage, reporter: Member) -> None:
-        self._ticks_since_sent += 1
-        steady = _without_counts(page)
-        due = self._ticks_since_sent >= TICKS_PER_REPORT
-        unchanged = self._sent == steady and self._sent_to == reporter.node_id
-        if unchanged and not due:
+        steady = without_counts(page)
+        to = (reporter.node_id, reporter.incarnation)
+        due = time.monotonic() - self._sent_at >= REPORT_PERIOD_S
+        if self._sent == steady and self._sent_to == to and not due:
             return
         url = f"http://{reporter.admin_address}/reports"
         try:
@@ -162,19 +192,9 @@
             return
         self._counters.add("reports", "sent")
         self._sent = steady
-        self._sent_to = reporter.node_id
-        self._ticks_since_sent = 0
+        self._sent_to = to
+        self._sent_at = time.monotonic()
 
     def _failed(self, _: str, error: BaseException) -> None:
         self._counters.add("internal_errors", type(error).__name__)
         self._events.record("reporter:failed", detail=repr(error))
-
-
-def _without_counts(page: StatusPage) -> StatusPage:
-    """Leave out what changes with every call."""
-    gates = tuple(_steady(gate) for gate in page.gates)
-    return replace(page, gates=gates, budget=BudgetUse(), n_platform_calls=0)
-
-
-def _steady(gate: GateStatus) -> GateStatus:
-    return replace(gate, limit=0, n_in_flight=0, n_waiting=0)
--- a/packages/node/src/knapweedspring_node/_config/_roles.py
+++ b/packages/node/src/knapweedspring_node/_config/_roles.py
@@ -7,6 +7,7 @@
 of data centres and not that of nodes.
 """
 
+import functools
 import hashlib
 import time
 from collections.abc import Callable
@@ -22,6 +23,9 @@
 #: of taking a role: a fleet that starts at once would else all watch.
 ALONE_GRACE_S = 1.0
 
+#: Names whose weight is remembered.
+WEIGHT_CACHE_SIZE = 16_384
+
 
 class Roles:
     """Tells whether this node has a role, by its present view.
@@ -44,6 +48,8 @@
         self._data_centre = data_centre
         self._now = now
         self._started_at = now()
+        self._ranked_from: tuple[Member, ...] | None = None
+        self._ranked: tuple[str, ...] = (node_id,)
 
     @property
     def node_id(self) -> str:
@@ -78,10 +84,20 @@
         """Whether this node writes the status object of its data centre."""
         return self.rank == 0
 
+    def members(self) -> tuple[Member, ...]:
+        """Every known member; the same tuple until the view changes."""
+        return self._view.members()
+
     def ranked_ids(self) -> tuple[str, ...]:
         """Live nodes of the data centre, this one included, by rank."""
-        ids = {member.node_id for member in self.live_members()}
-        return tuple(sorted(ids | {self._node_id}, key=_weight, reverse=True))
+        members = self._view.members()
+        # A view returns the same tuple until it changes.
+        if members is not self._ranked_from:
+            ids = {member.node_id for member in self.live_members()}
+            ranked = sorted(ids | {self._node_id}, key=_weight, reverse=True)
+            self._ranked = tuple(ranked)
+            self._ranked_from = members
+        return self._ranked
 
     def live_members(self) -> tuple[Member, ...]:
         """Live members of the data centre, as the view has them."""
@@ -111,5 +127,6 @@
         return self._view.find(node_id)
 
 
+@functools.lru_cache(maxsize=WEIGHT_CACHE_SIZE)
 def _weight(node_id: str) -> bytes:
     return hashlib.blake2b(node_id.encode(), digest_size=8).digest()
--- a/packages/node/src/knapweedspring_node/_config/_status_writer.py
+++ b/packages/node/src/knapweedspring_node/_config/_status_writer.py
@@ -68,6 +68,16 @@
         self._written_at = float("-inf")
         self._written: ReporterPart | None = None
 
+    @property
+    def is_heartbeat_due(self) -> bool:
+        """Whether the part should be written though nothing changed."""
+        return self._now() - self._written_at >= HEARTBEAT_S
+
+    @property
+    def may_write(self) -> bool:
+        """Whether the last write is long enough ago."""
+        return self._now() - self._written_at >= WRITE_PERIOD_S
+
     def write_if_due(self, part: ReporterPart) -> Result[bool, PlatformError]:
         """Write the part if it changed, at most once in ``WRITE_PERIOD_S``.
 
@@ -75,10 +85,9 @@
 
         :return: whether it was written.
         """
-        idle_s = self._now() - self._written_at
-        if idle_s < WRITE_PERIOD_S:
+        if not self.may_write:
             return Ok(False)
-        if self._written == _without_counts(part) and idle_s < HEARTBEAT_S:
+        if self._written == _without_counts(part) and not self.is_heartbeat_due:
             return Ok(False)
         return self._write(part)
 
--- a/packages/node/src/knapweedspring_node/_facts.py
+++ b/packages/node/src/knapweedspring_node/_facts.py
@@ -9,6 +9,7 @@
     DeclarationStore,
     Event,
     GateStatus,
+    HeldObject,
     Member,
     StatusPage,
 )
@@ -27,6 +28,8 @@
 
     def __init__(self, parts: Callable[[], NodeParts]) -> None:
         self._get_parts = parts
+        self._held: tuple[HeldObject, ...] = ()
+        self._statuses: tuple[DeclarationStatus, ...] = ()
 
     @property
     def _parts(self) -> NodeParts:
@@ -40,7 +43,7 @@
             node_id=own.node_id,
             incarnation=own.incarnation,
             data_centre=own.data_centre,
-            declarations=declaration_statuses(parts.store),
+            declarations=self._declarations(parts.store),
             gates=tuple(_gate_status(one) for one in parts.calls.upstreams.all),
             draining=parts.drain.draining,
             n_unfinished=parts.drain.n_unfinished,
@@ -69,9 +72,19 @@
         """Take in the state of another node."""
         self._parts.reporter.take(page)
 
+    def _declarations(self, store: DeclarationStore) -> tuple[DeclarationStatus, ...]:
+        """Describe the declarations anew when they changed."""
+        held = store.objects
+        if held is not self._held:
+            self._statuses = declaration_statuses(held)
+            self._held = held
+        return self._statuses
 
-def declaration_statuses(store: DeclarationStore) -> tuple[DeclarationStatus, ...]:
-    """Return the declarations as the store holds them."""
+
+def declaration_statuses(
+    objects: tuple[HeldObject, ...],
+) -> tuple[DeclarationStatus, ...]:
+    """Describe declarations as a store holds them."""
     return tuple(
         DeclarationStatus(
             kind=held.record.key.kind,
@@ -82,7 +95,7 @@
             invalid_path="" if held.error is None else held.error.path,
             advice="" if held.error is None else held.error.advice,
         )
-        for held in store.objects
+        for held in objects
     )
 
 
--- a/packages/node/src/knapweedspring_node/_node.py
+++ b/packages/node/src/knapweedspring_node/_node.py
@@ -19,6 +19,7 @@
     Supervisor,
     ThreadChild,
     TimerService,
+    declared_key,
 )
 from knapweedspring_node._admin import AdminPages
 from knapweedspring_node._announcements import Announcements
@@ -281,7 +282,9 @@
             pause_s = min(pause_s * 2, CONTACTS_RETRY_MAX_S)
 
     def _on_record(self, record: ObjectRecord) -> None:
-        key = record.key
+        key = declared_key(record.key)
+        if key is None:
+            return
         version = self._store.in_force_version(key)
         self._events.record("declaration:in-force", key=key, version=version)
         if key.kind == "Policy":
