Measure what control costs on each node at several sizes

Counters of the node itself were ruled out for the bytes, as they miss what the encryption and TCP add.

--- /dev/null
+++ b/packages/standins/src/knapweedspring_standins/_socket_counts.py
@@ -0,0 +1,59 @@
+"""Bytes that processes sent over TCP, read from the kernel's socket counters."""
+
+import re
+import subprocess
+from collections import defaultdict
+
+__all__ = ["SentBytes"]
+
+#: IPv4 and TCP headers with the time-stamp option.
+SEGMENT_HEADER_BYTES = 52
+
+_PROCESS = re.compile(r"pid=(\d+)")
+_COUNTS = re.compile(r"bytes_sent:(\d+).*?segs_out:(\d+)")
+
+
+class SentBytes:
+    """Sums what processes sent to and from some ports, headers included.
+
+    Call :meth:`sample` more often than connections close, since the kernel's
+    counters end with the connection.
+
+    :param ports: ports of the servers whose connections count, both ends.
+    """
+
+    def __init__(self, ports: frozenset[str]) -> None:
+        self._ports = ports
+        self._sent: dict[tuple[str, str, str], int] = {}
+
+    @property
+    def by_pid(self) -> dict[int, int]:
+        """Bytes sent so far by process id."""
+        total: dict[int, int] = defaultdict(int)
+        for (pid, _, _), n_bytes in self._sent.items():
+            total[int(pid)] += n_bytes
+        return total
+
+    def sample(self) -> None:
+        """Read the counters of all connections that are open."""
+        listing = subprocess.run(
+            ["ss", "-tinpH", "state", "established"],
+            capture_output=True,
+            text=True,
+            check=True,
+        ).stdout
+        lines = listing.splitlines()
+        for socket, details in zip(lines[::2], lines[1::2], strict=False):
+            self._count(socket, details)
+
+    def _count(self, socket: str, details: str) -> None:
+        process = _PROCESS.search(socket)
+        counts = _COUNTS.search(details)
+        if process is None or counts is None:
+            return
+        _, _, local, remote = socket.split()[:4]
+        ports = {local.rpartition(":")[2], remote.rpartition(":")[2]}
+        if not ports & self._ports:
+            return
+        n_bytes = int(counts[1]) + int(counts[2]) * SEGMENT_HEADER_BYTES
+        self._sent[process[1], local, remote] = n_bytes
