Show planned stops with real processes, and free a replaced node's address

Every node and upstream of a service is stopped and replaced in turn under load: exit codes are 0, the invariant checker finds nothing, and every request succeeds. A declared leaving ends new work within 3 s and joining brings it back; the declared stop deadline is honoured and reported; a node held by SIGSTOP is dead to its peers and refutes on return. The first run failed: the replacement could not bind the call address, because cheroot leaves SO_REUSEADDR out for port 0 and connections in TIME-WAIT then block it; both servers now set it on the listening socket.

--- a/packages/node/src/knapweedspring_node/_admin/_server.py
+++ b/packages/node/src/knapweedspring_node/_admin/_server.py
@@ -1,5 +1,6 @@
 """Serves the pages on the admin address, as a child of the supervisor."""
 
+import socket
 import threading
 from dataclasses import dataclass
 
@@ -63,6 +64,9 @@
             server.prepare()
         except OSError as error:
             return Err(AdminError(f"the admin address {address} is not free: {error}"))
+        # The library leaves this out for port 0; without it, connections that
+        # ended lately keep a replacement of this node off the address.
+        server.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._server = server
         bound_host, bound_port = server.bind_addr[:2]
         return Ok(f"{bound_host}:{bound_port}")
--- a/packages/node/src/knapweedspring_node/_calls/_server.py
+++ b/packages/node/src/knapweedspring_node/_calls/_server.py
@@ -310,6 +310,9 @@
             self.prepare()
         except OSError as error:
             return Err(AddressInUse(f"{self.bind_addr}: {error}"))
+        # The library leaves this out for port 0; without it, connections that
+        # ended lately keep a replacement of this node off the address.
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         host, port = self.bind_addr[:2]
         return Ok(f"{host}:{port}")
 
--- /dev/null
+++ b/packages/standins/tests/test_planned_stop.py
@@ -0,0 +1,200 @@
+"""Planned stops and pauses of real processes: nothing cut, lost or doubled."""
+
+import contextlib
+import threading
+import time
+
+import pytest
+import urllib3
+
+from knapweedspring_core import (
+    Intent,
+    MemberState,
+    RequestClass,
+    RouteRule,
+    Service,
+    UpstreamIntent,
+)
+from knapweedspring_standins._analysis import logical_requests
+from knapweedspring_standins._caller_plan import CallerPlan, Phase, RequestKind
+from knapweedspring_standins._callers import Callers
+from knapweedspring_standins._invariants import (
+    Evidence,
+    PlannedStop,
+    check_invariants,
+)
+from knapweedspring_standins._journal import EntryKind
+from knapweedspring_standins._layout import (
+    DeclaredObject,
+    MeshLayout,
+    ServiceLayout,
+)
+from knapweedspring_standins._mesh import start_mesh
+from knapweedspring_standins._processes import ProcessGroup, poll_until
+from knapweedspring_standins._upstream_settings import UpstreamFaults
+
+SEED = 7
+EXIT_STOP_DEADLINE = 3
+RATE = 25.0
+OBJECTS = (
+    DeclaredObject("spice-order", RequestClass(100, False, 4_000, 2)),
+    DeclaredObject("lookup", RequestClass(50, True, 2_000, 2)),
+    DeclaredObject("recipes", Service("lookup")),
+    DeclaredObject(
+        "orders", Service("lookup", (RouteRule("spice-order", "POST", "/spice"),))
+    ),
+)
+SERVICES = (
+    ServiceLayout("orders", 3, 24, 200, 20.0, ("recipes/blend",)),
+    ServiceLayout("recipes", 1, 24, 200, 20.0),
+)
+LAYOUT = MeshLayout("boerewors", ("johannesburg",), SERVICES, OBJECTS, 32, SEED)
+LOOKUP = RequestKind("lookup", "orders", "/look", "lookup", 0.5)
+ORDER = RequestKind(
+    "spice-order", "orders", "/spice", "spice-order", 0.5, "POST", False, 200
+)
+
+
+@pytest.fixture
+def mesh():
+    with ProcessGroup() as group:
+        made = start_mesh(LAYOUT, group)
+        try:
+            assert made.wait_served()
+            yield made
+        finally:
+            made.close()
+
+
+class _Load:
+    """Callers that work until the given time is over."""
+
+    def __init__(self, mesh, seconds):
+        plan = CallerPlan(
+            entries=(tuple(place.call_address for place in mesh.places),),
+            kinds=(LOOKUP, ORDER),
+            phases=(Phase("load", seconds, RATE),),
+            seed=SEED,
+            start_s=time.monotonic(),
+            n_workers=32,
+        )
+        self._records = ()
+        self._thread = threading.Thread(target=self._run, args=(Callers(plan),))
+        self._thread.start()
+
+    @property
+    def running(self):
+        return self._thread.is_alive()
+
+    def records(self):
+        self._thread.join()
+        return self._records
+
+    def _run(self, callers):
+        self._records = callers.run().records
+
+
+def _stop(process):
+    process.terminate()
+    return process.wait(40)
+
+
+def _received(mesh, upstream):
+    return [
+        entry.time_s
+        for page in mesh.journals()
+        for entry in page.entries
+        if entry.upstream == upstream and entry.kind is EntryKind.RECEIVED
+    ]
+
+
+def test_rolling_replacement_cuts_loses_and_doubles_nothing(mesh):
+    load = _Load(mesh, 24.0)
+    time.sleep(1.0)
+    stops = []
+    for place in mesh.places_of("orders"):
+        address, node = place.upstream_address, place.call_address
+        at_s = time.monotonic()
+        codes = [_stop(place.upstream), _stop(place.node)]
+        stops.append(PlannedStop(address, node, at_s, time.monotonic()))
+        assert codes == [0, 0]
+        mesh.replace(place)
+    assert load.running, "the replacements outlasted the load"
+    records = load.records()
+    budgets = {"spice-order": 2, "lookup": 2}
+    evidence = Evidence(tuple(mesh.journals()), records, budgets, tuple(stops))
+    report = check_invariants(evidence)
+    assert report.violations == ()
+    assert report.n_non_repeatable > 100
+    failed = [one.nonce for one in logical_requests(records) if not one.succeeded]
+    assert failed == []
+
+
+def test_declared_leaving_ends_new_work_and_joining_brings_it_back(mesh):
+    place = mesh.places_of("orders")[0]
+    address, node_id = place.upstream_address, place.node_file.node_id
+    load = _Load(mesh, 14.0)
+    assert poll_until(lambda: _received(mesh, address))
+    mesh.declare(node_id, UpstreamIntent(Intent.LEAVING))
+    left_s = time.monotonic()
+    time.sleep(5.0)
+    assert [at_s for at_s in _received(mesh, address) if at_s > left_s + 3.0] == []
+    mesh.declare(node_id, UpstreamIntent(Intent.JOINING))
+    back_s = time.monotonic()
+    assert poll_until(lambda: max(_received(mesh, address)) > back_s)
+    requests = logical_requests(load.records())
+    assert all(request.succeeded for request in requests)
+
+
+def test_stop_deadline_of_the_declaration_is_honoured_and_reported(mesh):
+    place = mesh.places_of("orders")[0]
+    node_id = place.node_file.node_id
+    for one in mesh.places_of("orders"):
+        mesh.set_faults(one, UpstreamFaults(slow_factor=1_000.0))
+    url = f"http://{place.call_address}/orders/look"
+    caller = threading.Thread(target=_call_patiently, args=(url,))
+    caller.start()
+    assert poll_until(lambda: _n_unfinished(mesh, place) > 0)
+    mesh.declare(node_id, UpstreamIntent(Intent.LEAVING, stop_deadline_ms=1_500))
+    assert poll_until(lambda: mesh.node_page(place, "/status")["draining"])
+    began_s = time.monotonic()
+    assert _stop(place.node) == EXIT_STOP_DEADLINE
+    assert time.monotonic() - began_s < 10.0
+    assert "node:stop-deadline-hit" in place.node.stderr_tail(20_000)
+    caller.join(30)
+
+
+def test_paused_node_is_held_dead_and_refutes_when_it_comes_back(mesh):
+    paused, *others = [place for place in mesh.places if place.service.name == "orders"]
+    node_id = paused.node_file.node_id
+
+    def all_hold(state):
+        return all(
+            node_id in _in_state(mesh.node_page(place, "/members"), state)
+            for place in others
+        )
+
+    paused.node.pause()
+    try:
+        assert poll_until(lambda: all_hold(MemberState.DEAD), 30.0)
+    finally:
+        paused.node.resume()
+    assert poll_until(lambda: all_hold(MemberState.ALIVE), 30.0)
+    own = mesh.node_page(paused, "/members")
+    assert len(_in_state(own, MemberState.ALIVE)) == len(mesh.places)
+
+
+def _in_state(page, state):
+    members = page["members"] if page else []
+    return {one["node_id"] for one in members if one["state"] == state}
+
+
+def _n_unfinished(mesh, place):
+    page = mesh.node_page(place, "/status")
+    return page["n_unfinished"] if page else 0
+
+
+def _call_patiently(url):
+    headers = {"Kws-Deadline-Ms": "20000"}
+    with contextlib.suppress(urllib3.exceptions.HTTPError):
+        urllib3.request("GET", url, headers=headers, timeout=20.0, retries=False)
