Keep large transfers from being passed on, and let links end at once

A joining node learns thousands of entries in one transfer; passing each on to six neighbours, with an event for each, would cost more than the transfer and flush the event ring, though the neighbours hold them or find the difference by digest. Transfers above 64 entries are now merged silently with one event. Peers that are not known yet no longer bypass the shortest time between two transfers, as three contacts sent the whole view three times. A link that waited for a transfer's reply kept a stopping node for 10 s (seen as a teardown of 10.0 s); it now looks every 0.25 s.

--- a/packages/node/src/knapweedspring_node/_membership/_links.py
+++ b/packages/node/src/knapweedspring_node/_membership/_links.py
@@ -2,6 +2,7 @@
 
 import queue
 import threading
+import time
 from abc import ABC
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -23,6 +24,8 @@
 
 #: Seconds after which an unused link is closed.
 IDLE_S = 15.0
+#: Seconds between two looks whether the link is to end.
+STOP_CHECK_S = 0.25
 #: Exchanges that may wait for one peer.
 QUEUE_CAPACITY = 64
 _MS_PER_S = 1_000
@@ -234,11 +237,10 @@
             return None
 
     def _perform(self, socket: zmq.Socket, exchange: Exchange) -> Outcome:
-        timeout_ms = int(exchange.timeout_s * _MS_PER_S)
-        if not socket.poll(timeout_ms, zmq.POLLOUT):
+        if not self._wait(socket, zmq.POLLOUT, exchange.timeout_s):
             return Err(PeerUnreachable(f"no connection to {self._address}"))
         self._pool.send(socket, self._address, exchange)
-        if not socket.poll(timeout_ms, zmq.POLLIN):
+        if not self._wait(socket, zmq.POLLIN, exchange.timeout_s):
             return Err(PeerUnreachable(f"no reply from {self._address}"))
         frames = socket.recv_multipart()
         if len(frames) != 2 or len(frames[0]) != 1:
@@ -250,6 +252,18 @@
         except ValueError:
             return Err(MessageInvalid(f"kind from {self._address}"))
 
+    def _wait(self, socket: zmq.Socket, event: int, timeout_s: float) -> bool:
+        """Wait for the socket in steps, so that a stop is noticed soon."""
+        give_up_at = time.monotonic() + timeout_s
+        while not self._stopping:
+            left_s = give_up_at - time.monotonic()
+            step_ms = int(min(max(left_s, 0.0), STOP_CHECK_S) * _MS_PER_S)
+            if socket.poll(step_ms, event):
+                return True
+            if left_s <= 0.0:
+                return False
+        return False
+
     def _refuse_rest(self) -> None:
         self._pool.forget(self)
         while not self._queue.empty():
--- a/packages/node/src/knapweedspring_node/_membership/_local.py
+++ b/packages/node/src/knapweedspring_node/_membership/_local.py
@@ -25,6 +25,16 @@
 __all__ = ["LocalState"]
 
 
+#: Entries of one transfer from which on it is not passed on entry by entry.
+BULK_MIN_ENTRIES = 64
+
+
+class _Bulk(threading.local):
+    """Whether the present thread merges a large transfer."""
+
+    active = False
+
+
 class LocalState:
     """The member table with the own entry, and the declarations' digest.
 
@@ -41,6 +51,7 @@
         events: EventLog,
         counters: Counters,
     ) -> None:
+        self._bulk = _Bulk()
         self._store = store
         self._events = events
         self._counters = counters
@@ -122,6 +133,25 @@
         """Publish that the node departs for good."""
         self._change_own(lambda own: replace(own, state=MemberState.LEFT))
 
+    def merge_transfer(
+        self, members: tuple[Member, ...], records: tuple[ObjectRecord, ...]
+    ) -> None:
+        """Take in the entries of whole buckets.
+
+        A large transfer, as on joining, is not passed on entry by entry: the
+        neighbours compare digests themselves.
+        """
+        self._bulk.active = len(members) + len(records) > BULK_MIN_ENTRIES
+        try:
+            n_records = self.merge_records(records)
+            n_members = self.merge_members(members)
+        finally:
+            is_bulk, self._bulk.active = self._bulk.active, False
+        if is_bulk:
+            self._events.record(
+                "membership:transfer", n_members=n_members, n_records=n_records
+            )
+
     def merge_members(self, members: Iterable[Member]) -> int:
         """Take in what a peer holds; what is new will be passed on.
 
@@ -202,9 +232,13 @@
         self._tell(changed, held)
 
     def _tell(self, member: Member, held: Member | None) -> None:
-        self._news.add_member(member)
         self._counters.add("membership_changes", member.state)
-        if held is None or held.state is not member.state:
+        is_own = member.node_id == self._own.node_id
+        is_passed_on = is_own or not self._bulk.active
+        if is_passed_on:
+            self._news.add_member(member)
+        is_new_state = held is None or held.state is not member.state
+        if is_passed_on and is_new_state:
             self._events.record(
                 "membership:state",
                 node=member.node_id,
@@ -219,7 +253,8 @@
             # The callbacks of two merges may arrive in either order.
             version = self._store.version_of(record.key)
             self._records_digest.put(str(record.key), str(version))
-        self._news.add_record(record)
+        if not self._bulk.active:
+            self._news.add_record(record)
 
 
 def _without(member: Member, service: str) -> list[AnnouncedUpstream]:
--- a/packages/node/src/knapweedspring_node/_membership/_sync.py
+++ b/packages/node/src/knapweedspring_node/_membership/_sync.py
@@ -26,6 +26,8 @@
 
 #: Seconds that a peer has to send a whole set of entries.
 TRANSFER_TIMEOUT_S = 10.0
+#: Shortest time between two transfers from peers that are not known yet, in s.
+JOIN_TRANSFER_PERIOD_S = 0.3
 #: Shortest time between two transfers, when declarations differ, in seconds.
 RECORDS_TRANSFER_PERIOD_S = 1.0
 #: The same, when only members differ, as a part of the sync period.
@@ -144,8 +146,7 @@
 
     def take_in(self, entries: Entries) -> None:
         """Merge a peer's entries."""
-        self._local.merge_records(entries.records)
-        self._local.merge_members(entries.members)
+        self._local.merge_transfer(entries.members, entries.records)
 
     def _finish_transfer(self, address: str, outcome: Outcome) -> None:
         if isinstance(outcome, Err):
@@ -172,13 +173,15 @@
         )
 
     def _may_transfer(self, records_differ: bool, peer: str) -> bool:
-        period_s = RECORDS_TRANSFER_PERIOD_S
-        is_known = self._local.table.find(peer) is not None
-        if not records_differ and is_known:
+        if self._local.table.find(peer) is None:
+            period_s = JOIN_TRANSFER_PERIOD_S
+        elif records_differ:
+            period_s = RECORDS_TRANSFER_PERIOD_S
+        else:
             period_s = self._settings.sync_period_s * MEMBERS_TRANSFER_PERIOD_FACTOR
         now_s = time.monotonic()
         with self._lock:
-            if is_known and now_s - self._transferred_s < period_s:
+            if now_s - self._transferred_s < period_s:
                 return False
             self._transferred_s = now_s
             return True
