--- a/packages/node/src/knapweedspring_node/_membership/_topology.py
+++ b/packages/node/src/knapweedspring_node/_membership/_topology.py
@@ -29,7 +29,7 @@
 #: Nodes asked to probe a third one.
 N_HELPERS = 3
 #: Neighbours are chosen again at most once in this time.
-REFRESH_MIN_S = 0.5
+REFRESH_MIN_S = 2.0
 
 _RELAY_CACHE_SIZE = 16_384
 
@@ -146,6 +146,11 @@
         with self._lock:
             return self._random.sample(members, len(members))
 
+    def refresh_now(self) -> None:
+        """Choose again, however short ago the last choice was."""
+        with self._lock:
+            self._rebuild(self._table.live_version, time.monotonic())
+
     def _one_of_each(self, groups: list[list[Member]]) -> list[Member]:
         groups = [self._random.sample(group, len(group)) for group in groups if group]
         chosen: list[Member] = []
@@ -181,14 +186,17 @@
                 and now_s - self._refreshed_s < REFRESH_MIN_S
             ):
                 return
-            self._version = version
-            self._refreshed_s = now_s
-            groups: dict[str, list[Member]] = {}
-            for member in self._table.members:
-                if member.state in LIVE_STATES:
-                    groups.setdefault(member.data_centre, []).append(member)
-            self._by_data_centre = groups
-            self._neighbour_ids = tuple(dict.fromkeys(self._choose_neighbours()))
+            self._rebuild(version, now_s)
+
+    def _rebuild(self, version: int, now_s: float) -> None:
+        self._version = version
+        self._refreshed_s = now_s
+        groups: dict[str, list[Member]] = {}
+        for member in self._table.members:
+            if member.state in LIVE_STATES:
+                groups.setdefault(member.data_centre, []).append(member)
+        self._by_data_centre = groups
+        self._neighbour_ids = tuple(dict.fromkeys(self._choose_neighbours()))
 
     def _choose_neighbours(self) -> list[str]:
         own = self._by_data_centre.get(self._data_centre, [])
--- /dev/null
+++ b/packages/standins/src/knapweedspring_standins/_view_bench.py
@@ -0,0 +1,161 @@
+"""Measures what a large membership view costs one node, without a mesh.
+
+Run ``python -m knapweedspring_standins._view_bench``: it fills the view of one
+node with entries of nodes that do not exist and times the steps that grow
+with their number.
+"""
+
+import argparse
+import sys
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from pathlib import Path
+
+from knapweedspring_core import (
+    AnnouncedUpstream,
+    Counters,
+    DeclarationStore,
+    EventLog,
+    Member,
+)
+from knapweedspring_node._membership._digest import N_BUCKETS
+from knapweedspring_node._membership._local import LocalState
+from knapweedspring_node._membership._messages import Entries, pack, unpack
+from knapweedspring_node._membership._settings import Identity
+from knapweedspring_node._membership._topology import Topology
+
+__all__ = ["ViewFigures", "measure"]
+
+N_DATA_CENTRES = 4
+N_SERVICES = 8
+N_REPEATS = 50
+_KB_PER_MB = 1_024
+_MS_PER_S = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class ViewFigures:
+    """Figures of one size."""
+
+    #: Members in the view.
+    n_members: int
+    #: Growth of the resident memory by the view, in MB.
+    memory_mb: float
+    #: Time to take in one changed entry, in ms.
+    merge_ms: float
+    #: Time to choose the neighbours again after a join or a death, in ms.
+    neighbours_ms: float
+    #: Size of a transfer of the whole view, in KB.
+    transfer_kb: float
+    #: Time to make it, in ms.
+    pack_ms: float
+    #: Time to take it in on an empty node, in ms.
+    unpack_ms: float
+
+
+def measure(n_members: int) -> ViewFigures:
+    """Fill one view and time its steps.
+
+    :param n_members: number of entries.
+    """
+    members = [_member(index) for index in range(n_members)]
+    memory_before = _memory_kb()
+    local = _local_state(members[0])
+    # Copies, so that the view shares no text with the list above.
+    entries = _whole(tuple(members))
+    copies = unpack(pack(entries), Entries).unwrap()
+    local.merge_transfer(copies.members, ())
+    topology = Topology(local.table, "node-0", "dc-0", seed=1)
+    topology.neighbours()
+    memory_mb = (_memory_kb() - memory_before) / _KB_PER_MB
+    packed = pack(entries)
+    return ViewFigures(
+        n_members=n_members,
+        memory_mb=memory_mb,
+        merge_ms=_mean_ms(lambda number: _change(local, members[-1], number)),
+        neighbours_ms=_mean_ms(lambda number: _rejoin(local, topology, number)),
+        transfer_kb=len(packed) / _KB_PER_MB,
+        pack_ms=_mean_ms(lambda _: pack(entries), 5),
+        unpack_ms=_mean_ms(lambda _: _take_in(packed, members[0]), 5),
+    )
+
+
+def _local_state(own: Member) -> LocalState:
+    identity = Identity(own.node_id, "bench", own.data_centre, "", "", 1)
+    return LocalState(identity, DeclarationStore(), EventLog("bench"), Counters())
+
+
+def _member(index: int) -> Member:
+    address = f"10.{index // 65_536}.{index // 256 % 256}.{index % 256}"
+    service = f"service-{index % N_SERVICES}"
+    return Member(
+        node_id=f"node-{index}",
+        incarnation=1_700_000_000_000 + index,
+        data_centre=f"dc-{index % N_DATA_CENTRES}",
+        call_address=f"{address}:7001",
+        control_address=f"{address}:7002",
+        admin_address=f"{address}:7003",
+        upstreams=(AnnouncedUpstream(service, f"{address}:8000", 150, 1_000),),
+        revision=2,
+    )
+
+
+def _whole(members: tuple[Member, ...]) -> Entries:
+    buckets = tuple(range(N_BUCKETS))
+    return Entries(buckets, buckets, members, ())
+
+
+def _change(local: LocalState, member: Member, number: int) -> None:
+    local.merge_members((replace(member, revision=10 + number),))
+
+
+def _rejoin(local: LocalState, topology: Topology, number: int) -> None:
+    local.merge_members((_member(100_000 + number),))
+    # The shortest time between two choices would hide the cost.
+    topology.refresh_now()
+
+
+def _take_in(packed: bytes, own: Member) -> None:
+    received = unpack(packed, Entries).unwrap()
+    _local_state(own).merge_transfer(received.members, received.records)
+
+
+def _mean_ms(step: Callable[[int], object], n_repeats: int = N_REPEATS) -> float:
+    began_s = time.perf_counter()
+    for number in range(n_repeats):
+        step(number)
+    return (time.perf_counter() - began_s) / n_repeats * _MS_PER_S
+
+
+def _memory_kb() -> int:
+    status = Path("/proc/self/status").read_text(encoding="ascii")
+    line = next(line for line in status.splitlines() if line.startswith("VmRSS"))
+    return int(line.split()[1])
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Measure each size and print a table.
+
+    :param arguments: command line without the program's name.
+    """
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--sizes", type=int, nargs="+", default=[64, 1_000, 5_000])
+    options = parser.parse_args(arguments)
+    print(
+        "members  memory MB  merge ms  neighbours ms  transfer KB  pack ms  unpack ms"
+    )
+    for n_members in options.sizes:
+        figures = measure(n_members)
+        print(
+            f"{figures.n_members:7}  {figures.memory_mb:9.1f}  "
+            f"{figures.merge_ms:8.2f}  {figures.neighbours_ms:13.2f}  "
+            f"{figures.transfer_kb:11.1f}  {figures.pack_ms:7.1f}  "
+            f"{figures.unpack_ms:9.1f}",
+            flush=True,
+        )
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
