--- a/packages/standins/src/knapweedspring_standins/_control_bench.py
+++ b/packages/standins/src/knapweedspring_standins/_control_bench.py
@@ -19,6 +19,7 @@
 import zmq
 
 from knapweedspring_core import (
+    AnnouncedUpstream,
     Event,
     EventsPage,
     HttpPlatform,
@@ -39,6 +40,10 @@
 PAGE_TIMEOUT_S = 5.0
 N_DECLARATIONS = 5
 N_KILLS = 3
+N_ANNOUNCEMENTS = 20
+ANNOUNCEMENT_PERIOD_S = 1.0
+#: Until the node has withdrawn the last upstream, whose heartbeat is missing.
+WITHDRAWAL_MAX_S = 8.0
 _US_PER_S = 1_000_000
 
 T = TypeVar("T")
@@ -85,6 +90,8 @@
     spread_s: float
     #: Longest time from a kill until every node held the node dead, in s.
     noticed_s: float
+    #: Mean bytes that a node sends for each change of an entry anywhere.
+    change_bytes: float
 
 
 class _Bench:
@@ -109,11 +116,7 @@
 
     def idle_figures(self, seconds: float) -> ControlFigures:
         """Measure a mesh in which nothing changes."""
-        ports = frozenset(
-            node.ready.control_address.rpartition(":")[2] for node in self._nodes
-        )
-        sent = SentBytes(ports)
-        sent.sample()
+        sent = self._watch_sent()
         began = time.monotonic()
         sent_before = dict(sent.by_pid)
         cpu_before = {node.pid: node.cpu_s() for node in self._nodes}
@@ -143,8 +146,32 @@
             platform_calls_s=(self._n_platform_calls() - calls_before) / elapsed_s,
             spread_s=0.0,
             noticed_s=0.0,
+            change_bytes=0.0,
         )
 
+    def change_bytes(self, idle_bytes_s: float) -> float:
+        """Announce upstreams, and return what one change costs each node.
+
+        An upstream that does not repeat its announcement is withdrawn, so that
+        each announcement makes two changes.
+
+        :param idle_bytes_s: mean bytes a second without changes.
+        """
+        sent = self._watch_sent()
+        before = sum(sent.by_pid.values())
+        began = time.monotonic()
+        for number in range(N_ANNOUNCEMENTS):
+            self._announce(self._nodes[number % len(self._nodes)])
+            time.sleep(ANNOUNCEMENT_PERIOD_S)
+            sent.sample()
+        until = time.monotonic() + WITHDRAWAL_MAX_S
+        while time.monotonic() < until:
+            time.sleep(SAMPLE_PERIOD_S)
+            sent.sample()
+        elapsed_s = time.monotonic() - began
+        n_bytes = (sum(sent.by_pid.values()) - before) / len(self._nodes)
+        return (n_bytes - idle_bytes_s * elapsed_s) / (2 * N_ANNOUNCEMENTS)
+
     def spread_s(self) -> float:
         """Write declarations and return the longest time until all had one."""
         return max(self._spread_one(number) for number in range(N_DECLARATIONS))
@@ -167,6 +194,19 @@
         )
         return self._group.start_node(file)
 
+    def _watch_sent(self) -> SentBytes:
+        addresses = [node.ready.control_address for node in self._nodes]
+        ports = frozenset(address.rpartition(":")[2] for address in addresses)
+        sent = SentBytes(ports)
+        sent.sample()
+        return sent
+
+    def _announce(self, node: Process) -> None:
+        upstream = AnnouncedUpstream("bench", "127.0.0.1:9", 10, 10)
+        url = f"http://{node.ready.admin_address}/upstreams"
+        body = msgspec.json.encode(upstream)
+        self._pool.request("POST", url, body=body, timeout=PAGE_TIMEOUT_S)
+
     def _knows_all(self, node: Process) -> bool:
         members = self._page(node, "/members", MembersPage).members
         alive = [one for one in members if one.state is MemberState.ALIVE]
@@ -242,8 +282,12 @@
         bench.wait_joined()
         time.sleep(SETTLE_S)
         idle = bench.idle_figures(seconds)
-        spread_s = bench.spread_s()
-        return replace(idle, spread_s=spread_s, noticed_s=bench.noticed_s())
+        return replace(
+            idle,
+            change_bytes=bench.change_bytes(idle.sent_bytes_s),
+            spread_s=bench.spread_s(),
+            noticed_s=bench.noticed_s(),
+        )
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -257,7 +301,7 @@
     options = parser.parse_args(arguments)
     print(
         "nodes  cpu %  max  memory MB  max  sent B/s  max  platform calls/s"
-        "  spread s  noticed s"
+        "  spread s  noticed s  B/change"
     )
     for n_nodes in options.sizes:
         print(_line(measure(n_nodes, options.seconds)), flush=True)
@@ -270,7 +314,8 @@
         f"{figures.cpu_percent_max:.2f}  {figures.memory_mb:9.1f}  "
         f"{figures.memory_mb_max:.1f}  {figures.sent_bytes_s:8.0f}  "
         f"{figures.sent_bytes_s_max:.0f}  {figures.platform_calls_s:16.2f}  "
-        f"{figures.spread_s:8.2f}  {figures.noticed_s:9.2f}"
+        f"{figures.spread_s:8.2f}  {figures.noticed_s:9.2f}  "
+        f"{figures.change_bytes:8.0f}"
     )
 
 
