Weigh the admission level by work and count shedding by class

Counted by number, twenty long bundles in flight looked like an upstream that had lost its capacity: the level rose above the lookups, whose slots then went to more bundles. A longer memory of the meter was ruled out, since it only delays the error. Admissions and sheds are counted by class, the gate side already counts by reason, and the begin and end of shedding are events.

--- a/packages/node/src/knapweedspring_node/_calls/_admission.py
+++ b/packages/node/src/knapweedspring_node/_calls/_admission.py
@@ -13,7 +13,7 @@
 from knapweedspring_node._calls._limit import ConcurrencyLimit, FixedLimit
 from knapweedspring_node._calls._load import GateLoad
 from knapweedspring_node._calls._queue import Waiter, WaitQueue
-from knapweedspring_node._calls._rank import Rank
+from knapweedspring_node._calls._rank import Level, Rank
 from knapweedspring_node._calls._service_times import ServiceTimes
 
 __all__ = ["Admission", "Ask", "Gate", "GateLoad", "GatePolicy", "Rank"]
@@ -23,6 +23,9 @@
 POLL_INTERVAL_PER_WAITING_S = 0.001
 RETRY_AFTER_MIN_S = 0.1
 RETRY_AFTER_MAX_S = 2.0
+WORK_MIN_S = 0.001
+
+_SHED_REASONS = frozenset({Reason.OVERLOADED, Reason.DISPLACED, Reason.DEADLINE})
 
 
 def _never_left() -> bool:
@@ -142,6 +145,7 @@
         self._n_in_flight = 0
         self._sum_admitted_at = 0.0
         self._closed = False
+        self._sheds = False
         self._passthrough = False
 
     @property
@@ -170,10 +174,7 @@
         """Return the load that rides on answers."""
         limit = self.limit
         free = 0 if self._closed else max(0, limit - self._n_in_flight)
-        level = None
-        if not self._passthrough:
-            with self._lock:
-                level = self._meter.level(self._clock())
+        level = None if self._passthrough else self._current_level()
         return GateLoad(free, limit, len(self._queue), level)
 
     def set_passthrough(self, passthrough: bool) -> None:
@@ -211,17 +212,17 @@
         """
         asked_at = self._clock()
         with self._lock:
-            self._meter.count_offer(ask.rank, asked_at)
+            self._meter.count_offer(ask.rank, self._work_s(ask.class_name), asked_at)
             if self._closed:
-                return Err(self._refusal(Reason.DRAINING))
+                return Err(self._refusal(Reason.DRAINING, ask.class_name))
             if ask.deadline_at <= asked_at:
-                return Err(self._refusal(Reason.DEADLINE))
+                return Err(self._refusal(Reason.DEADLINE, ask.class_name))
             if self._goes_at_once(ask.rank):
-                self._take_slot(asked_at)
+                self._take_slot(ask.class_name, asked_at)
                 return Ok(Admission(self, ask, asked_at, 0.0))
             waiter = Waiter(ask.rank, ask.class_name, ask.deadline_at)
             if not self._may_wait(waiter, asked_at):
-                return Err(self._refusal(Reason.OVERLOADED))
+                return Err(self._refusal(Reason.OVERLOADED, ask.class_name))
             self._queue.push(waiter, in_order_of_arrival=self._passthrough)
             if not self._passthrough:
                 self._displace_hopeless(asked_at)
@@ -245,6 +246,16 @@
             self._limit.record(class_name, service_s, succeeded, now)
             self._start_waiting(now)
 
+    def _current_level(self) -> Level | None:
+        with self._lock:
+            level = self._meter.level(self._clock())
+            changed = self._sheds != (level is not None)
+            self._sheds = level is not None
+        if changed:
+            kind = "gate:sheds" if level is not None else "gate:admits-all"
+            self._events.record(kind, limit=self.limit, n_waiting=len(self._queue))
+        return level
+
     def _goes_at_once(self, rank: Rank) -> bool:
         first = self._queue.first
         if first is not None and (self._passthrough or first.rank >= rank):
@@ -257,15 +268,19 @@
             limit = max(1, limit - int(limit * self._policy.headroom_share))
         return self._n_in_flight < limit
 
-    def _take_slot(self, now: float) -> None:
+    def _work_s(self, class_name: str) -> float:
+        return max(WORK_MIN_S, self._service_times.of_class(class_name))
+
+    def _take_slot(self, class_name: str, now: float) -> None:
         self._n_in_flight += 1
         self._sum_admitted_at += now
-        self._meter.count_admission()
+        self._meter.count_admission(self._work_s(class_name))
+        self._counters.add("calls_admitted", class_name)
 
     def _start_waiting(self, now: float) -> None:
         while (first := self._queue.first) and self._has_slot_for(first.rank):
             self._queue.pop_first()
-            self._take_slot(now)
+            self._take_slot(first.class_name, now)
             first.admit(now)
 
     def _may_wait(self, waiter: Waiter, now: float) -> bool:
@@ -342,12 +357,12 @@
 
     def _refuse_waiting(self, waiter: Waiter, reason: Reason) -> None:
         self._queue.remove(waiter)
-        waiter.refuse(self._refusal(reason))
+        waiter.refuse(self._refusal(reason, waiter.class_name))
 
-    def _refusal(self, reason: Reason) -> Refusal:
+    def _refusal(self, reason: Reason, class_name: str) -> Refusal:
         """Count a refusal; the caller comes back when the queue has moved on."""
-        self._counters.add("gate_refused", reason)
-        if reason not in (Reason.DRAINING, Reason.CALLER_LEFT):
+        if reason in _SHED_REASONS:
+            self._counters.add("calls_shed", class_name)
             self._meter.count_refusal()
         base_s = self._expected_wait_s(len(self._queue), self._clock())
         base_s = min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_MIN_S, base_s))
--- a/packages/node/src/knapweedspring_node/_calls/_level_meter.py
+++ b/packages/node/src/knapweedspring_node/_calls/_level_meter.py
@@ -11,7 +11,7 @@
 #: What earlier windows still count, so that a window without a finished call
 #: does not look like an upstream without capacity.
 KEPT_SHARE = 0.75
-MIN_KEPT = 0.05
+MIN_KEPT_S = 1e-4
 MAX_FADES = 20.0
 #: Classes are told apart at this fineness: 16 steps each.
 DRAW_BITS_KEPT = 4
@@ -27,6 +27,10 @@
     reach down to if they had been the best of the offers. In a window without, it
     steps down, so that it opens gradually when the overload ends.
 
+    Calls are weighed by their work, the time that they hold a slot: counted by
+    number, a few long calls of a low class would look like lost capacity and raise
+    the level above the short calls of the class before it.
+
     Not thread-safe: the gate's lock guards it.
     """
 
@@ -35,7 +39,7 @@
         self._opened_at = 0.0
         self._offers: dict[Level, float] = {}
         self._n_offers = 0
-        self._n_admitted = 0.0
+        self._admitted_s = 0.0
         self._n_refused = 0
 
     def level(self, now: float) -> Level | None:
@@ -43,17 +47,22 @@
         self._roll(now)
         return self._level
 
-    def count_offer(self, rank: Rank, now: float) -> None:
-        """Count a call that asks to run."""
+    def count_offer(self, rank: Rank, work_s: float, now: float) -> None:
+        """Count a call that asks to run.
+
+        :param rank: its rank.
+        :param work_s: time that it is expected to hold a slot.
+        :param now: monotonic time, in seconds.
+        """
         self._roll(now)
         draw = rank.draw >> _DRAW_SHIFT << _DRAW_SHIFT
         step = Level(rank.priority, rank.started, draw)
-        self._offers[step] = self._offers.get(step, 0.0) + 1.0
+        self._offers[step] = self._offers.get(step, 0.0) + work_s
         self._n_offers += 1
 
-    def count_admission(self) -> None:
+    def count_admission(self, work_s: float) -> None:
         """Count a call that takes a slot."""
-        self._n_admitted += 1.0
+        self._admitted_s += work_s
 
     def count_refusal(self) -> None:
         """Count a call that was refused for want of capacity."""
@@ -75,15 +84,15 @@
         self._fade(KEPT_SHARE ** min(MAX_FADES, age_s / WINDOW_S))
 
     def _fade(self, kept_share: float) -> None:
-        kept = {step: n * kept_share for step, n in self._offers.items()}
-        self._offers = {step: n for step, n in kept.items() if n > MIN_KEPT}
-        self._n_admitted *= kept_share
+        kept = {step: work_s * kept_share for step, work_s in self._offers.items()}
+        self._offers = {s: work_s for s, work_s in kept.items() if work_s > MIN_KEPT_S}
+        self._admitted_s *= kept_share
 
     def _level_of_admitted(self) -> Level | None:
-        n_left = self._n_admitted
+        left_s = self._admitted_s
         for step in sorted(self._offers, reverse=True):
-            n_left -= self._offers[step]
-            if n_left < 0:
+            left_s -= self._offers[step]
+            if left_s < 0.0:
                 return Level(step.priority, step.started, step.draw + _DRAW_STEP)
         return None
 
--- a/packages/standins/src/knapweedspring_standins/_gate_bench.py
+++ b/packages/standins/src/knapweedspring_standins/_gate_bench.py
@@ -178,6 +178,7 @@
     "adaptive": Variant(limit=AdaptiveLimit),
     "gradient": Variant(limit=GradientLimit),
     "level-0": Variant(GatePolicy(wait_share_below_level=0.0)),
+    "level-twentieth": Variant(GatePolicy(wait_share_below_level=0.05)),
     "level-tenth": Variant(GatePolicy(wait_share_below_level=0.1)),
 }
 
