--- a/packages/node/src/knapweedspring_node/_calls/_attempts.py
+++ b/packages/node/src/knapweedspring_node/_calls/_attempts.py
@@ -189,20 +189,23 @@
             self._levels.observe(service, member.node_id, load.level, now)
             self._levels.take_in(service, plan.class_name, reply.load, now)
         if isinstance(reply, Refused):
-            self._counters.add("attempts_refused", reply.refusal.reason)
-            self._events.trace(
-                "call:attempt-refused",
-                request=plan.request_id,
-                gate=member.node_id,
-                outcome=reply.outcome,
-                reason=reply.refusal.reason,
-            )
+            self._note_refusal(plan, member, reply)
         kind = _failure_kind(reply)
         if kind is not None:
             self._note_failure(member, kind)
         elif isinstance(reply, Relayed):
             self._picker.succeeded(member.node_id, latency_s)
 
+    def _note_refusal(self, plan: CallPlan, member: Member, reply: Refused) -> None:
+        self._counters.add("attempts_refused", reply.refusal.reason)
+        self._events.trace(
+            "call:attempt-refused",
+            request=plan.request_id,
+            gate=member.node_id,
+            outcome=reply.outcome,
+            reason=reply.refusal.reason,
+        )
+
     def _note_failure(self, member: Member, kind: FailureKind) -> None:
         if self._picker.failed(member.node_id, kind):
             self._counters.add("nodes_set_aside", kind)
