Measure a shorter queue and drop it

A refused call should hear of it at once, but bottom classes are told only when their deadline passes, so the share of the time left that a call may wait was cut to a half, a quarter and an eighth. Dropped: the queue ahead is not what keeps those calls waiting, but better ranks that keep arriving.

--- a/packages/standins/src/knapweedspring_standins/_gate_bench.py
+++ b/packages/standins/src/knapweedspring_standins/_gate_bench.py
@@ -12,10 +12,11 @@
 import threading
 from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from knapweedspring_core import Counters, EventLog
-from knapweedspring_node._calls._admission import Gate, GatePolicy, Rank
+from knapweedspring_node._calls._admission import Gate, GatePolicy
+from knapweedspring_node._calls._levels import LevelTable
 from knapweedspring_node._calls._limit import (
     AdaptiveLimit,
     ConcurrencyLimit,
@@ -171,12 +172,22 @@
 
 VARIANTS = {
     "passthrough": Variant(passthrough=True),
-    "base": Variant(),
-    "wait-half": Variant(GatePolicy(wait_share=0.5)),
-    "wait-quarter": Variant(GatePolicy(wait_share=0.25)),
-    "wait-eighth": Variant(GatePolicy(wait_share=0.125)),
-    "adaptive": Variant(limit=AdaptiveLimit),
-    "gradient": Variant(limit=GradientLimit),
+    "current": Variant(limit=AdaptiveLimit, early_refusal=True),
+    "base": Variant(GatePolicy(wait_share_below_level=1.0)),
+    "random-draws": Variant(GatePolicy(wait_share_below_level=1.0), same_draw=False),
+    "early": Variant(GatePolicy(wait_share_below_level=1.0), early_refusal=True),
+    "early-twentieth": Variant(
+        GatePolicy(wait_share_below_level=0.05), early_refusal=True
+    ),
+    "early-tenth": Variant(GatePolicy(wait_share_below_level=0.1), early_refusal=True),
+    "early-twentieth-random-draws": Variant(
+        GatePolicy(wait_share_below_level=0.05), early_refusal=True, same_draw=False
+    ),
+    "wait-half": Variant(GatePolicy(wait_share=0.5, wait_share_below_level=1.0)),
+    "wait-quarter": Variant(GatePolicy(wait_share=0.25, wait_share_below_level=1.0)),
+    "wait-eighth": Variant(GatePolicy(wait_share=0.125, wait_share_below_level=1.0)),
+    "adaptive": Variant(GatePolicy(wait_share_below_level=1.0), AdaptiveLimit),
+    "gradient": Variant(GatePolicy(wait_share_below_level=1.0), GradientLimit),
     "level-0": Variant(GatePolicy(wait_share_below_level=0.0)),
     "level-twentieth": Variant(GatePolicy(wait_share_below_level=0.05)),
     "level-tenth": Variant(GatePolicy(wait_share_below_level=0.1)),
@@ -221,11 +232,9 @@
         )
     ]
 
-    def refuses_at_entry(rank: Rank) -> bool:
-        deeper = replace(rank, started=True)
-        levels = [gate.load().level for gate in gates[1:]]
-        return any(level and not level.admits(deeper) for level in levels)
-
+    tables = []
+    if variant.early_refusal:
+        tables = [LevelTable(random.Random(seed)) for _ in range(len(gates) + 1)]
     run = GateLoadRun(
         gates,
         upstreams,
@@ -234,7 +243,7 @@
         seed,
         lambda request_id, hop: _draw(request_id, 0 if variant.same_draw else hop),
         scenario.client_retries,
-        refuses_at_entry if variant.early_refusal else None,
+        tables,
     )
     return _figures(scenario, run.run())
 
--- a/packages/standins/src/knapweedspring_standins/_gate_load.py
+++ b/packages/standins/src/knapweedspring_standins/_gate_load.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from knapweedspring_node._calls._admission import Ask, Gate, Rank
+from knapweedspring_node._calls._levels import LevelTable
 
 __all__ = [
     "ClassLoad",
@@ -154,7 +155,8 @@
     seed: int
     draw: Callable[[int, int], int]
     client_retries: int = 0
-    refuses_at_entry: Callable[[Rank], bool] | None = None
+    #: Level table of the entry and of each gate's node; empty for none.
+    tables: list[LevelTable] = field(default_factory=list)
     records: list[Recorded] = field(default_factory=list)
 
     def run(self) -> list[Recorded]:
@@ -224,19 +226,42 @@
         self, request: _Request, hop: int, deadline_at: float
     ) -> tuple[bool, int]:
         """Run a request at a hop and, while it holds the slot, at those below."""
-        draw = self.draw(request.request_id, hop)
-        rank = Rank(request.load.priority, hop > 0, draw)
-        if hop == 0 and self.refuses_at_entry and self.refuses_at_entry(rank):
-            return False, 0
-        admitted = self.gates[hop].admit(Ask(rank, request.load.name, deadline_at))
+        class_name = request.load.name
+        rank = Rank(request.load.priority, hop > 0, self.draw(request.request_id, hop))
+        if hop == 0 and self.tables:
+            now = time.monotonic()
+            if self.tables[0].refuses(_service(0), rank, now, class_name):
+                return False, 0
+        admitted = self.gates[hop].admit(Ask(rank, class_name, deadline_at))
         if admitted.is_err():
+            self._tell(request, hop, reached_below=False)
             return False, 0
         admission = admitted.unwrap()
         started_at = time.monotonic()
         succeeded = self.upstreams[hop].work(deadline_at, request.load.work)
         n_run = 1
-        if succeeded and hop + 1 < len(self.gates):
+        goes_deeper = succeeded and hop + 1 < len(self.gates)
+        if goes_deeper:
             succeeded, n_below = self._call(request, hop + 1, deadline_at)
             n_run += n_below
         admission.finish(time.monotonic() - started_at, succeeded)
+        self._tell(request, hop, goes_deeper)
         return succeeded, n_run
+
+    def _tell(self, request: _Request, hop: int, reached_below: bool) -> None:
+        """Hand the answer's load and levels to the node that called."""
+        if not self.tables:
+            return
+        now = time.monotonic()
+        class_name = request.load.name
+        load = self.gates[hop].load()
+        text = load.to_header()
+        if reached_below:
+            below = [_service(hop + 1)]
+            text += self.tables[hop + 1].carried(below, class_name, now)
+        self.tables[hop].observe(_service(hop), "node", load.level, now)
+        self.tables[hop].take_in(_service(hop), class_name, text, now)
+
+
+def _service(hop: int) -> str:
+    return f"service-{hop}"
