Let calls below the admission level wait a twentieth only

Calls of the bottom class waited in vain until their deadline, because better ranks kept arriving. The gate already measures the rank that it reaches down to; a call below it now may wait only for a twentieth of the time that is left for waiting.

--- a/packages/node/src/knapweedspring_node/_calls/_admission.py
+++ b/packages/node/src/knapweedspring_node/_calls/_admission.py
@@ -56,7 +56,7 @@
     wait_share: float = 1.0
     #: The same for a call below the measured level, which most likely waits in
     #: vain because better ranks keep arriving.
-    wait_share_below_level: float = 1.0
+    wait_share_below_level: float = 0.05
     #: Calls that may wait, each in a thread of the server.
     n_waiting_max: int = 1_000
 
