--- a/packages/node/src/knapweedspring_node/_calls/_admission.py
+++ b/packages/node/src/knapweedspring_node/_calls/_admission.py
@@ -10,7 +10,7 @@
 
 from knapweedspring_core import Counters, EventLog, Outcome, Reason, Refusal
 from knapweedspring_node._calls._level_meter import LevelMeter
-from knapweedspring_node._calls._limit import ConcurrencyLimit, FixedLimit
+from knapweedspring_node._calls._limit import AdaptiveLimit, ConcurrencyLimit
 from knapweedspring_node._calls._load import GateLoad
 from knapweedspring_node._calls._queue import Waiter, WaitQueue
 from knapweedspring_node._calls._rank import Level, Rank
@@ -113,7 +113,7 @@
     :param counters: counts admissions and refusals.
     :param events: records changes of state.
     :param policy: proportions of the rules.
-    :param limit: limit below the slots; by default none.
+    :param limit: limit below the slots; adaptive by default.
     :param rng: source of the jitter of ``Retry-After``.
     :param clock: monotonic clock, in seconds.
     """
@@ -137,7 +137,7 @@
         self._counters = counters
         self._events = events
         self._policy = policy or GatePolicy()
-        self._limit = limit or FixedLimit(self._slots)
+        self._limit = limit or AdaptiveLimit(self._slots)
         self._rng = rng or random.Random()
         self._clock = clock
         self._service_times = ServiceTimes()
--- a/packages/node/src/knapweedspring_node/_calls/_limit.py
+++ b/packages/node/src/knapweedspring_node/_calls/_limit.py
@@ -26,6 +26,8 @@
 #: How long a baseline stands before a cut puts it to the test.
 TEST_MIN_S = 2.0
 TEST_MAX_S = 60.0
+#: Windows between two tests, each of which costs up to a window's cut.
+TEST_MIN_WINDOWS = 10
 SLOW_START_SHARE = 0.1
 MEAN_STEP = 0.1
 
@@ -105,7 +107,8 @@
         self._value = max(1.0, self._slots * SLOW_START_SHARE)
         self._starts_slowly = True
         self._ratios = []
-        self._opened_at = 0.0
+        self._opened_at: float | None = None
+        self._window_s = 0.0
         self._changed_at = 0.0
         self._cut_from: float | None = None
         self._ratio_before_cut = 1.0
@@ -149,6 +152,8 @@
             self._starts_slowly = self._value < self._slots
 
     def _roll(self, now: float) -> None:
+        if self._opened_at is None:
+            self._opened_at = now
         age_s = now - self._opened_at
         # A shorter window would hold the quickest calls only.
         if age_s < max(WINDOW_S, 2.0 * self._mean_s):
@@ -156,6 +161,7 @@
         is_late = age_s >= WINDOW_MAX_S
         if len(self._ratios) < (MIN_SAMPLES_LATE if is_late else MIN_SAMPLES):
             return
+        self._window_s = age_s
         self._adjust(statistics.median(self._ratios), now)
         self._ratios = []
         self._opened_at = now
@@ -192,14 +198,17 @@
         self._cut_from = None
         self._scale_baselines(self._ratio_before_cut)
         self._holds_until = now + HOLD_S
-        self._test_at = now + self._test_after_s
+        self._test_at = now + self._test_pause_s()
         self._test_after_s = min(TEST_MAX_S, 2.0 * self._test_after_s)
 
     def _is_test_due(self, now: float) -> bool:
         if self._test_at is None:
-            self._test_at = now + self._test_after_s
+            self._test_at = now + self._test_pause_s()
         return now >= self._test_at
 
+    def _test_pause_s(self) -> float:
+        return max(self._test_after_s, TEST_MIN_WINDOWS * self._window_s)
+
     def _follow_down(self, ratio: float) -> None:
         """Move the baselines towards the service times of a quicker window."""
         if ratio < RECOVERED_RATIO:
--- a/packages/node/tests/calls/test_admission.py
+++ b/packages/node/tests/calls/test_admission.py
@@ -7,6 +7,7 @@
 
 from knapweedspring_core import Counters, EventLog, Outcome, Reason
 from knapweedspring_node._calls._admission import Ask, Gate, GatePolicy
+from knapweedspring_node._calls._limit import FixedLimit
 from knapweedspring_node._calls._rank import Rank
 
 WAIT_S = 20.0
@@ -21,6 +22,7 @@
         Counters(),
         EventLog("n"),
         policy=GatePolicy(**policy),
+        limit=FixedLimit(slots),
         clock=clock,
     )
 
@@ -83,6 +85,17 @@
     assert fourth.result is None
 
 
+def test_cold_upstream_gets_few_calls_at_first_and_again_when_it_is_back():
+    gate = Gate(50, 100, lambda: TOP, Counters(), EventLog("n"))
+    assert gate.limit == 5
+    for _ in range(100):
+        gate.admit(ask()).unwrap().finish(0.01, succeeded=True)
+    assert gate.limit == 50
+    gate.close()
+    gate.reopen()
+    assert gate.limit == 5
+
+
 def test_connections_bound_the_calls_in_flight():
     assert make_gate(slots=10, connections=3).limit == 3
 
--- a/packages/node/tests/calls/test_limit.py
+++ b/packages/node/tests/calls/test_limit.py
@@ -10,7 +10,7 @@
 SERVICE_S = 0.05
 
 
-def run(limit, service_s, duration_s, now=0.0, seed=1, offered=SLOTS):
+def run(limit, service_s, duration_s, now=80_000.0, seed=1, offered=SLOTS):
     """Keep the limit's number of calls running; return the end and all values."""
     rng = random.Random(seed)
     values = []
