Share out the server's workers

A call keeps its worker while it waits. When new requests or waiting calls hold every worker, the calls that running requests make find none, so that upstreams wait for answers that cannot come, and a more important request stays unread in the socket. Calls running at the own upstream now hold at most a third of the workers, which leaves each of them one for a call of its own; waiting calls hold a sixth; new requests are refused as not run when three quarters are in use, of the top class from 95% on. A node whose workers do not suffice for the announced slots says so in an event. A separate pool for calls between nodes was ruled out, since one connection serves both.

--- a/packages/node/src/knapweedspring_node/_calls/__init__.py
+++ b/packages/node/src/knapweedspring_node/_calls/__init__.py
@@ -4,6 +4,7 @@
 from knapweedspring_node._calls._server import CallServer, ServerLimits
 from knapweedspring_node._calls._stack import CallPathSettings, CallStack
 from knapweedspring_node._calls._upstreams import LocalUpstream
+from knapweedspring_node._calls._workers import WorkerGuard
 
 __all__ = [
     "CallPathSettings",
@@ -13,4 +14,5 @@
     "PeerRevoker",
     "Revoker",
     "ServerLimits",
+    "WorkerGuard",
 ]
--- a/packages/node/src/knapweedspring_node/_calls/_entry_side.py
+++ b/packages/node/src/knapweedspring_node/_calls/_entry_side.py
@@ -34,6 +34,7 @@
 from knapweedspring_node._calls._request import CallRequest
 from knapweedspring_node._calls._roots import RootBook
 from knapweedspring_node._calls._tickets import ClaimState, Ticket, TicketBook
+from knapweedspring_node._calls._workers import WorkerGuard
 
 __all__ = ["TICKETS_SERVICE", "EntrySide"]
 
@@ -56,6 +57,7 @@
         roots: RootBook,
         tickets: TicketBook,
         levels: LevelTable,
+        workers: WorkerGuard,
         attempts: Attempts,
         remote: RemoteGates,
         events: EventLog,
@@ -68,6 +70,7 @@
         self._roots = roots
         self._tickets = tickets
         self._levels = levels
+        self._workers = workers
         self._attempts = attempts
         self._remote = remote
         self._events = events
@@ -157,7 +160,7 @@
         return reply
 
     def _run_root(self, plan: CallPlan) -> Reply:
-        refusal = self._levels.refuses(
+        refusal = self._workers.refuses(plan.rank) or self._levels.refuses(
             plan.request.service, plan.rank, time.monotonic(), plan.class_name
         )
         if refusal is not None:
--- a/packages/node/src/knapweedspring_node/_calls/_stack.py
+++ b/packages/node/src/knapweedspring_node/_calls/_stack.py
@@ -12,7 +12,7 @@
     MembershipView,
     PolicyMode,
 )
-from knapweedspring_node._calls._admission import Gate
+from knapweedspring_node._calls._admission import Gate, GatePolicy
 from knapweedspring_node._calls._attempts import Attempts
 from knapweedspring_node._calls._budget import RetryRatio
 from knapweedspring_node._calls._call_handler import CallHandler
@@ -29,6 +29,7 @@
 from knapweedspring_node._calls._seal import Seal
 from knapweedspring_node._calls._tickets import TicketBook
 from knapweedspring_node._calls._upstreams import LocalUpstreams
+from knapweedspring_node._calls._workers import WorkerGuard
 
 __all__ = ["CallPathSettings", "CallStack"]
 
@@ -58,6 +59,7 @@
     :param store: declarations in force.
     :param view: membership view.
     :param revoker: asks gates about uncertain runs.
+    :param workers: shares out the server's workers.
     :param is_draining: whether the node takes no new whole requests.
     """
 
@@ -69,11 +71,13 @@
         revoker: Revoker,
         events: EventLog,
         counters: Counters,
+        workers: WorkerGuard,
         is_draining: Callable[[], bool],
     ) -> None:
         self._store = store
         self._events = events
         self._counters = counters
+        self._workers = workers
         node_id, epoch, key = settings.node_id, settings.epoch, settings.mesh_key
         hop_seal = Seal(key, "hop")
         forward_seal = Seal(key, "forward")
@@ -117,6 +121,7 @@
             RootBook(node_id, epoch, Seal(key, "request-id")),
             self._tickets,
             self._levels,
+            self._workers,
             self._attempts,
             remote,
             events,
@@ -157,6 +162,7 @@
         passthrough = self._store.policy().mode is PolicyMode.PASSTHROUGH
         self._attempts.set_passthrough(passthrough)
         self._levels.set_passthrough(passthrough)
+        self._workers.set_passthrough(passthrough)
         for upstream in self._upstreams.all:
             upstream.gate.set_passthrough(passthrough)
 
@@ -165,12 +171,22 @@
         self._pools.close()
 
     def _make_gate(self, announced: AnnouncedUpstream) -> Gate:
+        slots = min(announced.slots, self._workers.n_in_flight_max)
+        if slots < announced.slots:
+            self._events.record(
+                "gate:too-few-workers",
+                service=announced.service,
+                slots=announced.slots,
+                used=slots,
+                advice="raise n_workers to three times the slots",
+            )
         gate = Gate(
-            slots=announced.slots,
+            slots=slots,
             connections=announced.connections,
             top_priority=self._store.top_priority,
             counters=self._counters,
             events=self._events,
+            policy=GatePolicy(n_waiting_max=self._workers.n_waiting_max),
         )
         passthrough = self._store.policy().mode is PolicyMode.PASSTHROUGH
         gate.set_passthrough(passthrough)
--- a/packages/node/src/knapweedspring_node/_node.py
+++ b/packages/node/src/knapweedspring_node/_node.py
@@ -27,6 +27,7 @@
     CallStack,
     PeerRevoker,
     ServerLimits,
+    WorkerGuard,
 )
 from knapweedspring_node._config import (
     PlatformWatcher,
@@ -185,6 +186,9 @@
             PeerRevoker(membership),
             self._events,
             self._counters,
+            WorkerGuard(
+                settings.n_workers, lambda: server.n_busy, self._store.top_priority
+            ),
             lambda: self._parts.drain.draining,
         )
         membership.on_ask(calls.revoke_handler.handle)
