Judge an upstream's crowding by its own time

The adaptive limit compared whole service times. Leaving the limit at the slots for every service that makes calls was ruled out, since such a service can be crowded as well.

--- a/packages/node/src/knapweedspring_node/_calls/_admission.py
+++ b/packages/node/src/knapweedspring_node/_calls/_admission.py
@@ -88,14 +88,18 @@
         """Seconds that the call waited for its slot."""
         return self._waited_s
 
-    def finish(self, service_s: float, succeeded: bool) -> None:
+    def finish(
+        self, service_s: float, succeeded: bool, own_s: float | None = None
+    ) -> None:
         """Free the slot; only the first of several calls counts.
 
-        :param service_s: seconds that the upstream worked on the call.
+        :param service_s: seconds that the upstream took for the call.
         :param succeeded: whether its answer was whole and not an error.
+        :param own_s: the same without its own calls; by default it made none.
         """
         if self._finished.acquire(blocking=False):
-            self._gate.release(self, service_s, succeeded)
+            own_s = service_s if own_s is None else own_s
+            self._gate.release(self, service_s, succeeded, own_s)
 
 
 class Gate:
@@ -232,7 +236,9 @@
         admitted_at = waiter.admitted_at
         return Ok(Admission(self, ask, admitted_at, admitted_at - asked_at))
 
-    def release(self, admission: Admission, service_s: float, succeeded: bool) -> None:
+    def release(
+        self, admission: Admission, service_s: float, succeeded: bool, own_s: float
+    ) -> None:
         """Free a slot; called by :meth:`Admission.finish` only."""
         class_name = admission.ask.class_name
         now = self._clock()
@@ -243,7 +249,7 @@
                 # Rounding errors of the running sum end here.
                 self._sum_admitted_at = 0.0
             self._service_times.record(class_name, service_s, succeeded)
-            self._limit.record(class_name, service_s, succeeded, now)
+            self._limit.record(class_name, own_s, service_s, succeeded, now)
             self._start_waiting(now)
 
     def _current_level(self) -> Level | None:
--- a/packages/node/src/knapweedspring_node/_calls/_entry_side.py
+++ b/packages/node/src/knapweedspring_node/_calls/_entry_side.py
@@ -93,7 +93,11 @@
         if isinstance(classified, Err):
             return Refused(classified.err_value)
         if parent is not None:
-            return self._child(request, parent, classified.ok_value)
+            parent.enter_child()
+            try:
+                return self._child(request, parent, classified.ok_value)
+            finally:
+                parent.leave_child()
         return self._root(request, classified.ok_value, forwarded)
 
     def _issue_ticket(self, request: CallRequest) -> Reply:
--- a/packages/node/src/knapweedspring_node/_calls/_gate_side.py
+++ b/packages/node/src/knapweedspring_node/_calls/_gate_side.py
@@ -242,7 +242,9 @@
         key = run.call.hop.run_key
         if key is not None:
             self._events.trace("gate:finished", ticket=str(key))
-        run.admission.finish(time.monotonic() - run.started_at, succeeded=succeeded)
+        service_s = time.monotonic() - run.started_at
+        own_s = max(0.0, service_s - run.call.children_s)
+        run.admission.finish(service_s, succeeded, own_s)
 
     def _refuse(
         self,
--- a/packages/node/src/knapweedspring_node/_calls/_in_flight.py
+++ b/packages/node/src/knapweedspring_node/_calls/_in_flight.py
@@ -2,6 +2,7 @@
 
 import itertools
 import threading
+import time
 from dataclasses import dataclass
 from enum import Enum, auto
 
@@ -51,6 +52,9 @@
         self._lock = threading.Lock()
         self._children: dict[ChildCall, Outcome | None] = {}
         self._n_children_started = 0
+        self._n_children_running = 0
+        self._children_since = 0.0
+        self._children_s = 0.0
 
     @property
     def token(self) -> str:
@@ -83,6 +87,25 @@
         with self._lock:
             return frozenset(child.target.split("/", 2)[1] for child in self._children)
 
+    @property
+    def children_s(self) -> float:
+        """Seconds in which the upstream had at least one call of its own out."""
+        return self._children_s
+
+    def enter_child(self) -> None:
+        """Note that a call of the upstream reached this node."""
+        with self._lock:
+            if self._n_children_running == 0:
+                self._children_since = time.monotonic()
+            self._n_children_running += 1
+
+    def leave_child(self) -> None:
+        """Note that such a call is answered."""
+        with self._lock:
+            self._n_children_running -= 1
+            if self._n_children_running == 0:
+                self._children_s += time.monotonic() - self._children_since
+
     def begin_child(self, child: ChildCall, repeatable: bool) -> Result[None, Refusal]:
         """Account for a call of the upstream; a repeated one is a retry.
 
--- a/packages/node/src/knapweedspring_node/_calls/_limit.py
+++ b/packages/node/src/knapweedspring_node/_calls/_limit.py
@@ -45,9 +45,21 @@
         """Take over a changed number of declared slots."""
 
     def record(  # noqa: B027 (a hook: fixed limits learn nothing)
-        self, class_name: str, service_s: float, succeeded: bool, now: float
+        self,
+        class_name: str,
+        own_s: float,
+        service_s: float,
+        succeeded: bool,
+        now: float,
     ) -> None:
-        """Take in a finished call."""
+        """Take in a finished call.
+
+        :param class_name: request class.
+        :param own_s: time that the upstream worked itself, in seconds.
+        :param service_s: the same with the calls that it waited for.
+        :param succeeded: whether its answer was whole and not an error.
+        :param now: monotonic time, in seconds.
+        """
 
     def restart(self) -> None:  # noqa: B027 (a hook, as above)
         """Begin anew, for an upstream that starts cold."""
@@ -72,7 +84,7 @@
 class AdaptiveLimit(ConcurrencyLimit):
     """Finds how many calls the upstream runs without slowing itself down.
 
-    Service times are compared, class by class, with a baseline. When they rise,
+    Own service times are compared, class by class, with a baseline. When they rise,
     the limit is cut, and the next window shows what the cut was worth. If the
     service became quicker, crowding was the cause, and the limit is cut again.
     If not, fewer calls would only lose throughput: the limit returns to what it
@@ -118,17 +130,26 @@
         self._test_after_s = TEST_MIN_S
 
     def record(
-        self, class_name: str, service_s: float, succeeded: bool, now: float
+        self,
+        class_name: str,
+        own_s: float,
+        service_s: float,
+        succeeded: bool,
+        now: float,
     ) -> None:
-        """Take in a finished call and adjust the limit once a window."""
+        """Take in a finished call and adjust the limit once a window.
+
+        The upstream's own time is compared: what it waits for at other services
+        grows with the queues there, and cutting this limit would only move them.
+        """
         baseline = self._baseline(class_name)
         if succeeded:
             self._mean_s += MEAN_STEP * (service_s - self._mean_s)
-            baseline.learn(service_s)
+            baseline.learn(own_s)
             self._grow_slowly()
         if baseline.service_s == 0.0:
             return
-        ratio = service_s / baseline.service_s
+        ratio = own_s / baseline.service_s
         # A quick failure says nothing about crowding; a slow one does.
         if not succeeded and ratio < CROWDED_RATIO:
             return
--- a/packages/node/tests/calls/test_in_flight.py
+++ b/packages/node/tests/calls/test_in_flight.py
@@ -66,3 +66,20 @@
     call.begin_child(CHILD, True)
     call.end_child(CHILD, Outcome.NOT_RUN)
     assert call.n_children_started == 0
+
+
+def test_time_with_calls_out_is_counted_once_however_many_overlap(monkeypatch):
+    now = 100.0
+    monkeypatch.setattr("time.monotonic", lambda: now)
+    call = _running()
+    for step_s, act in [
+        (1.0, call.enter_child),
+        (1.0, call.enter_child),
+        (1.0, call.leave_child),
+        (1.0, call.leave_child),
+        (5.0, call.enter_child),
+        (1.0, call.leave_child),
+    ]:
+        now += step_s
+        act()
+    assert call.children_s == 4.0
--- a/packages/node/tests/calls/test_limit.py
+++ b/packages/node/tests/calls/test_limit.py
@@ -10,7 +10,7 @@
 SERVICE_S = 0.05
 
 
-def run(limit, service_s, duration_s, now=80_000.0, seed=1, offered=SLOTS):
+def run(limit, service_s, duration_s, now=80_000.0, seed=1, offered=SLOTS, below_s=0.0):
     """Keep the limit's number of calls running; return the end and all values."""
     rng = random.Random(seed)
     values = []
@@ -18,8 +18,9 @@
     while now < end_at:
         n_running = min(offered, limit.value)
         took_s = service_s(n_running) * rng.lognormvariate(0.0, 0.3)
-        now += took_s / n_running
-        limit.record("lookup", took_s, True, now)
+        whole_s = took_s + below_s * n_running
+        now += whole_s / n_running
+        limit.record("lookup", took_s, whole_s, True, now)
         values.append(limit.value)
     return now, values
 
@@ -75,6 +76,13 @@
     assert mean(values) > 0.95 * SLOTS
 
 
+def test_queue_at_a_service_below_keeps_the_slots():
+    limit = AdaptiveLimit(SLOTS)
+    now, _ = run(limit, steady, 2.0, below_s=0.02)
+    _, values = run(limit, steady, 30.0, now, below_s=0.02)
+    assert mean(values) > 0.9 * SLOTS
+
+
 def test_crowding_is_found_again_after_a_slow_down():
     limit = AdaptiveLimit(SLOTS)
     now, _ = run(limit, steady, 3.0)
--- a/packages/standins/src/knapweedspring_standins/_gate_bench.py
+++ b/packages/standins/src/knapweedspring_standins/_gate_bench.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass
+from enum import Enum, auto
 
 from knapweedspring_core import Counters, EventLog
 from knapweedspring_node._calls._admission import Gate, GatePolicy
@@ -22,6 +23,7 @@
     ConcurrencyLimit,
     FixedLimit,
 )
+from knapweedspring_node._calls._rank import DRAW_BITS
 from knapweedspring_standins._gate_load import (
     ClassLoad,
     FakeUpstream,
@@ -34,13 +36,30 @@
 
 WARM_UP_S = 1.0
 WINDOW_S = 0.25
-DRAW_MASK = (1 << 32) - 1
 TOP_PRIORITY = 3
 GRADIENT_LONG_STEP = 0.002
 GRADIENT_SHORT_STEP = 0.1
 GRADIENT_SMOOTHING = 0.2
 
 
+class Draws(Enum):
+    """Where the draw of a request comes from."""
+
+    #: The request, the same at every hop.
+    SAME = auto()
+    #: Chance, anew at every hop.
+    RANDOM = auto()
+    #: Nowhere: within a class, calls go in order of arrival.
+    NONE = auto()
+
+
+class _GateWithoutDisplacement(Gate):
+    """Leaves calls in the queue that better ranks have left without time."""
+
+    def _displace_hopeless(self, now: float) -> None:
+        return
+
+
 @dataclass(frozen=True, slots=True)
 class Variant:
     """One way to build the gates of a run."""
@@ -51,8 +70,10 @@
     limit: Callable[[int], ConcurrencyLimit] = FixedLimit
     #: Order of arrival, fixed limit, no time bound.
     passthrough: bool = False
-    #: Whether every hop uses the same draw.
-    same_draw: bool = True
+    #: Where the draw of a request comes from.
+    draws: Draws = Draws.SAME
+    #: Class of the gates.
+    gate_type: type[Gate] = Gate
     #: Whether the entry refuses what deeper gates refuse at present.
     early_refusal: bool = False
 
@@ -134,7 +155,12 @@
         self._slots = slots
 
     def record(
-        self, class_name: str, service_s: float, succeeded: bool, now: float
+        self,
+        class_name: str,
+        own_s: float,
+        service_s: float,
+        succeeded: bool,
+        now: float,
     ) -> None:
         """Move the limit towards the ratio of the service times."""
         if not succeeded:
@@ -174,14 +200,29 @@
     "passthrough": Variant(passthrough=True),
     "current": Variant(limit=AdaptiveLimit, early_refusal=True),
     "base": Variant(GatePolicy(wait_share_below_level=1.0)),
-    "random-draws": Variant(GatePolicy(wait_share_below_level=1.0), same_draw=False),
+    "random-draws": Variant(GatePolicy(wait_share_below_level=1.0), draws=Draws.RANDOM),
     "early": Variant(GatePolicy(wait_share_below_level=1.0), early_refusal=True),
     "early-twentieth": Variant(
         GatePolicy(wait_share_below_level=0.05), early_refusal=True
     ),
     "early-tenth": Variant(GatePolicy(wait_share_below_level=0.1), early_refusal=True),
     "early-twentieth-random-draws": Variant(
-        GatePolicy(wait_share_below_level=0.05), early_refusal=True, same_draw=False
+        GatePolicy(wait_share_below_level=0.05), early_refusal=True, draws=Draws.RANDOM
+    ),
+    "current-random-draws": Variant(
+        limit=AdaptiveLimit, early_refusal=True, draws=Draws.RANDOM
+    ),
+    "current-no-draws": Variant(
+        limit=AdaptiveLimit, early_refusal=True, draws=Draws.NONE
+    ),
+    "no-displacement": Variant(
+        limit=AdaptiveLimit, early_refusal=True, gate_type=_GateWithoutDisplacement
+    ),
+    "headroom-twentieth": Variant(
+        GatePolicy(headroom_share=0.05), AdaptiveLimit, early_refusal=True
+    ),
+    "headroom-tenth": Variant(
+        GatePolicy(headroom_share=0.1), AdaptiveLimit, early_refusal=True
     ),
     "wait-half": Variant(GatePolicy(wait_share=0.5, wait_share_below_level=1.0)),
     "wait-quarter": Variant(GatePolicy(wait_share=0.25, wait_share_below_level=1.0)),
@@ -195,7 +236,7 @@
 
 
 def _make_gate(slots: int, variant: Variant, seed: int) -> Gate:
-    gate = Gate(
+    gate = variant.gate_type(
         slots,
         10_000,
         lambda: TOP_PRIORITY,
@@ -209,8 +250,11 @@
     return gate
 
 
-def _draw(request_id: int, salt: int) -> int:
-    return random.Random(request_id * 8 + salt).getrandbits(32) & DRAW_MASK
+def _draw(draws: Draws, request_id: int, hop: int) -> int:
+    if draws is Draws.NONE:
+        return 0
+    salt = hop if draws is Draws.RANDOM else 0
+    return random.Random(request_id * 8 + salt).getrandbits(DRAW_BITS)
 
 
 def run_once(scenario: Scenario, variant: Variant, seed: int) -> Figures:
@@ -241,7 +285,7 @@
         list(scenario.classes),
         scenario.duration_s,
         seed,
-        lambda request_id, hop: _draw(request_id, 0 if variant.same_draw else hop),
+        lambda request_id, hop: _draw(variant.draws, request_id, hop),
         scenario.client_retries,
         tables,
     )
--- a/packages/standins/src/knapweedspring_standins/_gate_load.py
+++ b/packages/standins/src/knapweedspring_standins/_gate_load.py
@@ -239,12 +239,13 @@
         admission = admitted.unwrap()
         started_at = time.monotonic()
         succeeded = self.upstreams[hop].work(deadline_at, request.load.work)
+        own_s = time.monotonic() - started_at
         n_run = 1
         goes_deeper = succeeded and hop + 1 < len(self.gates)
         if goes_deeper:
             succeeded, n_below = self._call(request, hop + 1, deadline_at)
             n_run += n_below
-        admission.finish(time.monotonic() - started_at, succeeded)
+        admission.finish(time.monotonic() - started_at, succeeded, own_s)
         self._tell(request, hop, goes_deeper)
         return succeeded, n_run
 
