Let callers follow a list of entry nodes, and name crossed answers rightly

A replaced VM comes back at another address: starting it again at its old port failed in a trial of the rolling scenario, since connections of the old process still held the port. Callers now read the entry nodes from a file that changes with the mesh. A trial of the slow scenario also showed one crossed child answer that was none: an upstream's 504 after a deadline has no echo in its body. The nonce header of every answer decides instead, and the body only of a 200.

--- a/packages/standins/src/knapweedspring_standins/_caller_plan.py
+++ b/packages/standins/src/knapweedspring_standins/_caller_plan.py
@@ -63,8 +63,9 @@
 class CallerPlan:
     """Work of one caller process."""
 
-    #: Call addresses of the entry nodes, by data centre.
-    entries: tuple[tuple[str, ...], ...]
+    #: JSON file with lists of the entry nodes' call addresses, one list a data
+    #: centre; read again when it changes.
+    entries_file: str
     #: The mix.
     kinds: tuple[RequestKind, ...]
     #: Rates, one after the other.
--- a/packages/standins/src/knapweedspring_standins/_callers.py
+++ b/packages/standins/src/knapweedspring_standins/_callers.py
@@ -24,6 +24,7 @@
     RequestKind,
 )
 from knapweedspring_standins._content import bundle_chunks
+from knapweedspring_standins._entries import EntryList
 from knapweedspring_standins._records import Answer, SendRecord
 
 __all__ = ["Arrival", "Callers", "arrivals", "run_callers"]
@@ -76,6 +77,7 @@
 
     def __init__(self, plan: CallerPlan) -> None:
         self._plan = plan
+        self._entries = EntryList(plan.entries_file)
         self._queue: queue.SimpleQueue[Arrival | None] = queue.SimpleQueue()
         self._records: list[SendRecord] = []
         self._n_arrivals = 0
@@ -111,7 +113,8 @@
         while (arrival := self._queue.get()) is not None:
             if time.monotonic() - arrival.due_s > LATE_S:
                 self._n_late += 1
-            _LogicalRequest(self._plan, self._pool, arrival, self._records).run()
+            request = _LogicalRequest(self._plan, self._entries, self._pool, arrival)
+            self._records += request.run()
 
 
 class _LogicalRequest:
@@ -120,24 +123,25 @@
     def __init__(
         self,
         plan: CallerPlan,
+        entries: EntryList,
         pool: urllib3.PoolManager,
         arrival: Arrival,
-        records: list[SendRecord],
     ) -> None:
         self._plan = plan
+        self._entries = entries
         self._pool = pool
         self._kind = arrival.kind
         self._arrival = arrival
-        self._records = records
+        self._records: list[SendRecord] = []
         self._random = random.Random(f"{plan.seed}:{arrival.nonce}")
-        self._entries = self._random.choice(plan.entries)
+        self._data_centre = entries.pick_data_centre(self._random)
         self._n_sends = 0
         self._n_chains = 0
         self._ticket = ""
         self._request_id = ""
         self._body = arrival.nonce.encode().ljust(self._kind.n_body_bytes, b".")
 
-    def run(self) -> None:
+    def run(self) -> list[SendRecord]:
         """Send until an answer is final or the patience ends."""
         patience = self._plan.patience
         give_up_s = self._arrival.due_s + patience.total_ms / 1_000
@@ -150,10 +154,10 @@
                 self._request_id = ""
                 continue
             if self._is_final(record) or self._n_sends >= patience.n_sends_max:
-                return
+                return self._records
             pause_s = patience.pause_ms / 1_000 * self._random.uniform(0.5, 2.0)
             if time.monotonic() + pause_s >= give_up_s:
-                return
+                return self._records
             time.sleep(pause_s)
 
     def _is_final(self, record: SendRecord) -> bool:
@@ -165,7 +169,7 @@
 
     def _send(self) -> tuple[SendRecord, str]:
         self._n_sends += 1
-        entry = self._random.choice(self._entries)
+        entry = self._entries.pick(self._data_centre, self._random)
         kind = self._kind
         now = time.monotonic()
         blank = SendRecord(
--- a/packages/standins/src/knapweedspring_standins/_child_calls.py
+++ b/packages/standins/src/knapweedspring_standins/_child_calls.py
@@ -162,7 +162,9 @@
         else:
             connection.close()
         outcome = headers.get(Header.OUTCOME.value, "")
-        crossed = not outcome and not _is_answer_to(body, request)
+        named = headers.get("X-Nonce", request.nonce)
+        whole = response.status == 200 and not outcome
+        crossed = named != request.nonce or (whole and not _answers(body, request))
         return ChildResult(
             status=response.status,
             outcome=outcome,
@@ -186,7 +188,7 @@
             self._idle.append(connection)
 
 
-def _is_answer_to(body: bytes, request: ChildRequest) -> bool:
+def _answers(body: bytes, request: ChildRequest) -> bool:
     try:
         answer = msgspec.json.decode(body, type=AnswerBody)
     except msgspec.DecodeError:
--- /dev/null
+++ b/packages/standins/src/knapweedspring_standins/_entries.py
@@ -0,0 +1,41 @@
+"""The list of entry nodes, as callers know it."""
+
+import random
+import threading
+import time
+from pathlib import Path
+
+import msgspec
+
+__all__ = ["EntryList"]
+
+REFRESH_S = 0.2
+
+
+class EntryList:
+    """Entry nodes by data centre, read again when the file changes.
+
+    :param file: JSON, one list of ``ip:port`` for each data centre.
+    """
+
+    def __init__(self, file: str) -> None:
+        self._file = Path(file)
+        self._lock = threading.Lock()
+        self._read_at = 0.0
+        self._entries: list[list[str]] = []
+
+    def pick_data_centre(self, rng: random.Random) -> int:
+        """Choose the data centre that a caller is in."""
+        return rng.randrange(len(self._current()))
+
+    def pick(self, data_centre: int, rng: random.Random) -> str:
+        """Choose an entry node of a data centre."""
+        return rng.choice(self._current()[data_centre])
+
+    def _current(self) -> list[list[str]]:
+        with self._lock:
+            if time.monotonic() - self._read_at > REFRESH_S:
+                data = self._file.read_bytes()
+                self._entries = msgspec.json.decode(data, type=list[list[str]])
+                self._read_at = time.monotonic()
+            return self._entries
--- a/packages/standins/src/knapweedspring_standins/_mesh.py
+++ b/packages/standins/src/knapweedspring_standins/_mesh.py
@@ -178,6 +178,7 @@
         for place in places:
             assert place.upstream is not None
             _ = place.upstream.ready
+        self.write_entries()
         return places
 
     def replace_upstream(self, place: Place) -> None:
@@ -188,22 +189,39 @@
     def replace(self, place: Place) -> None:
         """Start a new node and upstream where both ended.
 
-        The new node has another name and the addresses of the old one, as
-        when a VM is replaced behind the same IP number.
+        The new node has another name and other addresses, as when a VM is
+        replaced; callers learn of it by the list of entries.
         """
-        old = place.node.ready
         self._n_replaced += 1
         place.node_file = replace(
             place.node_file,
             node_id=f"{place.service.name}-r{self._n_replaced}",
             seeds=tuple(p.seed_address for p in self._places if p is not place)[:2],
-            call_address=old.call_address,
-            control_address=old.control_address,
-            admin_address=old.admin_address,
         )
         place.node = self._group.start_node(place.node_file)
         self._own(place)
         self.replace_upstream(place)
+        self.write_entries()
+
+    @property
+    def entries_file(self) -> Path:
+        """File that lists the entry nodes for callers."""
+        return self._group.directory / "entries.json"
+
+    def write_entries(self) -> None:
+        """List the call addresses of all nodes by data centre."""
+        entries = [
+            [
+                place.call_address
+                for place in self._places
+                if place.node_file.data_centre == data_centre
+            ]
+            for data_centre in self._layout.data_centres
+        ]
+        # Renaming lets readers see the old list or the new one, never a part.
+        fresh = self.entries_file.with_suffix(".new")
+        fresh.write_bytes(msgspec_json.encode(entries))
+        fresh.rename(self.entries_file)
 
     def partition(self, data_centre: str) -> None:
         """Cut a data centre off from all others and from the platform."""
