Let callers repeat a call that was refused no ticket yet

By the contract such a call never runs without a ticket, so callers now repeat it; only an upstream's own answer, which means that no ticket was asked for, stays final, and the test of that stays.

--- a/packages/standins/src/knapweedspring_standins/_callers.py
+++ b/packages/standins/src/knapweedspring_standins/_callers.py
@@ -32,7 +32,6 @@
 LATE_S = 0.05
 CONNECT_TIMEOUT_S = 2.0
 READ_BYTES = 65_536
-NOT_RUN = "not-run"
 BUDGET_SPENT = "budget-spent"
 
 
@@ -163,9 +162,11 @@
     def _is_final(self, record: SendRecord) -> bool:
         if record.answer in (Answer.WHOLE, Answer.SHORT, Answer.CROSSED):
             return True
-        if self._kind.repeatable or self._ticket:
-            return bool(self._ticket) and record.outcome in ("unknown", "ran")
-        return record.outcome != NOT_RUN and record.answer is not Answer.UNSENT
+        if self._ticket:
+            return record.outcome in ("unknown", "ran")
+        # Without a ticket such a request never runs, so a repeat is safe; an
+        # upstream's own answer means that no ticket was asked for.
+        return not self._kind.repeatable and record.answer is Answer.FAILED
 
     def _send(self) -> tuple[SendRecord, str]:
         self._n_sends += 1
