Report the bound control address when another is advertised

A node's ready line says which addresses it really listens on, and with an advertised control address it named that one instead. Binding now returns the bound address and peers still hear the advertised one; a test holds both.

--- a/packages/node/src/knapweedspring_node/_membership/_service.py
+++ b/packages/node/src/knapweedspring_node/_membership/_service.py
@@ -166,8 +166,8 @@
     def bind(self) -> Result[str, MembershipError]:
         """Bind the control address.
 
-        :return: the ``ip:port`` that peers connect to, or what to change in
-            the settings.
+        :return: the ``ip:port`` that is bound, which the advertised one may
+            differ from, or what to change in the settings.
         """
         checked = validate(self._settings)
         if isinstance(checked, Err):
@@ -180,7 +180,7 @@
         address = self._settings.advertised_address or bound.ok_value
         self._links.open(address)
         self._local.open(address)
-        return Ok(address)
+        return bound
 
     def start(self) -> None:
         """Begin to serve peers, to probe and to join through the contacts."""
--- a/packages/node/tests/membership/test_service.py
+++ b/packages/node/tests/membership/test_service.py
@@ -133,3 +133,12 @@
 def test_unusable_settings_are_refused_with_advice(mesh, settings, word):
     with pytest.raises(Exception, match=word):
         mesh.add("n0", settings=settings)
+
+
+def test_bind_tells_the_bound_address_and_peers_the_advertised_one(mesh, fast_settings):
+    advertised = "127.0.0.1:9"
+    node = mesh.add(
+        "n0", settings=replace(fast_settings, advertised_address=advertised)
+    )
+    assert node.address != advertised
+    assert node.service.own.control_address == advertised
