Let callers turn to another node when one is leaving

Callers now avoid the node that refused for draining or lost the connection, while there is another.

--- a/packages/standins/src/knapweedspring_standins/_callers.py
+++ b/packages/standins/src/knapweedspring_standins/_callers.py
@@ -33,6 +33,8 @@
 CONNECT_TIMEOUT_S = 2.0
 READ_BYTES = 65_536
 BUDGET_SPENT = "budget-spent"
+DRAINING = "draining"
+LOST = (Answer.UNSENT, Answer.BROKEN)
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,6 +140,7 @@
         self._n_chains = 0
         self._ticket = ""
         self._request_id = ""
+        self._avoided = ""
         self._body = arrival.nonce.encode().ljust(self._kind.n_body_bytes, b".")
 
     def run(self) -> list[SendRecord]:
@@ -170,7 +173,7 @@
 
     def _send(self) -> tuple[SendRecord, str]:
         self._n_sends += 1
-        entry = self._entries.pick(self._data_centre, self._random)
+        entry = self._entries.pick(self._data_centre, self._random, self._avoided)
         kind = self._kind
         now = time.monotonic()
         blank = SendRecord(
@@ -187,6 +190,8 @@
             ticket=self._ticket,
         )
         record, ticket = self._exchange(entry, blank)
+        is_leaving = record.reason == DRAINING or record.answer in LOST
+        self._avoided = entry if is_leaving else ""
         if record.reason == BUDGET_SPENT:
             # A client that retries hard starts afresh.
             self._request_id = ""
--- a/packages/standins/src/knapweedspring_standins/_entries.py
+++ b/packages/standins/src/knapweedspring_standins/_entries.py
@@ -28,9 +28,14 @@
         """Choose the data centre that a caller is in."""
         return rng.randrange(len(self._current()))
 
-    def pick(self, data_centre: int, rng: random.Random) -> str:
-        """Choose an entry node of a data centre."""
-        return rng.choice(self._current()[data_centre])
+    def pick(self, data_centre: int, rng: random.Random, avoided: str = "") -> str:
+        """Choose an entry node of a data centre.
+
+        :param avoided: node that is chosen only when there is no other.
+        """
+        entries = self._current()[data_centre]
+        others = [entry for entry in entries if entry != avoided]
+        return rng.choice(others or entries)
 
     def _current(self) -> list[list[str]]:
         with self._lock:
--- a/packages/standins/tests/test_callers.py
+++ b/packages/standins/tests/test_callers.py
@@ -172,3 +172,12 @@
     assert entries.pick(entries.pick_data_centre(rng), rng) == "10.0.0.1:80"
     entries_file("10.0.0.2:80")
     assert poll_until(lambda: entries.pick(0, rng) == "10.0.0.2:80")
+
+
+def test_entry_list_avoids_a_node_while_there_is_another():
+    Path("entries.json").write_text('[["10.0.0.1:80", "10.0.0.2:80"], ["10.0.0.3:80"]]')
+    entries = EntryList("entries.json")
+    rng = random.Random(1)
+    picked = {entries.pick(0, rng, "10.0.0.1:80") for _ in range(20)}
+    assert picked == {"10.0.0.2:80"}
+    assert entries.pick(1, rng, "10.0.0.3:80") == "10.0.0.3:80"
