--- a/packages/node/src/knapweedspring_node/_calls/_admission.py
+++ b/packages/node/src/knapweedspring_node/_calls/_admission.py
@@ -10,10 +10,10 @@
 
 from knapweedspring_core import Counters, EventLog, Outcome, Reason, Refusal
 from knapweedspring_node._calls._level_meter import LevelMeter
-from knapweedspring_node._calls._limit import ConcurrencyLimit, FixedLimit
+from knapweedspring_node._calls._limit import AdaptiveLimit, ConcurrencyLimit
 from knapweedspring_node._calls._load import GateLoad
 from knapweedspring_node._calls._queue import Waiter, WaitQueue
-from knapweedspring_node._calls._rank import Rank
+from knapweedspring_node._calls._rank import Level, Rank
 from knapweedspring_node._calls._service_times import ServiceTimes
 
 __all__ = ["Admission", "Ask", "Gate", "GateLoad", "GatePolicy", "Rank"]
@@ -23,6 +23,9 @@
 POLL_INTERVAL_PER_WAITING_S = 0.001
 RETRY_AFTER_MIN_S = 0.1
 RETRY_AFTER_MAX_S = 2.0
+WORK_MIN_S = 0.001
+
+_SHED_REASONS = frozenset({Reason.OVERLOADED, Reason.DISPLACED, Reason.DEADLINE})
 
 
 def _never_left() -> bool:
@@ -53,7 +56,7 @@
     wait_share: float = 1.0
     #: The same for a call below the measured level, which most likely waits in
     #: vain because better ranks keep arriving.
-    wait_share_below_level: float = 1.0
+    wait_share_below_level: float = 0.05
     #: Calls that may wait, each in a thread of the server.
     n_waiting_max: int = 1_000
 
@@ -85,14 +88,18 @@
         """Seconds that the call waited for its slot."""
         return self._waited_s
 
-    def finish(self, service_s: float, succeeded: bool) -> None:
+    def finish(
+        self, service_s: float, succeeded: bool, own_s: float | None = None
+    ) -> None:
         """Free the slot; only the first of several calls counts.
 
-        :param service_s: seconds that the upstream worked on the call.
+        :param service_s: seconds that the upstream took for the call.
         :param succeeded: whether its answer was whole and not an error.
+        :param own_s: the same without its own calls; by default it made none.
         """
         if self._finished.acquire(blocking=False):
-            self._gate.release(self, service_s, succeeded)
+            own_s = service_s if own_s is None else own_s
+            self._gate.release(self, service_s, succeeded, own_s)
 
 
 class Gate:
@@ -110,7 +117,7 @@
     :param counters: counts admissions and refusals.
     :param events: records changes of state.
     :param policy: proportions of the rules.
-    :param limit: limit below the slots; by default none.
+    :param limit: limit below the slots; adaptive by default.
     :param rng: source of the jitter of ``Retry-After``.
     :param clock: monotonic clock, in seconds.
     """
@@ -134,7 +141,7 @@
         self._counters = counters
         self._events = events
         self._policy = policy or GatePolicy()
-        self._limit = limit or FixedLimit(self._slots)
+        self._limit = limit or AdaptiveLimit(self._slots)
         self._rng = rng or random.Random()
         self._clock = clock
         self._service_times = ServiceTimes()
@@ -142,6 +149,7 @@
         self._n_in_flight = 0
         self._sum_admitted_at = 0.0
         self._closed = False
+        self._sheds = False
         self._passthrough = False
 
     @property
@@ -170,10 +178,7 @@
         """Return the load that rides on answers."""
         limit = self.limit
         free = 0 if self._closed else max(0, limit - self._n_in_flight)
-        level = None
-        if not self._passthrough:
-            with self._lock:
-                level = self._meter.level(self._clock())
+        level = None if self._passthrough else self._current_level()
         return GateLoad(free, limit, len(self._queue), level)
 
     def set_passthrough(self, passthrough: bool) -> None:
@@ -211,17 +216,17 @@
         """
         asked_at = self._clock()
         with self._lock:
-            self._meter.count_offer(ask.rank, asked_at)
+            self._meter.count_offer(ask.rank, self._work_s(ask.class_name), asked_at)
             if self._closed:
-                return Err(self._refusal(Reason.DRAINING))
+                return Err(self._refusal(Reason.DRAINING, ask.class_name))
             if ask.deadline_at <= asked_at:
-                return Err(self._refusal(Reason.DEADLINE))
+                return Err(self._refusal(Reason.DEADLINE, ask.class_name))
             if self._goes_at_once(ask.rank):
-                self._take_slot(asked_at)
+                self._take_slot(ask.class_name, asked_at)
                 return Ok(Admission(self, ask, asked_at, 0.0))
             waiter = Waiter(ask.rank, ask.class_name, ask.deadline_at)
             if not self._may_wait(waiter, asked_at):
-                return Err(self._refusal(Reason.OVERLOADED))
+                return Err(self._refusal(Reason.OVERLOADED, ask.class_name))
             self._queue.push(waiter, in_order_of_arrival=self._passthrough)
             if not self._passthrough:
                 self._displace_hopeless(asked_at)
@@ -231,7 +236,9 @@
         admitted_at = waiter.admitted_at
         return Ok(Admission(self, ask, admitted_at, admitted_at - asked_at))
 
-    def release(self, admission: Admission, service_s: float, succeeded: bool) -> None:
+    def release(
+        self, admission: Admission, service_s: float, succeeded: bool, own_s: float
+    ) -> None:
         """Free a slot; called by :meth:`Admission.finish` only."""
         class_name = admission.ask.class_name
         now = self._clock()
@@ -242,9 +249,19 @@
                 # Rounding errors of the running sum end here.
                 self._sum_admitted_at = 0.0
             self._service_times.record(class_name, service_s, succeeded)
-            self._limit.record(class_name, service_s, succeeded, now)
+            self._limit.record(class_name, own_s, service_s, succeeded, now)
             self._start_waiting(now)
 
+    def _current_level(self) -> Level | None:
+        with self._lock:
+            level = self._meter.level(self._clock())
+            changed = self._sheds != (level is not None)
+            self._sheds = level is not None
+        if changed:
+            kind = "gate:sheds" if level is not None else "gate:admits-all"
+            self._events.record(kind, limit=self.limit, n_waiting=len(self._queue))
+        return level
+
     def _goes_at_once(self, rank: Rank) -> bool:
         first = self._queue.first
         if first is not None and (self._passthrough or first.rank >= rank):
@@ -257,15 +274,19 @@
             limit = max(1, limit - int(limit * self._policy.headroom_share))
         return self._n_in_flight < limit
 
-    def _take_slot(self, now: float) -> None:
+    def _work_s(self, class_name: str) -> float:
+        return max(WORK_MIN_S, self._service_times.of_class(class_name))
+
+    def _take_slot(self, class_name: str, now: float) -> None:
         self._n_in_flight += 1
         self._sum_admitted_at += now
-        self._meter.count_admission()
+        self._meter.count_admission(self._work_s(class_name))
+        self._counters.add("calls_admitted", class_name)
 
     def _start_waiting(self, now: float) -> None:
         while (first := self._queue.first) and self._has_slot_for(first.rank):
             self._queue.pop_first()
-            self._take_slot(now)
+            self._take_slot(first.class_name, now)
             first.admit(now)
 
     def _may_wait(self, waiter: Waiter, now: float) -> bool:
@@ -342,12 +363,12 @@
 
     def _refuse_waiting(self, waiter: Waiter, reason: Reason) -> None:
         self._queue.remove(waiter)
-        waiter.refuse(self._refusal(reason))
+        waiter.refuse(self._refusal(reason, waiter.class_name))
 
-    def _refusal(self, reason: Reason) -> Refusal:
+    def _refusal(self, reason: Reason, class_name: str) -> Refusal:
         """Count a refusal; the caller comes back when the queue has moved on."""
-        self._counters.add("gate_refused", reason)
-        if reason not in (Reason.DRAINING, Reason.CALLER_LEFT):
+        if reason in _SHED_REASONS:
+            self._counters.add("calls_shed", class_name)
             self._meter.count_refusal()
         base_s = self._expected_wait_s(len(self._queue), self._clock())
         base_s = min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_MIN_S, base_s))
