Bound the events of a time line page

A mesh of many nodes has more events in its rings than a browser draws in reasonable time. The page shows the newest five thousand unless told otherwise, and says on standard error how many were left out; text and JSON lines stay complete by default.

--- a/packages/ctl/src/knapweedspring_ctl/_main.py
+++ b/packages/ctl/src/knapweedspring_ctl/_main.py
@@ -182,6 +182,12 @@
         metavar="FILE",
         help="saved /events page to read instead of asking nodes; may be repeated",
     )
+    timeline.add_argument(
+        "--newest",
+        type=int,
+        metavar="N",
+        help="only the newest N events; html shows 5000 by default",
+    )
     timeline.set_defaults(command=_run_timeline)
 
 
@@ -242,7 +248,7 @@
     as_json = options.output == "json"
     default = TimelineFormat.JSON_LINES if as_json else TimelineFormat.TEXT
     form = TimelineFormat(options.format or default)
-    wanted = TimelineOptions(form, options.kind, tuple(options.file))
+    wanted = TimelineOptions(form, options.kind, tuple(options.file), options.newest)
     return show_timeline(settings, wanted, output)
 
 
--- a/packages/ctl/src/knapweedspring_ctl/_timeline.py
+++ b/packages/ctl/src/knapweedspring_ctl/_timeline.py
@@ -29,6 +29,10 @@
 ]
 
 
+#: Events on one page unless told otherwise; browsers draw more only slowly.
+MAX_PAGE_EVENTS = 5_000
+
+
 class TimelineFormat(StrEnum):
     """Form of the time line."""
 
@@ -49,6 +53,8 @@
     kind_prefix: str = ""
     #: Saved event pages to read instead of asking nodes.
     files: tuple[str, ...] = ()
+    #: Newest events to show; None for the default of the form.
+    n_newest: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,6 +101,12 @@
         for event in merge_events(page.events for page in read.ok_value)
         if event.kind.startswith(options.kind_prefix)
     )
+    n_newest = options.n_newest
+    if n_newest is None and options.form is TimelineFormat.HTML:
+        n_newest = MAX_PAGE_EVENTS
+    if n_newest is not None and n_newest < len(events):
+        output.message(f"showing the newest {n_newest} of {len(events)} events")
+        events = events[len(events) - n_newest :]
     sys.stdout.write(_render(events, options.form))
     return Ok(ExitCode.OK)
 
--- a/packages/ctl/tests/test_timeline.py
+++ b/packages/ctl/tests/test_timeline.py
@@ -83,6 +83,13 @@
     assert kinds == ["hand:sent", "hand:received"]
 
 
+def test_only_the_newest_are_shown_and_the_rest_is_counted(two_files, capsys):
+    main(["timeline", *two_files, "--newest", "1"])
+    captured = capsys.readouterr()
+    assert [line.split()[2] for line in captured.out.splitlines()] == ["node:drained"]
+    assert "newest 1 of 4" in captured.err
+
+
 def test_without_events_the_page_says_so(save, capsys):
     main(["timeline", *save("n1"), "--format", "html"])
     assert "No events." in capsys.readouterr().out
