--- a/packages/ctl/tests/test_check_settings.py
+++ b/packages/ctl/tests/test_check_settings.py
@@ -1,5 +1,6 @@
 """Every example can be used, and a wrong field is named with its path."""
 
+import re
 from pathlib import Path
 
 import pytest
@@ -65,3 +66,10 @@
 def test_a_missing_file_is_told(tmp_path, capsys):
     assert _check(tmp_path / "none.jsonc", "node") == ExitCode.INVALID
     assert "none.jsonc" in capsys.readouterr().err
+
+
+def test_every_exit_code_is_documented():
+    page = (EXAMPLES.parent / "docs" / "CTL.md").read_text()
+    section = page.partition("## Exit codes")[2].partition("## ")[0]
+    documented = re.findall(r"^\| (\d+) \|", section, re.MULTILINE)
+    assert [int(code) for code in documented] == [int(code) for code in ExitCode]
