Notice a platform whose version fell

Nodes never replace a version by a lower one, so that a platform restored from an older copy would have its writes ignored in silence until its counter has passed what the nodes hold. Starting over from the lower version was ruled out, since a node cannot tell a restore from an old peer.

--- a/packages/core/src/knapweedspring_core/__init__.py
+++ b/packages/core/src/knapweedspring_core/__init__.py
@@ -89,6 +89,7 @@
     parse_status,
 )
 from knapweedspring_core._store import (
+    CHECKPOINT_KEY,
     DeclarationStore,
     HeldObject,
     InvalidObject,
@@ -111,6 +112,7 @@
 )
 
 __all__ = [
+    "CHECKPOINT_KEY",
     "AnnouncedUpstream",
     "BudgetUse",
     "CONTACTS_KIND",
--- a/packages/node/src/knapweedspring_node/_config/_watcher.py
+++ b/packages/node/src/knapweedspring_node/_config/_watcher.py
@@ -7,6 +7,7 @@
 from result import Err, Result
 
 from knapweedspring_core import (
+    CHECKPOINT_KEY,
     CONTACTS_KIND,
     DECLARATION_TYPES,
     Changes,
@@ -65,6 +66,8 @@
         self._stopped = threading.Event()
         self._random = random.Random()
         self._version: int | None = None
+        self._highest_version = 0
+        self._went_back = False
         self._reachable: bool | None = None
         self._backoff_s = BACKOFF_MIN_S
 
@@ -112,6 +115,7 @@
         return self._platform.watch(self._version, WATCH_WAIT_S, WATCHED_KINDS)
 
     def _take_in(self, changes: Changes) -> None:
+        self._check_version(changes.version)
         declared = tuple(
             record for record in changes.records if record.key.kind != CONTACTS_KIND
         )
@@ -125,6 +129,22 @@
             if record.key.kind == CONTACTS_KIND:
                 self._on_contacts(record)
 
+    def _check_version(self, version: int) -> None:
+        """Notice a platform that was restored from an older copy.
+
+        Nodes never go back, so that they would ignore every write until the
+        platform's version has passed what they hold. Only operators can mend it.
+        """
+        highest = max(self._highest_version, self._store.version_of(CHECKPOINT_KEY))
+        went_back = version < highest
+        if went_back and not self._went_back:
+            self._counters.add("platform_failures", "version-went-back")
+            self._events.record(
+                "platform:version-went-back", version=version, highest=highest
+            )
+        self._went_back = went_back
+        self._highest_version = max(highest, version)
+
     def _after_failure(self, error: PlatformError) -> None:
         self._counters.add("platform_failures", type(error).__name__)
         if isinstance(error, PlatformVersionTooOld):
--- a/packages/node/tests/_config/test_watcher.py
+++ b/packages/node/tests/_config/test_watcher.py
@@ -87,6 +87,15 @@
     node.watcher.stop()
 
 
+def test_a_platform_that_was_restored_from_an_older_copy_is_noticed(server, client):
+    _put(client, 1)
+    node = _Node(server)
+    node.store.merge_list((), 1_000)
+    _until(lambda: "platform:version-went-back" in {e.kind for e in node.events.events})
+    assert node.priority() is None
+    node.watcher.stop()
+
+
 def test_a_node_without_the_role_does_not_call_the_platform(server, client):
     _put(client, 1)
     others = tuple(
