Sort a service's providers on the first look-up after a change

The index now only drops the sorted tuple, and the first look-up after a change sorts once; all others stay one dictionary look-up. Sorting incrementally was left out, as the look-ups of one service between two changes share the cost.

--- a/packages/node/src/knapweedspring_node/_membership/_table.py
+++ b/packages/node/src/knapweedspring_node/_membership/_table.py
@@ -80,8 +80,19 @@
         return snapshot
 
     def providers(self, service: str) -> tuple[Member, ...]:
-        """Live members with a ready upstream of the service."""
-        return self._providers.get(service, ())
+        """Live members with a ready upstream of the service.
+
+        The first call after a change sorts them; the others look a tuple up.
+        """
+        snapshot = self._providers.get(service)
+        if snapshot is not None:
+            return snapshot
+        if service not in self._by_service:
+            return ()
+        with self._lock:
+            snapshot = self._ordered(self._by_service.get(service, {}))
+            self._providers[service] = snapshot
+        return snapshot
 
     def find(self, node_id: str) -> Member | None:
         """Look an entry up."""
@@ -168,9 +179,9 @@
                 nodes[member.node_id] = member
             else:
                 nodes.pop(member.node_id, None)
-            self._providers[service] = self._ordered(nodes)
             if not nodes:
-                del self._by_service[service], self._providers[service]
+                del self._by_service[service]
+            self._providers.pop(service, None)
 
     def _ordered(self, nodes: dict[str, Member]) -> tuple[Member, ...]:
         def is_remote(member: Member) -> bool:
