--- a/packages/node/tests/_admin/test_pages.py
+++ b/packages/node/tests/_admin/test_pages.py
@@ -11,6 +11,7 @@
     Counters,
     EventLog,
     Explanation,
+    GateStatus,
     Member,
     MembersPage,
     MetricsPage,
@@ -26,9 +27,11 @@
     def __init__(self):
         self.log = EventLog("n1")
         self.announced = []
+        self.reports = []
 
     def status(self):
-        return StatusPage("n1", 7, "sandton")
+        gate = GateStatus("orders", "127.0.0.1:9", UpstreamState.READY, 4, 3, 2, 1, 100)
+        return StatusPage("n1", 7, "sandton", gates=(gate,))
 
     def members(self):
         return (MEMBER,)
@@ -39,6 +42,9 @@
     def announce(self, upstream):
         self.announced.append(upstream)
 
+    def take_report(self, page):
+        self.reports.append(page)
+
 
 @pytest.fixture(scope="module")
 def facts():
@@ -69,7 +75,7 @@
 
 
 def test_status_and_members(base):
-    assert _get(base, "/status", StatusPage) == StatusPage("n1", 7, "sandton")
+    assert _get(base, "/status", StatusPage) == _Facts().status()
     assert _get(base, "/members", MembersPage) == MembersPage("n1", (MEMBER,))
 
 
@@ -84,6 +90,9 @@
     answer = urllib3.request("GET", base + "/metrics")
     assert answer.headers["Content-Type"].startswith("text/plain")
     assert b'calls_refused_total{of="overloaded"' in answer.data
+    assert b'gate_waiting{of="orders"' in answer.data
+    assert b'members{of="alive"' in answer.data
+    assert b"declarations_invalid" in answer.data
 
 
 def test_an_announcement_reaches_the_node(base, facts):
@@ -132,3 +141,11 @@
     taken = base.removeprefix("http://")
     error = AdminPages(facts, MetricsPage(Counters())).bind(taken).unwrap_err()
     assert taken in error.advice
+
+
+def test_a_report_of_another_node_is_taken_in(base, facts):
+    page = StatusPage("n2", 4, "sandton", draining=True)
+    body = msgspec.json.encode(page)
+    assert urllib3.request("POST", base + "/reports", body=body).status == 200
+    assert facts.reports == [page]
+    assert urllib3.request("POST", base + "/reports", body=b"{}").status == 400
