End a gate's level when calls find free slots again

After an overload the level stepped down by one of sixteen steps a window, and a window with little traffic lasts half a second, so that a quiet gate went on refusing at the entry for seconds. It now ends in the first window in which at most a fifth of the calls found no free slot, and steps down only while the gate stays full, where opening at once would bring the whole surge back. A fixed time to open was ruled out, as it would open under load as well.

--- a/packages/node/src/knapweedspring_node/_calls/_admission.py
+++ b/packages/node/src/knapweedspring_node/_calls/_admission.py
@@ -224,6 +224,7 @@
             if self._goes_at_once(ask.rank):
                 self._take_slot(ask.class_name, asked_at)
                 return Ok(Admission(self, ask, asked_at, 0.0))
+            self._meter.count_blocked()
             waiter = Waiter(ask.rank, ask.class_name, ask.deadline_at)
             if not self._may_wait(waiter, asked_at):
                 return Err(self._refusal(Reason.OVERLOADED, ask.class_name))
--- a/packages/node/src/knapweedspring_node/_calls/_level_meter.py
+++ b/packages/node/src/knapweedspring_node/_calls/_level_meter.py
@@ -8,6 +8,8 @@
 MIN_OFFERS = 20
 #: A window with few offers stays open this long.
 WINDOW_MAX_S = 0.5
+#: Share of the offers that find no free slot while a gate still has room.
+ROOMY_SHARE = 0.2
 #: What earlier windows still count, so that a window without a finished call
 #: does not look like an upstream without capacity.
 KEPT_SHARE = 0.75
@@ -25,7 +27,8 @@
 
     In a window with refusals the level is the rank that the admitted calls would
     reach down to if they had been the best of the offers. In a window without, it
-    steps down, so that it opens gradually when the overload ends.
+    steps down, since the callers that know the level hold back; and it ends in a
+    window in which nearly every call found a free slot.
 
     Calls are weighed by their work, the time that they hold a slot: counted by
     number, a few long calls of a low class would look like lost capacity and raise
@@ -40,6 +43,7 @@
         self._offers: dict[Level, float] = {}
         self._n_offers = 0
         self._admitted_s = 0.0
+        self._n_blocked = 0
         self._n_refused = 0
 
     def level(self, now: float) -> Level | None:
@@ -60,6 +64,10 @@
         self._offers[step] = self._offers.get(step, 0.0) + work_s
         self._n_offers += 1
 
+    def count_blocked(self) -> None:
+        """Count a call that found no free slot."""
+        self._n_blocked += 1
+
     def count_admission(self, work_s: float) -> None:
         """Count a call that takes a slot."""
         self._admitted_s += work_s
@@ -74,12 +82,15 @@
             return
         if self._n_offers < MIN_OFFERS and age_s < WINDOW_MAX_S:
             return
-        if self._n_refused:
+        if self._n_blocked <= ROOMY_SHARE * self._n_offers:
+            self._level = None
+        elif self._n_refused:
             self._level = self._level_of_admitted()
         elif self._level is not None:
             self._level = self._next_step_below(self._level)
         self._opened_at = now
         self._n_offers = 0
+        self._n_blocked = 0
         self._n_refused = 0
         self._fade(KEPT_SHARE ** min(MAX_FADES, age_s / WINDOW_S))
 
