Bound what the picker remembers of nodes

VMs are replaced at any time, each replacement may bring a new node name, and a node lives for long, so that what the picker learnt of nodes that are gone added up. Beyond ten thousand names the table starts anew; load and health are learnt again within a second. Forgetting by membership events was ruled out: it needs a hook between two parts for a table that only grows slowly.

--- a/packages/node/src/knapweedspring_node/_calls/_routing.py
+++ b/packages/node/src/knapweedspring_node/_calls/_routing.py
@@ -14,6 +14,7 @@
 __all__ = ["FailureKind", "RoutingPolicy", "UpstreamPicker"]
 
 LOAD_TTL_S = 1.0
+MAX_KNOWN_NODES = 10_000
 #: Candidates looked at for one pick, of a service with very many upstreams.
 MAX_CANDIDATES = 16
 
@@ -150,14 +151,12 @@
             with self._lock:
                 health.count_success(self._clock())
 
-    def forget(self, node_ids: frozenset[str]) -> None:
-        """Drop what was learnt of nodes that left the mesh."""
-        for node_id in node_ids:
-            self._nodes.pop(node_id, None)
-
     def _known(self, node_id: str) -> _KnownNode:
         known = self._nodes.get(node_id)
         if known is None:
+            if len(self._nodes) >= MAX_KNOWN_NODES:
+                # Mostly nodes that were replaced; the others are soon learnt anew.
+                self._nodes.clear()
             known = self._nodes.setdefault(node_id, _KnownNode())
         return known
 
