Free the slot of a call whose thread fails while it waits

A waiting call looks at its caller's socket, which may raise. Its thread then left the gate while the call stayed in the queue, was admitted later, and held its slot for good. The gate now takes the place back, or the slot when it had just been given, and starts the next call. Catching errors of the socket alone was ruled out, since an interrupt or any other fault leaks the slot as well.

--- a/packages/node/src/knapweedspring_node/_calls/_admission.py
+++ b/packages/node/src/knapweedspring_node/_calls/_admission.py
@@ -231,7 +231,11 @@
             self._queue.push(waiter, in_order_of_arrival=self._passthrough)
             if not self._passthrough:
                 self._displace_hopeless(asked_at)
-        self._wait(waiter, ask)
+        try:
+            self._wait(waiter, ask)
+        except BaseException:
+            self._abandon(waiter)
+            raise
         if waiter.refusal is not None:
             return Err(waiter.refusal)
         admitted_at = waiter.admitted_at
@@ -244,11 +248,7 @@
         class_name = admission.ask.class_name
         now = self._clock()
         with self._lock:
-            self._n_in_flight -= 1
-            self._sum_admitted_at -= admission.admitted_at
-            if self._n_in_flight == 0:
-                # Rounding errors of the running sum end here.
-                self._sum_admitted_at = 0.0
+            self._free_slot(admission.admitted_at)
             self._service_times.record(class_name, service_s, succeeded)
             self._limit.record(class_name, own_s, service_s, succeeded, now)
             self._start_waiting(now)
@@ -284,6 +284,13 @@
         self._meter.count_admission(self._work_s(class_name))
         self._counters.add("calls_admitted", class_name)
 
+    def _free_slot(self, admitted_at: float) -> None:
+        self._n_in_flight -= 1
+        self._sum_admitted_at -= admitted_at
+        if self._n_in_flight == 0:
+            # Rounding errors of the running sum end here.
+            self._sum_admitted_at = 0.0
+
     def _start_waiting(self, now: float) -> None:
         while (first := self._queue.first) and self._has_slot_for(first.rank):
             self._queue.pop_first()
@@ -345,6 +352,16 @@
             else:
                 self._reconsider(waiter)
 
+    def _abandon(self, waiter: Waiter) -> None:
+        """Take back the place or slot of a call whose thread failed."""
+        now = self._clock()
+        with self._lock:
+            if not waiter.decided:
+                self._queue.remove(waiter)
+            elif waiter.refusal is None:
+                self._free_slot(waiter.admitted_at)
+                self._start_waiting(now)
+
     def _reconsider(self, waiter: Waiter) -> None:
         """Refuse a waiting call as soon as it can no longer finish in time."""
         now = self._clock()
--- a/packages/node/tests/calls/test_admission.py
+++ b/packages/node/tests/calls/test_admission.py
@@ -141,6 +141,19 @@
     assert gate.n_waiting == 0
 
 
+def test_thread_that_fails_while_it_waits_leaks_neither_place_nor_slot():
+    gate = make_gate()
+    running = gate.admit(ask()).unwrap()
+
+    def fail():
+        running.finish(0.01, succeeded=True)
+        raise OSError("socket closed")
+
+    with pytest.raises(OSError):
+        gate.admit(ask(has_left=fail))
+    assert (gate.n_in_flight, gate.n_waiting) == (0, 0)
+
+
 def test_closing_refuses_new_and_waiting_calls_and_cuts_none_in_flight():
     gate = make_gate()
     running = gate.admit(ask()).unwrap()
