Let the top class overdraw the retry ratio

The ratio of a tenth bounds retries when everything fails, yet it denied retries to the top class while one node failed fast. The top class may now overdraw the credit by the reserve, which the others then earn back; the request's own tokens bound it as before. A ratio for each class was ruled out, since quiet classes would keep credit that nobody uses. The same files bring one rule without figures: a retry is made only if the service's usual latency and half the longest pause still fit before the deadline, where nothing was expected of it so far.

--- a/packages/node/src/knapweedspring_node/_calls/_attempts.py
+++ b/packages/node/src/knapweedspring_node/_calls/_attempts.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 from knapweedspring_core import (
@@ -12,7 +13,12 @@
     Reason,
     Refusal,
 )
-from knapweedspring_node._calls._budget import RetryRatio, backoff_s, may_retry
+from knapweedspring_node._calls._budget import (
+    RetryRatio,
+    backoff_max_s,
+    backoff_s,
+    may_retry,
+)
 from knapweedspring_node._calls._gate_side import GateSide
 from knapweedspring_node._calls._levels import LevelTable
 from knapweedspring_node._calls._load import GateLoad
@@ -21,6 +27,7 @@
 from knapweedspring_node._calls._reply import Refused, Relayed, Reply, refused
 from knapweedspring_node._calls._revocation import Revoker, RevokeResult
 from knapweedspring_node._calls._routing import FailureKind, UpstreamPicker
+from knapweedspring_node._calls._service_times import ServiceTimes
 
 __all__ = ["Attempts"]
 
@@ -59,6 +66,7 @@
     """Runs planned calls.
 
     :param own_id: name of this node; its own gate is called in process.
+    :param top_priority: priority of the most important class in force.
     """
 
     def __init__(
@@ -70,6 +78,7 @@
         remote: RemoteGates,
         revoker: Revoker,
         ratio: RetryRatio,
+        top_priority: Callable[[], int],
         events: EventLog,
         counters: Counters,
         rng: random.Random,
@@ -81,10 +90,13 @@
         self._remote = remote
         self._revoker = revoker
         self._ratio = ratio
+        self._top_priority = top_priority
         self._events = events
         self._counters = counters
         self._rng = rng
         self._epochs: dict[str, int] = {}
+        # By service; a lost update between threads is made up by the next one.
+        self._latencies = ServiceTimes()
         self._passthrough = False
 
     def set_passthrough(self, passthrough: bool) -> None:
@@ -195,6 +207,7 @@
             self._note_failure(member, kind)
         elif isinstance(reply, Relayed):
             self._picker.succeeded(member.node_id, latency_s)
+            self._latencies.record(plan.request.service, latency_s, True)
 
     def _note_refusal(self, plan: CallPlan, member: Member, reply: Refused) -> None:
         self._counters.add("attempts_refused", reply.refusal.reason)
@@ -236,9 +249,11 @@
             return False
         if self._passthrough:
             return n_retries < PASSTHROUGH_RETRIES
-        if not may_retry(plan.deadline_at, 0.0):
+        if not may_retry(plan.deadline_at, self._expected_s(plan, n_retries + 1)):
+            self._counters.add("retries_denied", "deadline")
             return False
-        if not self._ratio.take():
+        is_top = plan.rank.priority >= self._top_priority()
+        if not self._ratio.take(is_top):
             self._counters.add("retries_denied", "ratio")
             return False
         if not plan.budget.take():
@@ -247,6 +262,11 @@
         self._counters.add("retries", reply.refusal.reason)
         return True
 
+    def _expected_s(self, plan: CallPlan, n_retries: int) -> float:
+        """Return how long the pause and another attempt would take."""
+        latency_s = self._latencies.of_class(plan.request.service)
+        return latency_s + backoff_max_s(n_retries) / 2.0
+
     def _pause(self, plan: CallPlan, n_retries: int) -> None:
         pause_s = backoff_s(n_retries, self._rng)
         left_s = plan.deadline_at - time.monotonic()
--- a/packages/node/src/knapweedspring_node/_calls/_budget.py
+++ b/packages/node/src/knapweedspring_node/_calls/_budget.py
@@ -4,7 +4,7 @@
 import threading
 import time
 
-__all__ = ["RetryBudget", "RetryRatio", "backoff_s", "may_retry"]
+__all__ = ["RetryBudget", "RetryRatio", "backoff_max_s", "backoff_s", "may_retry"]
 
 BACKOFF_BASE_S = 0.01
 BACKOFF_MAX_S = 0.5
@@ -83,6 +83,9 @@
 class RetryRatio:
     """Bounds the retries of a node to a share of its calls.
 
+    The top class may overdraw the credit by the reserve, which the other classes
+    then have to wait for.
+
     :param ratio: retries allowed per call.
     :param reserve: retries that a quiet node may make at once.
     """
@@ -100,26 +103,35 @@
         with self._lock:
             self._credit = min(self._reserve, self._credit + self._ratio)
 
-    def take(self) -> bool:
+    def take(self, is_top: bool = False) -> bool:
         """Spend credit on a retry.
 
+        :param is_top: whether the request is of the top class.
         :return: False when the share is used up.
         """
+        lowest = -self._reserve if is_top else 0.0
         with self._lock:
-            if self._credit < 1.0:
+            if self._credit - 1.0 < lowest:
                 return False
             self._credit -= 1.0
             return True
 
 
+def backoff_max_s(attempt: int) -> float:
+    """Return the longest pause before a retry.
+
+    :param attempt: 1 for the first retry.
+    """
+    return min(BACKOFF_MAX_S, BACKOFF_BASE_S * 2.0 ** (attempt - 1))
+
+
 def backoff_s(attempt: int, rng: random.Random) -> float:
     """Return the pause before a retry, exponential with full jitter.
 
     :param attempt: 1 for the first retry.
     :param rng: source of the jitter.
     """
-    ceiling_s = min(BACKOFF_MAX_S, BACKOFF_BASE_S * 2.0 ** (attempt - 1))
-    return rng.uniform(0.0, ceiling_s)
+    return rng.uniform(0.0, backoff_max_s(attempt))
 
 
 def may_retry(deadline_at: float, expected_s: float) -> bool:
--- a/packages/node/src/knapweedspring_node/_calls/_stack.py
+++ b/packages/node/src/knapweedspring_node/_calls/_stack.py
@@ -110,6 +110,7 @@
             remote,
             revoker,
             RetryRatio(),
+            store.top_priority,
             events,
             counters,
             random.Random(),
--- a/packages/node/tests/calls/test_budget.py
+++ b/packages/node/tests/calls/test_budget.py
@@ -87,6 +87,17 @@
     assert 95 <= n_retries <= 105
 
 
+def test_top_class_may_overdraw_the_credit_and_the_others_wait():
+    ratio = RetryRatio(ratio=0.5, reserve=3)
+    assert [ratio.take() for _ in range(4)] == [True, True, True, False]
+    assert [ratio.take(is_top=True) for _ in range(4)] == [True, True, True, False]
+    for _ in range(7):
+        ratio.count_call()
+    assert not ratio.take()
+    ratio.count_call()
+    assert ratio.take()
+
+
 def test_backoff_grows_within_its_bounds():
     rng = random.Random(1)
     means = []
--- a/packages/standins/src/knapweedspring_standins/_routing_bench.py
+++ b/packages/standins/src/knapweedspring_standins/_routing_bench.py
@@ -65,6 +65,8 @@
     policy: RoutingPolicy = RoutingPolicy()
     #: Whether the node's retry ratio is in force.
     ratio: bool = True
+    #: Whether the top class may overdraw it.
+    top_overdraws: bool = True
     #: Whether retries pause.
     backoff: bool = True
     #: Whether the outcomes of calls are told to the picker.
@@ -83,6 +85,7 @@
     "current": Variant(),
     "no-spill": Variant(RoutingPolicy(spills=False)),
     "spill-all": Variant(RoutingPolicy(spill_reserve_share=0.0)),
+    "even-ratio": Variant(top_overdraws=False),
     "no-ratio": Variant(ratio=False),
     "no-backoff": Variant(backoff=False),
     "blind": Variant(observes_failures=False),
@@ -211,7 +214,10 @@
             n_attempts += 1
             if self._attempt(request, rank, member, deadline_at):
                 return True, n_attempts
-            if (self.variant.ratio and not ratio.take()) or not budget.take():
+            is_top = self.variant.top_overdraws and rank.priority == TOP_PRIORITY
+            if self.variant.ratio and not ratio.take(is_top):
+                return False, n_attempts
+            if not budget.take():
                 return False, n_attempts
             excluded |= {member.node_id}
             if self.variant.backoff:
