Run the planned-stop test with the callers' entry file

The callers' plan names a file of entry nodes since callers follow replaced nodes; the test of the planned stop still passed a fixed list and could not start (2 tests failed with a TypeError).

--- a/packages/standins/tests/test_planned_stop.py
+++ b/packages/standins/tests/test_planned_stop.py
@@ -71,7 +71,7 @@
 
     def __init__(self, mesh, seconds):
         plan = CallerPlan(
-            entries=(tuple(place.call_address for place in mesh.places),),
+            entries_file=str(mesh.entries_file),
             kinds=(LOOKUP, ORDER),
             phases=(Phase("load", seconds, RATE),),
             seed=SEED,
