Follow the callers' list of entries in the tests of planned stops

Callers now read their entry nodes from a file that the mesh writes, and a replaced node gets new addresses by default, which broke two tests by a constructor argument that is gone (TypeError, 500 other tests passed). The tests pass the file instead, and the rolling replacement keeps the addresses of the node that ended, so that a bind on an address whose connections ended lately stays covered.

--- a/packages/standins/tests/test_planned_stop.py
+++ b/packages/standins/tests/test_planned_stop.py
@@ -3,6 +3,7 @@
 import contextlib
 import threading
 import time
+from dataclasses import replace
 
 import pytest
 import urllib3
@@ -71,7 +72,7 @@
 
     def __init__(self, mesh, seconds):
         plan = CallerPlan(
-            entries=(tuple(place.call_address for place in mesh.places),),
+            entries_file=str(mesh.entries_file),
             kinds=(LOOKUP, ORDER),
             phases=(Phase("load", seconds, RATE),),
             seed=SEED,
@@ -99,6 +100,17 @@
     return process.wait(40)
 
 
+def _keep_addresses(place):
+    """Let the replacement get the addresses of the node that ended."""
+    ended = place.node.ready
+    place.node_file = replace(
+        place.node_file,
+        call_address=ended.call_address,
+        control_address=ended.control_address,
+        admin_address=ended.admin_address,
+    )
+
+
 def _received(mesh, upstream):
     return [
         entry.time_s
@@ -118,7 +130,9 @@
         codes = [_stop(place.upstream), _stop(place.node)]
         stops.append(PlannedStop(address, node, at_s, time.monotonic()))
         assert codes == [0, 0]
+        _keep_addresses(place)
         mesh.replace(place)
+        assert place.call_address == node
     assert load.running, "the replacements outlasted the load"
     records = load.records()
     budgets = {"spice-order": 2, "lookup": 2}
