Lose opening packets in a black hole too, and look sources up late

A lost direction now holds back the connection to the target as well, drops what a sender left behind, and the source of a connection is looked up only while some source has faults of its own.

--- a/packages/standins/src/knapweedspring_standins/_fault_proxy.py
+++ b/packages/standins/src/knapweedspring_standins/_fault_proxy.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable, Iterator
 
 from knapweedspring_standins._faults import Direction, Fault
+from knapweedspring_standins._sockets import is_gone
 
 __all__ = ["FaultProxy"]
 
@@ -133,6 +134,11 @@
             if link.refused():
                 link.reset()
 
+    @property
+    def tells_sources_apart(self) -> bool:
+        """Whether some source has faults of its own."""
+        return any(self._faults)
+
     def faults_of(self, source: str) -> tuple[Fault, ...]:
         """Faults in force for a source."""
         return self._faults.get(source, self._faults.get("", ()))
@@ -174,7 +180,7 @@
         self._proxy = proxy
         self._caller = caller
         self._port = port
-        self._source = ""
+        self._source: str | None = None
         self._target: socket.socket | None = None
         self._n_ended = 0
         self._lock = threading.Lock()
@@ -192,27 +198,36 @@
 
     def run(self) -> None:
         """Connect, then forward both directions until they end."""
-        self._source = self._proxy.identify(self._port)
-        if self.refused():
-            self.reset()
-            return
         try:
-            target = socket.create_connection(self._proxy.target, CONNECT_TIMEOUT_S)
+            target = self._connect()
+            self._target = target
+            for sock in (self._caller, target):
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            back = threading.Thread(
+                target=self._pump, args=(target, self._caller, Direction.TO_CALLER)
+            )
+            back.daemon = True
+            back.start()
         except OSError:
             self.reset()
             return
-        target.settimeout(None)
-        self._target = target
-        for sock in (self._caller, target):
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        back = threading.Thread(
-            target=self._pump, args=(target, self._caller, Direction.TO_CALLER)
-        )
-        back.daemon = True
-        back.start()
         self._pump(self._caller, target, Direction.TO_TARGET)
 
+    def _connect(self) -> socket.socket:
+        if self.refused():
+            raise ConnectionResetError("refused by a fault")
+        # A lost direction also loses the packets that open a connection.
+        self._wait_passable(self._caller, Direction.TO_TARGET)
+        target = socket.create_connection(self._proxy.target, CONNECT_TIMEOUT_S)
+        target.settimeout(None)
+        return target
+
     def _faults(self) -> tuple[Fault, ...]:
+        if not self._proxy.tells_sources_apart:
+            return self._proxy.faults_of("")
+        # Looking the source up is slow, so it waits until it matters.
+        if self._source is None:
+            self._source = self._proxy.identify(self._port)
         return self._proxy.faults_of(self._source)
 
     def _pump(
@@ -234,7 +249,7 @@
     ) -> None:
         passed = _Passed()
         for chunk in _chunks(source):
-            self._wait_passable(direction)
+            self._wait_passable(source, direction)
             faults = self._faults()
             delay_s = self._proxy.draw_delay_s(faults, direction)
             if delay_s > 0:
@@ -246,7 +261,7 @@
                 return
             self._send(sink, chunk, direction)
             passed.add(len(chunk))
-        self._wait_passable(direction)
+        self._wait_passable(source, direction)
         if not self._hides_close(direction):
             sink.shutdown(socket.SHUT_WR)
 
@@ -271,12 +286,22 @@
             sink.sendall(part)
             time.sleep(len(part) / min(limits))
 
-    def _wait_passable(self, direction: Direction) -> None:
-        with self._proxy.changed:
-            while any(fault.holds(direction) for fault in self._faults()):
+    def _wait_passable(self, source: socket.socket, direction: Direction) -> None:
+        held = False
+        while self._holds(direction):
+            held = True
+            with self._proxy.changed:
                 self._proxy.changed.wait(HOLD_POLL_S)
-                if self._proxy.stopping:
-                    raise ConnectionResetError("the proxy stops")
+            if self._proxy.stopping:
+                raise ConnectionResetError("the proxy stops")
+            if self._target is None and is_gone(source):
+                raise ConnectionResetError("the caller gave up connecting")
+        if held and is_gone(source):
+            # What a peer sent before it closed its side is lost with it.
+            raise ConnectionResetError("the sender left meanwhile")
+
+    def _holds(self, direction: Direction) -> bool:
+        return any(fault.holds(direction) for fault in self._faults())
 
     def _limit(self, direction: Direction) -> int | None:
         limits = [fault.limit_bytes(direction) for fault in self._faults()]
--- a/packages/standins/src/knapweedspring_standins/_sockets.py
+++ b/packages/standins/src/knapweedspring_standins/_sockets.py
@@ -12,6 +12,8 @@
 
 def is_gone(sock: socket.socket) -> bool:
     """Whether the peer closed or broke the connection."""
+    if sock.fileno() < 0:
+        return True
     poller = select.poll()
     poller.register(sock, _EVENTS)
     events = poller.poll(0)
