--- a/packages/node/src/knapweedspring_node/_admin/_server.py
+++ b/packages/node/src/knapweedspring_node/_admin/_server.py
@@ -1,5 +1,6 @@
 """Serves the pages on the admin address, as a child of the supervisor."""
 
+import socket
 import threading
 from dataclasses import dataclass
 
@@ -8,6 +9,7 @@
 
 from knapweedspring_core import Child, MetricsPage
 from knapweedspring_node._admin._facts import NodeFacts
+from knapweedspring_node._admin._gauges import register_gauges
 from knapweedspring_node._admin._pages import make_application
 
 __all__ = ["AdminError", "AdminPages"]
@@ -34,6 +36,7 @@
     """
 
     def __init__(self, facts: NodeFacts, metrics: MetricsPage) -> None:
+        register_gauges(metrics, facts)
         self._application = make_application(facts, metrics)
         self._server: Server | None = None
         self._thread = threading.Thread(target=self._serve, name=self.name)
@@ -63,6 +66,9 @@
             server.prepare()
         except OSError as error:
             return Err(AdminError(f"the admin address {address} is not free: {error}"))
+        # The library leaves this out for port 0; without it, connections that
+        # ended lately keep a replacement of this node off the address.
+        server.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._server = server
         bound_host, bound_port = server.bind_addr[:2]
         return Ok(f"{bound_host}:{bound_port}")
--- a/packages/node/src/knapweedspring_node/_calls/_entry_side.py
+++ b/packages/node/src/knapweedspring_node/_calls/_entry_side.py
@@ -34,6 +34,7 @@
 from knapweedspring_node._calls._request import CallRequest
 from knapweedspring_node._calls._roots import RootBook
 from knapweedspring_node._calls._tickets import ClaimState, Ticket, TicketBook
+from knapweedspring_node._calls._workers import WorkerGuard
 
 __all__ = ["TICKETS_SERVICE", "EntrySide"]
 
@@ -56,6 +57,7 @@
         roots: RootBook,
         tickets: TicketBook,
         levels: LevelTable,
+        workers: WorkerGuard,
         attempts: Attempts,
         remote: RemoteGates,
         events: EventLog,
@@ -68,6 +70,7 @@
         self._roots = roots
         self._tickets = tickets
         self._levels = levels
+        self._workers = workers
         self._attempts = attempts
         self._remote = remote
         self._events = events
@@ -90,7 +93,11 @@
         if isinstance(classified, Err):
             return Refused(classified.err_value)
         if parent is not None:
-            return self._child(request, parent, classified.ok_value)
+            parent.enter_child()
+            try:
+                return self._child(request, parent, classified.ok_value)
+            finally:
+                parent.leave_child()
         return self._root(request, classified.ok_value, forwarded)
 
     def _issue_ticket(self, request: CallRequest) -> Reply:
@@ -157,7 +164,7 @@
         return reply
 
     def _run_root(self, plan: CallPlan) -> Reply:
-        refusal = self._levels.refuses(
+        refusal = self._workers.refuses(plan.rank) or self._levels.refuses(
             plan.request.service, plan.rank, time.monotonic(), plan.class_name
         )
         if refusal is not None:
--- a/packages/node/src/knapweedspring_node/_calls/_limit.py
+++ b/packages/node/src/knapweedspring_node/_calls/_limit.py
@@ -26,6 +26,8 @@
 #: How long a baseline stands before a cut puts it to the test.
 TEST_MIN_S = 2.0
 TEST_MAX_S = 60.0
+#: Windows between two tests, each of which costs up to a window's cut.
+TEST_MIN_WINDOWS = 10
 SLOW_START_SHARE = 0.1
 MEAN_STEP = 0.1
 
@@ -43,9 +45,21 @@
         """Take over a changed number of declared slots."""
 
     def record(  # noqa: B027 (a hook: fixed limits learn nothing)
-        self, class_name: str, service_s: float, succeeded: bool, now: float
+        self,
+        class_name: str,
+        own_s: float,
+        service_s: float,
+        succeeded: bool,
+        now: float,
     ) -> None:
-        """Take in a finished call."""
+        """Take in a finished call.
+
+        :param class_name: request class.
+        :param own_s: time that the upstream worked itself, in seconds.
+        :param service_s: the same with the calls that it waited for.
+        :param succeeded: whether its answer was whole and not an error.
+        :param now: monotonic time, in seconds.
+        """
 
     def restart(self) -> None:  # noqa: B027 (a hook, as above)
         """Begin anew, for an upstream that starts cold."""
@@ -70,7 +84,7 @@
 class AdaptiveLimit(ConcurrencyLimit):
     """Finds how many calls the upstream runs without slowing itself down.
 
-    Service times are compared, class by class, with a baseline. When they rise,
+    Own service times are compared, class by class, with a baseline. When they rise,
     the limit is cut, and the next window shows what the cut was worth. If the
     service became quicker, crowding was the cause, and the limit is cut again.
     If not, fewer calls would only lose throughput: the limit returns to what it
@@ -105,7 +119,8 @@
         self._value = max(1.0, self._slots * SLOW_START_SHARE)
         self._starts_slowly = True
         self._ratios = []
-        self._opened_at = 0.0
+        self._opened_at: float | None = None
+        self._window_s = 0.0
         self._changed_at = 0.0
         self._cut_from: float | None = None
         self._ratio_before_cut = 1.0
@@ -115,17 +130,26 @@
         self._test_after_s = TEST_MIN_S
 
     def record(
-        self, class_name: str, service_s: float, succeeded: bool, now: float
+        self,
+        class_name: str,
+        own_s: float,
+        service_s: float,
+        succeeded: bool,
+        now: float,
     ) -> None:
-        """Take in a finished call and adjust the limit once a window."""
+        """Take in a finished call and adjust the limit once a window.
+
+        The upstream's own time is compared: what it waits for at other services
+        grows with the queues there, and cutting this limit would only move them.
+        """
         baseline = self._baseline(class_name)
         if succeeded:
             self._mean_s += MEAN_STEP * (service_s - self._mean_s)
-            baseline.learn(service_s)
+            baseline.learn(own_s)
             self._grow_slowly()
         if baseline.service_s == 0.0:
             return
-        ratio = service_s / baseline.service_s
+        ratio = own_s / baseline.service_s
         # A quick failure says nothing about crowding; a slow one does.
         if not succeeded and ratio < CROWDED_RATIO:
             return
@@ -149,6 +173,8 @@
             self._starts_slowly = self._value < self._slots
 
     def _roll(self, now: float) -> None:
+        if self._opened_at is None:
+            self._opened_at = now
         age_s = now - self._opened_at
         # A shorter window would hold the quickest calls only.
         if age_s < max(WINDOW_S, 2.0 * self._mean_s):
@@ -156,6 +182,7 @@
         is_late = age_s >= WINDOW_MAX_S
         if len(self._ratios) < (MIN_SAMPLES_LATE if is_late else MIN_SAMPLES):
             return
+        self._window_s = age_s
         self._adjust(statistics.median(self._ratios), now)
         self._ratios = []
         self._opened_at = now
@@ -192,14 +219,17 @@
         self._cut_from = None
         self._scale_baselines(self._ratio_before_cut)
         self._holds_until = now + HOLD_S
-        self._test_at = now + self._test_after_s
+        self._test_at = now + self._test_pause_s()
         self._test_after_s = min(TEST_MAX_S, 2.0 * self._test_after_s)
 
     def _is_test_due(self, now: float) -> bool:
         if self._test_at is None:
-            self._test_at = now + self._test_after_s
+            self._test_at = now + self._test_pause_s()
         return now >= self._test_at
 
+    def _test_pause_s(self) -> float:
+        return max(self._test_after_s, TEST_MIN_WINDOWS * self._window_s)
+
     def _follow_down(self, ratio: float) -> None:
         """Move the baselines towards the service times of a quicker window."""
         if ratio < RECOVERED_RATIO:
--- a/packages/node/src/knapweedspring_node/_node.py
+++ b/packages/node/src/knapweedspring_node/_node.py
@@ -1,5 +1,6 @@
 """One node process: its parts and their supervisor tree."""
 
+import random
 import secrets
 import threading
 import time
@@ -18,6 +19,7 @@
     Supervisor,
     ThreadChild,
     TimerService,
+    declared_key,
 )
 from knapweedspring_node._admin import AdminPages
 from knapweedspring_node._announcements import Announcements
@@ -27,10 +29,15 @@
     CallStack,
     PeerRevoker,
     ServerLimits,
+    WorkerGuard,
 )
 from knapweedspring_node._config import (
+    ContactsKeeper,
     PlatformWatcher,
+    ReporterParts,
     Roles,
+    StatusReporter,
+    StatusWriter,
     parse_contacts,
     read_contacts,
 )
@@ -48,7 +55,8 @@
 
 REVIEW_PERIOD_S = 0.5
 JOIN_TIMEOUT_S = 2.0
-CONTACTS_RETRY_S = 2.0
+CONTACTS_RETRY_MIN_S = 1.0
+CONTACTS_RETRY_MAX_S = 8.0
 EPOCH_BITS = 62
 
 
@@ -87,6 +95,7 @@
         self._platform = HttpPlatform(
             settings.platform_address, data_centre=settings.data_centre
         )
+        self._facts = PartsFacts(lambda: self._parts)
         self._tree = Supervisor("node")
         self._stopped = threading.Event()
 
@@ -110,7 +119,7 @@
         calls_bound = server.listen()
         if isinstance(calls_bound, Err):
             return Err(StartError(str(calls_bound.err_value)))
-        pages = AdminPages(PartsFacts(lambda: self._parts), MetricsPage(self._counters))
+        pages = AdminPages(self._facts, MetricsPage(self._counters))
         pages_bound = pages.bind(settings.admin_address)
         if isinstance(pages_bound, Err):
             return Err(StartError(pages_bound.err_value.advice))
@@ -185,6 +194,9 @@
             PeerRevoker(membership),
             self._events,
             self._counters,
+            WorkerGuard(
+                settings.n_workers, lambda: server.n_busy, self._store.top_priority
+            ),
             lambda: self._parts.drain.draining,
         )
         membership.on_ask(calls.revoke_handler.handle)
@@ -192,21 +204,38 @@
             settings.node_id, calls, membership, self._store, self._events
         )
         roles = Roles(membership, settings.node_id, settings.data_centre)
+        contacts = ContactsKeeper(self._platform, roles, membership.members)
+        watcher = self._make_watcher(membership, roles, contacts)
         return NodeParts(
             events=self._events,
+            counters=self._counters,
             store=self._store,
             platform=self._platform,
-            watcher=self._make_watcher(membership, roles),
+            watcher=watcher,
+            reporter=self._make_reporter(roles, watcher, contacts),
             membership=membership,
             calls=calls,
             announcements=announcements,
             drain=Drain(announcements, calls, server, self._events),
         )
 
+    def _make_reporter(
+        self, roles: Roles, watcher: PlatformWatcher, contacts: ContactsKeeper
+    ) -> StatusReporter:
+        parts = ReporterParts(
+            roles=roles,
+            read_status=self._facts.status,
+            watcher=watcher,
+            contacts=contacts,
+            writer=StatusWriter(self._platform, roles),
+        )
+        return StatusReporter(parts, self._events, self._counters)
+
     def _make_watcher(
-        self, membership: MembershipService, roles: Roles
+        self, membership: MembershipService, roles: Roles, keeper: ContactsKeeper
     ) -> PlatformWatcher:
         def add_contacts(record: ObjectRecord) -> None:
+            keeper.observe(record)
             contacts = parse_contacts(record).contacts
             membership.add_contacts(tuple(one.control_address for one in contacts))
 
@@ -229,6 +258,7 @@
             parts.membership,
             self._thread("joiner", self._join_by_platform, self._stopped.set),
             parts.watcher,
+            parts.reporter,
             self._thread("calls", server.serve, server.stop),
             pages,
         ):
@@ -241,16 +271,24 @@
         return ThreadChild(name, run, stop, lambda _, error: self._record_error(error))
 
     def _join_by_platform(self) -> None:
-        """Read the contact list until the platform answered once."""
-        while not self._stopped.is_set():
+        """Read the contact list until the platform answered or a peer is known.
+
+        A peer knows the rest of the mesh; going on to ask would let the calls of
+        nodes that start in an outage grow with their number.
+        """
+        pause_s = CONTACTS_RETRY_MIN_S
+        while not self._stopped.is_set() and len(self._parts.membership.members()) < 2:
             contacts = read_contacts(self._platform)
             if isinstance(contacts, Ok):
                 self._parts.membership.add_contacts(contacts.ok_value)
                 return
-            self._stopped.wait(CONTACTS_RETRY_S)
+            self._stopped.wait(random.uniform(0, pause_s))
+            pause_s = min(pause_s * 2, CONTACTS_RETRY_MAX_S)
 
     def _on_record(self, record: ObjectRecord) -> None:
-        key = record.key
+        key = declared_key(record.key)
+        if key is None:
+            return
         version = self._store.in_force_version(key)
         self._events.record("declaration:in-force", key=key, version=version)
         if key.kind == "Policy":
--- /dev/null
+++ b/packages/standins/src/knapweedspring_standins/_specification/_checking.py
@@ -0,0 +1,174 @@
+"""Common form of the specifications and the run of the model checker over them.
+
+A specification names its rules. Each rule can be left out, which gives a broken
+variant that the checker has to refute; a property that survives every broken
+variant would say nothing.
+"""
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Iterator, Mapping
+from dataclasses import dataclass
+from enum import Enum
+from typing import Generic, NamedTuple, TypeVar
+
+from minicheck import Protocol, check_safety
+
+__all__ = ["CheckReport", "Property", "Specification", "Step", "Violation", "check"]
+
+MAX_STATES = 400_000
+
+StateT = TypeVar("StateT", bound=tuple)
+
+
+class Step(NamedTuple):
+    """An action and the state that it leads to."""
+
+    #: Name of the action with its arguments.
+    action: str
+    #: State afterwards.
+    state: tuple
+
+
+@dataclass(frozen=True, slots=True)
+class Property(Generic[StateT]):
+    """A predicate that must hold in each reachable state."""
+
+    #: Name, as it appears in reports.
+    name: str
+    #: Returns whether the state satisfies the property.
+    holds: Callable[[StateT], bool]
+
+
+class Specification(ABC, Generic[StateT]):
+    """A protocol as a finite state machine.
+
+    :param without: rules to leave out.
+    """
+
+    def __init__(self, without: frozenset[Enum] = frozenset()) -> None:
+        self._without = without
+
+    @property
+    @abstractmethod
+    def initial(self) -> StateT:
+        """The only initial state."""
+
+    @property
+    @abstractmethod
+    def properties(self) -> tuple[Property[StateT], ...]:
+        """What must hold."""
+
+    @abstractmethod
+    def steps(self, state: StateT) -> Iterator[Step]:
+        """Yield each enabled action with the state that follows."""
+
+    def normalise(self, state: StateT) -> StateT:
+        """Return the representative of the states with the same future.
+
+        The default keeps every state apart.
+        """
+        return state
+
+    def has(self, rule: Enum) -> bool:
+        """Return whether a rule is part of this variant."""
+        return rule not in self._without
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """A property that does not hold, with a shortest path to the bad state."""
+
+    #: Name of the property.
+    property_name: str
+    #: Actions from the initial state to the bad state.
+    actions: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CheckReport:
+    """Outcome of an exhaustive search."""
+
+    #: Distinct states reached.
+    n_states: int
+    #: Whether the whole state space was searched.
+    exhaustive: bool
+    #: Properties that do not hold.
+    violations: tuple[Violation, ...]
+
+    @property
+    def holds(self) -> bool:
+        """Whether every property was shown to hold in every reachable state."""
+        return self.exhaustive and not self.violations
+
+
+def check(
+    specification: Specification,
+    max_states: int = MAX_STATES,
+    stop_at: str | None = None,
+) -> CheckReport:
+    """Search the reachable states of a specification.
+
+    :param max_states: bound beyond which the search gives up undecided.
+    :param stop_at: name of a property; a state that violates it ends the search.
+    :return: what was found.
+    """
+    search = _Search(specification, stop_at)
+    initial = specification.initial
+    protocol = Protocol(
+        name=type(specification).__name__,
+        candidate=False,
+        fields=initial._fields,
+        initial=initial,
+        transitions=search.expand,
+        invariants={
+            each.name: search.invariant(each) for each in specification.properties
+        },
+    )
+    found = check_safety(protocol, max_states=max_states)
+    violations = tuple(
+        _violation(name, verdict["counterexample"])
+        for name, verdict in found["properties"].items()
+        if verdict["holds"] is False
+    )
+    exhaustive = found["exhaustive"] and not search.is_stopped
+    return CheckReport(found["reachable_states"], exhaustive, violations)
+
+
+class _Search:
+    """Shows a specification to the checker, whose states are plain tuples."""
+
+    def __init__(self, specification: Specification, stop_at: str | None) -> None:
+        self._specification = specification
+        self._make_state = type(specification.initial)
+        self._stop_at = stop_at
+        self._is_stopped = False
+
+    @property
+    def is_stopped(self) -> bool:
+        """Whether states were left unexpanded."""
+        return self._is_stopped
+
+    def expand(self, state: tuple) -> list[tuple[str, tuple]]:
+        """Return the actions that a state enables."""
+        if self._is_stopped:
+            return []
+        return [
+            (step.action, self._specification.normalise(step.state))
+            for step in self._specification.steps(state)
+        ]
+
+    def invariant(self, checked: Property) -> Callable[[Mapping[str, object]], bool]:
+        """Adapt a predicate on states to the checker's mappings."""
+
+        def holds(values: Mapping[str, object]) -> bool:
+            is_good = checked.holds(self._make_state(**values))
+            if not is_good and checked.name == self._stop_at:
+                self._is_stopped = True
+            return is_good
+
+        return holds
+
+
+def _violation(name: str, path: list[dict]) -> Violation:
+    actions = (step["label"] for step in path)
+    return Violation(name, tuple(action for action in actions if action is not None))
