Declare and drain through the operators' command line in the demo

Operators drive the mesh through knapweedspringctl, so the demo does too: it writes a declaration file, applies it, and drains a node by its intent under load while callers go on.

--- a/packages/standins/src/knapweedspring_standins/_demo.py
+++ b/packages/standins/src/knapweedspring_standins/_demo.py
@@ -1,10 +1,13 @@
 """The demo: the main job end to end at a small size, with a table at the end."""
 
+import subprocess
+import sys
 import time
 from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 
+import msgspec
 import urllib3
 
 from knapweedspring_core import Header, RequestClass, RouteRule, Service
@@ -45,7 +48,7 @@
 SATURATION_RATE = 2 * N_DEEP_SLOTS / (DEEP_MS / 1_000)
 OVERLOAD_PART = 2.0
 CALL_TIMEOUT_S = 10.0
-STOP_TIMEOUT_S = 40.0
+CTL_TIMEOUT_S = 30.0
 
 SERVICES = (
     ServiceLayout("orders", 2, 24, 200, 10.0, ("recipes/blend",)),
@@ -127,12 +130,25 @@
 
     def _declare(self) -> DemoRow:
         begin_s = time.monotonic()
-        for declared in OBJECTS:
-            self._mesh.declare(declared.name, declared.declaration)
+        file = self._mesh.group.directory / "mesh.json"
+        file.write_bytes(msgspec.json.encode([_file_object(o) for o in OBJECTS]))
+        code = self._ctl("apply", str(file))
         served = self._mesh.wait_served()
         seconds = time.monotonic() - begin_s
         result = f"every node serves both services after {seconds:.1f} s"
-        return DemoRow(f"declare {len(OBJECTS)} objects", result, served)
+        step = f"knapweedspringctl apply, {len(OBJECTS)} objects"
+        return DemoRow(step, result, served and code == 0)
+
+    def _ctl(self, *arguments: str) -> int:
+        """Run the operators' command line; return its exit code."""
+        command = [sys.executable, "-m", "knapweedspring_ctl", *arguments]
+        command.append(f"--platform={self._mesh.platform_address}")
+        done = subprocess.run(
+            command, capture_output=True, timeout=CTL_TIMEOUT_S, check=False, text=True
+        )
+        if done.returncode != 0:
+            print(done.stdout + done.stderr, file=sys.stderr)
+        return done.returncode
 
     def _load(self, step: str, seconds: float, part: float) -> DemoRow:
         plan = CallerPlan(
@@ -170,8 +186,6 @@
 
     def _drain(self) -> DemoRow:
         leaving = self._mesh.places_of("recipes")[0]
-        upstream = leaving.upstream
-        assert upstream is not None
         address = leaving.upstream_address
         plan = CallerPlan(
             entries_file=str(self._mesh.entries_file),
@@ -184,11 +198,10 @@
         )
         callers = _InBackground(Callers(plan))
         time.sleep(1.5)
+        code = self._ctl("drain", leaving.node_file.node_id)
         at_s = time.monotonic()
-        upstream.terminate()
-        code = upstream.wait(STOP_TIMEOUT_S)
-        self._stops.append(PlannedStop(address, "", at_s, time.monotonic()))
         records = callers.records()
+        self._stops.append(PlannedStop(address, "", at_s, time.monotonic()))
         self._records += records
         last_s = max(
             (
@@ -201,11 +214,11 @@
         )
         requests = logical_requests(records)
         result = (
-            f"last new work {max(0.0, last_s):.2f} s after the announcement; "
+            f"last new work {max(0.0, last_s):.2f} s after the declaration; "
             + _load_text(requests)
         )
         ok = code == 0 and _part(requests, LOOKUP.name) == 1.0
-        return DemoRow("drain one upstream under load", result, ok)
+        return DemoRow("knapweedspringctl drain, under load", result, ok)
 
     def _check(self) -> DemoRow:
         budgets = {
@@ -239,6 +252,16 @@
         return result.records
 
 
+def _file_object(declared: DeclaredObject) -> dict[str, object]:
+    """An object as declaration files have it."""
+    declaration = declared.declaration
+    return {
+        "kind": type(declaration).__name__,
+        "name": declared.name,
+        "spec": msgspec.to_builtins(declaration),
+    }
+
+
 def _part(requests: list[LogicalRequest], kind: str) -> float:
     chosen = [request.succeeded for request in requests if request.kind == kind]
     return sum(chosen) / len(chosen) if chosen else 1.0
