--- a/packages/standins/src/knapweedspring_standins/_bench_command.py
+++ b/packages/standins/src/knapweedspring_standins/_bench_command.py
@@ -6,6 +6,7 @@
 
 from knapweedspring_core import PolicyMode
 from knapweedspring_standins._bench_report import report_text, write_plot
+from knapweedspring_standins._bench_summary import series_text, summarise
 
 __all__ = ["add_bench"]
 
@@ -27,13 +28,15 @@
     parser = commands.add_parser("bench", help="one scenario under both policies")
     parser.add_argument("--scenario", choices=SCENARIO_NAMES, required=True)
     parser.add_argument("--firm", choices=FIRM_NAMES, default="boerewors")
-    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seed", type=int, nargs="+", default=[1])
     parser.add_argument("--mode", choices=("both", *PolicyMode), default="both")
     parser.add_argument("--output", choices=("text", "json"), default="text")
     parser.add_argument(
         "--seconds", type=float, default=20.0, help="length of each latency level"
     )
-    parser.add_argument("--plot", default="", metavar="FILE.svg")
+    parser.add_argument(
+        "--plot", default="", metavar="FILE.svg", help="picture of the first seed"
+    )
     parser.set_defaults(run=_run_bench)
 
 
@@ -44,20 +47,25 @@
         return _run_latency(options)
     both = (PolicyMode.PROTECT, PolicyMode.PASSTHROUGH)
     modes = both if options.mode == "both" else (PolicyMode(options.mode),)
-    report = run_bench(options.scenario, options.firm, options.seed, modes)
+    reports = tuple(
+        run_bench(options.scenario, options.firm, seed, modes) for seed in options.seed
+    )
     if options.plot:
-        write_plot(report, options.plot)
+        write_plot(reports[0], options.plot)
+    series = summarise(reports)
     if options.output == "json":
-        print(msgspec.json.format(msgspec.json.encode(report)).decode())
+        print(msgspec.json.format(msgspec.json.encode(series)).decode())
     else:
-        print(report_text(report))
+        print("\n\n".join(report_text(report) for report in reports))
+        print()
+        print(series_text(series))
     return 0
 
 
 def _run_latency(options: argparse.Namespace) -> int:
     from knapweedspring_standins._latency import latency_text, run_latency
 
-    report = run_latency(options.seed, options.seconds)
+    report = run_latency(options.seed[0], options.seconds)
     if options.output == "json":
         print(msgspec.json.format(msgspec.json.encode(report)).decode())
     else:
