--- a/packages/standins/src/knapweedspring_standins/_specification/__init__.py
+++ b/packages/standins/src/knapweedspring_standins/_specification/__init__.py
@@ -20,22 +20,41 @@
     DrainRule,
     DrainSpecification,
 )
+from knapweedspring_standins._specification._replay import (
+    Breach,
+    ReplayReport,
+    replay,
+)
 from knapweedspring_standins._specification._retry_budget import (
     RetryBudgetSpecification,
     RetryRule,
 )
+from knapweedspring_standins._specification._run_events import (
+    ProcessLog,
+    RunEvent,
+    RunEventKind,
+    RunOutcome,
+    log_of_journal,
+    log_of_node,
+)
 from knapweedspring_standins._specification._tickets import (
     TicketRule,
     TicketSpecification,
 )
 
 __all__ = [
+    "Breach",
     "CheckReport",
     "DrainRule",
     "DrainSpecification",
+    "ProcessLog",
     "Property",
+    "ReplayReport",
     "RetryBudgetSpecification",
     "RetryRule",
+    "RunEvent",
+    "RunEventKind",
+    "RunOutcome",
     "Specification",
     "SpreadRule",
     "SpreadSpecification",
@@ -46,4 +65,7 @@
     "WriterRule",
     "WriterSpecification",
     "check",
+    "log_of_journal",
+    "log_of_node",
+    "replay",
 ]
--- /dev/null
+++ b/packages/standins/src/knapweedspring_standins/_specification/_replay.py
@@ -0,0 +1,206 @@
+"""Replay of a recorded run: is it a path that the specifications allow?
+
+Each monitor follows the actions of one specification and reports the rule that an
+event breaks. A monitor knows only what was recorded: a run without events of a kind
+shows nothing about it, so a caller should also look at ``n_seen``.
+"""
+
+from abc import ABC, abstractmethod
+from collections import Counter
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass
+from enum import Enum
+
+from knapweedspring_standins._specification._declaration_spread import SpreadRule
+from knapweedspring_standins._specification._drain import DrainRule
+from knapweedspring_standins._specification._run_events import (
+    ProcessLog,
+    RunEvent,
+    RunEventKind,
+    RunOutcome,
+    merge_logs,
+)
+from knapweedspring_standins._specification._tickets import TicketRule
+
+__all__ = ["Breach", "Monitor", "ReplayReport", "replay"]
+
+US_PER_S = 1_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Breach:
+    """An event that the specification does not allow at its place."""
+
+    #: Rule that it breaks.
+    rule: Enum
+    #: The event.
+    event: RunEvent
+    #: Explanation.
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class ReplayReport:
+    """Outcome of a replay."""
+
+    #: Events that no specification allows.
+    breaches: tuple[Breach, ...]
+    #: Events looked at, by kind.
+    n_seen: Mapping[RunEventKind, int]
+
+
+class Monitor(ABC):
+    """Follows one specification through a run."""
+
+    def __init__(self) -> None:
+        self._breaches: list[Breach] = []
+
+    @property
+    def breaches(self) -> tuple[Breach, ...]:
+        """What was not allowed so far."""
+        return tuple(self._breaches)
+
+    @abstractmethod
+    def see(self, event: RunEvent) -> None:
+        """Take the next event."""
+
+    def _report(self, rule: Enum, event: RunEvent, detail: str) -> None:
+        self._breaches.append(Breach(rule, event, detail))
+
+
+class TicketMonitor(Monitor):
+    """Follows ``TicketSpecification``: attempts in turn, one run at most."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._owners: dict[str, str] = {}
+        self._outcomes: dict[str, RunOutcome] = {}
+        self._running: dict[str, set[str]] = {}
+        self._revoked: set[tuple[str, str]] = set()
+
+    def see(self, event: RunEvent) -> None:
+        """Take the next event."""
+        if not event.ticket:
+            return
+        if event.kind is RunEventKind.TICKET_ISSUED:
+            self._owners[event.ticket] = event.process
+        elif event.kind is RunEventKind.TICKET_ATTEMPT:
+            self._see_attempt(event)
+        elif event.kind is RunEventKind.TICKET_OUTCOME:
+            self._see_outcome(event)
+        elif event.kind is RunEventKind.GATE_REVOKED:
+            self._revoked.add((event.ticket, event.process))
+        elif event.kind is RunEventKind.GATE_STARTED:
+            self._see_start(event)
+        elif event.kind is RunEventKind.GATE_FINISHED:
+            self._see_finish(event)
+
+    def _see_attempt(self, event: RunEvent) -> None:
+        owner = self._owners.setdefault(event.ticket, event.process)
+        if owner != event.process:
+            detail = f"the ticket belongs to {owner}"
+            self._report(TicketRule.OWNER_PROCESS_ONLY, event, detail)
+        before = self._outcomes.get(event.ticket, RunOutcome.NOT_RUN)
+        if before is not RunOutcome.NOT_RUN:
+            detail = f"the attempt before has the outcome {before.value or 'none yet'}"
+            self._report(TicketRule.ONE_ATTEMPT_AT_A_TIME, event, detail)
+        self._outcomes[event.ticket] = RunOutcome.NONE
+
+    def _see_outcome(self, event: RunEvent) -> None:
+        self._outcomes[event.ticket] = event.outcome
+        if event.outcome is RunOutcome.NOT_RUN and self._running.get(event.ticket):
+            detail = "not-run, but an upstream got it"
+            self._report(TicketRule.STARTED_IS_UNKNOWN, event, detail)
+
+    def _see_start(self, event: RunEvent) -> None:
+        if (event.ticket, event.process) in self._revoked:
+            detail = "started after its revocation"
+            self._report(TicketRule.TOMBSTONE, event, detail)
+        running = self._running.setdefault(event.ticket, set())
+        if running:
+            detail = "an upstream already got it"
+            self._report(TicketRule.START_ONCE, event, detail)
+        running.add(event.attempt)
+
+    def _see_finish(self, event: RunEvent) -> None:
+        # What an upstream shed before it ran is as good as never started.
+        if event.outcome is RunOutcome.NOT_RUN:
+            self._running.get(event.ticket, set()).discard(event.attempt)
+
+
+class DrainMonitor(Monitor):
+    """Follows ``DrainSpecification``: no start after the close, none cut.
+
+    :param witness_delay_s: how long after the gate's decision the start may be
+        recorded; 0 when the gate itself records it.
+    """
+
+    def __init__(self, witness_delay_s: float) -> None:
+        super().__init__()
+        self._witness_delay_us = witness_delay_s * US_PER_S
+        self._closed_us: dict[str, int] = {}
+        self._running: dict[str, set[str]] = {}
+
+    def see(self, event: RunEvent) -> None:
+        """Take the next event."""
+        running = self._running.setdefault(event.process, set())
+        if event.kind is RunEventKind.GATE_CLOSED:
+            self._closed_us.setdefault(event.process, event.stamp.wall_us)
+        elif event.kind is RunEventKind.GATE_REOPENED:
+            self._closed_us.pop(event.process, None)
+        elif event.kind is RunEventKind.GATE_STARTED:
+            self._see_start(event)
+            running.add(event.attempt)
+        elif event.kind is RunEventKind.GATE_FINISHED:
+            running.discard(event.attempt)
+        elif event.kind is RunEventKind.NODE_DRAINED and running:
+            detail = f"{len(running)} requests were still running"
+            self._report(DrainRule.EXIT_WAITS_FOR_REQUESTS, event, detail)
+
+    def _see_start(self, event: RunEvent) -> None:
+        closed_us = self._closed_us.get(event.process)
+        if closed_us is None:
+            return
+        late_us = event.stamp.wall_us - closed_us
+        if late_us > self._witness_delay_us:
+            detail = f"started {late_us / US_PER_S:.3f} s after the close"
+            self._report(DrainRule.CHECK_AND_START_TOGETHER, event, detail)
+
+
+class DeclarationMonitor(Monitor):
+    """Follows ``SpreadSpecification``: no process goes back to a lower version."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._versions: dict[tuple[str, str], int] = {}
+
+    def see(self, event: RunEvent) -> None:
+        """Take the next event."""
+        if event.kind is not RunEventKind.DECLARATION_IN_FORCE:
+            return
+        held = self._versions.get((event.process, event.key), 0)
+        if event.version < held:
+            detail = f"version {held} was in force"
+            self._report(SpreadRule.HIGHEST_WINS, event, detail)
+        self._versions[event.process, event.key] = max(held, event.version)
+
+
+def replay(logs: Iterable[ProcessLog], witness_delay_s: float = 0.0) -> ReplayReport:
+    """Check a recorded run against the specifications.
+
+    :param logs: what each process recorded.
+    :param witness_delay_s: for starts that another process recorded than the gate.
+    :return: what is not allowed, and how much was looked at.
+    """
+    monitors = (TicketMonitor(), DrainMonitor(witness_delay_s), DeclarationMonitor())
+    n_seen: Counter[RunEventKind] = Counter()
+    for event in merge_logs(logs):
+        n_seen[event.kind] += 1
+        for monitor in monitors:
+            monitor.see(event)
+    return ReplayReport(tuple(_breaches(monitors)), n_seen)
+
+
+def _breaches(monitors: Iterable[Monitor]) -> Iterator[Breach]:
+    for monitor in monitors:
+        yield from monitor.breaches
--- /dev/null
+++ b/packages/standins/tests/specification/test_replay.py
@@ -0,0 +1,100 @@
+"""Replays of hand-made runs: allowed ones pass, forbidden ones name the rule."""
+
+import pytest
+
+from knapweedspring_core import Event, Stamp
+from knapweedspring_standins._specification import (
+    DrainRule,
+    SpreadRule,
+    TicketRule,
+    log_of_node,
+    replay,
+)
+
+ISSUED = ("owner", "ticket:issued", {"ticket": "t1"})
+FIRST = ("owner", "ticket:attempt", {"ticket": "t1", "attempt": "1"})
+SECOND = ("owner", "ticket:attempt", {"ticket": "t1", "attempt": "2"})
+FOREIGN = ("other", "ticket:attempt", {"ticket": "t1", "attempt": "2"})
+REVOKED = ("gate-a", "gate:revoked", {"ticket": "t1"})
+STARTED_A = ("gate-a", "gate:started", {"ticket": "t1", "attempt": "1"})
+STARTED_B = ("gate-b", "gate:started", {"ticket": "t1", "attempt": "2"})
+SHED_A = ("gate-a", "gate:finished", {"attempt": "1", "outcome": "not-run"})
+FINISHED_A = ("gate-a", "gate:finished", {"attempt": "1", "outcome": "ran"})
+CLOSED = ("gate-a", "gate:closed", {})
+REOPENED = ("gate-a", "gate:reopened", {})
+DRAINED = ("gate-a", "node:drained", {})
+
+
+def _outcome(attempt, outcome):
+    fields = {"ticket": "t1", "attempt": attempt, "outcome": outcome}
+    return ("owner", "ticket:outcome", fields)
+
+
+def _in_force(process, version):
+    fields = {"key": "Policy/mesh", "version": str(version)}
+    return (process, "declaration:in-force", fields)
+
+
+def _with_ticket(line):
+    process, kind, fields = line
+    return (process, kind, {**fields, "ticket": "t1"})
+
+
+GOOD = {
+    "one attempt": [ISSUED, FIRST, STARTED_A, FINISHED_A, _outcome("1", "ran")],
+    "revoked, then run elsewhere": [
+        *(ISSUED, FIRST, REVOKED, _outcome("1", "not-run")),
+        *(SECOND, STARTED_B, _outcome("2", "ran")),
+    ],
+    "shed before running": [
+        *(FIRST, STARTED_A, _with_ticket(SHED_A), _outcome("1", "not-run")),
+        *(SECOND, STARTED_B),
+    ],
+    "late start before the close": [STARTED_A, CLOSED, FINISHED_A, DRAINED],
+    "start after reopening": [CLOSED, REOPENED, STARTED_A],
+    "versions grow": [_in_force("a", 1), _in_force("b", 4), _in_force("a", 2)],
+    "new process begins low": [_in_force("a", 3), _in_force("a-again", 1)],
+    "other kinds": [("a", "upstream:state", {"service": "orders"})],
+}
+
+BAD = [
+    ([ISSUED, FOREIGN], TicketRule.OWNER_PROCESS_ONLY),
+    ([FIRST, SECOND], TicketRule.ONE_ATTEMPT_AT_A_TIME),
+    ([FIRST, _outcome("1", "unknown"), SECOND], TicketRule.ONE_ATTEMPT_AT_A_TIME),
+    ([FIRST, _outcome("1", "ran"), SECOND], TicketRule.ONE_ATTEMPT_AT_A_TIME),
+    ([FIRST, REVOKED, STARTED_A], TicketRule.TOMBSTONE),
+    ([STARTED_A, STARTED_B], TicketRule.START_ONCE),
+    ([FIRST, STARTED_A, _outcome("1", "not-run")], TicketRule.STARTED_IS_UNKNOWN),
+    ([CLOSED, STARTED_A], DrainRule.CHECK_AND_START_TOGETHER),
+    ([CLOSED, REOPENED, CLOSED, STARTED_A], DrainRule.CHECK_AND_START_TOGETHER),
+    ([STARTED_A, CLOSED, DRAINED], DrainRule.EXIT_WAITS_FOR_REQUESTS),
+    ([_in_force("a", 2), _in_force("a", 1)], SpreadRule.HIGHEST_WINS),
+]
+
+
+def _logs(lines):
+    by_process = {}
+    for number, (process, kind, fields) in enumerate(lines):
+        event = Event(Stamp(1_000 + number, 0), process, kind, fields)
+        by_process.setdefault(process, []).append(event)
+    return [log_of_node(process, events) for process, events in by_process.items()]
+
+
+@pytest.mark.parametrize("lines", GOOD.values(), ids=GOOD)
+def test_allowed_run_passes(lines):
+    assert replay(_logs(lines)).breaches == ()
+
+
+@pytest.mark.parametrize(("lines", "rule"), BAD)
+def test_forbidden_run_names_the_rule(lines, rule):
+    assert [breach.rule for breach in replay(_logs(lines)).breaches] == [rule]
+
+
+def test_start_seen_by_the_upstream_may_be_recorded_a_little_later():
+    logs = _logs([CLOSED, STARTED_A])
+    assert replay(logs, witness_delay_s=0.5).breaches == ()
+
+
+def test_replay_counts_what_it_looked_at():
+    n_seen = replay(_logs([FIRST, STARTED_A, FINISHED_A])).n_seen
+    assert n_seen == {"ticket:attempt": 1, "gate:started": 1, "gate:finished": 1}
