--- a/packages/core/src/knapweedspring_core/__init__.py
+++ b/packages/core/src/knapweedspring_core/__init__.py
@@ -89,9 +89,11 @@
     parse_status,
 )
 from knapweedspring_core._store import (
+    CHECKPOINT_KEY,
     DeclarationStore,
     HeldObject,
     InvalidObject,
+    declared_key,
 )
 from knapweedspring_core._supervisor import (
     Child,
@@ -110,6 +112,7 @@
 )
 
 __all__ = [
+    "CHECKPOINT_KEY",
     "AnnouncedUpstream",
     "BudgetUse",
     "CONTACTS_KIND",
@@ -179,6 +182,7 @@
     "WriteConflict",
     "WriteError",
     "WriteUnsure",
+    "declared_key",
     "decode",
     "encode",
     "load_settings",
