Keep the admission level out of the top class

The gates of the deepest service have six slots there, and a level measured from so few calls can rise into the top class, which is then refused although it alone would fit. The level now ends at the lowest rank of the top class, at the gate and on answers; only the time that is left sheds it. A longer window was ruled out, because every class would wait for it.

--- a/packages/node/src/knapweedspring_node/_calls/_admission.py
+++ b/packages/node/src/knapweedspring_node/_calls/_admission.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from knapweedspring_core import Counters, EventLog, Outcome, Reason, Refusal
+from knapweedspring_node._calls._gate_policy import GatePolicy
 from knapweedspring_node._calls._level_meter import LevelMeter
 from knapweedspring_node._calls._limit import AdaptiveLimit, ConcurrencyLimit
 from knapweedspring_node._calls._load import GateLoad
@@ -46,21 +47,6 @@
     has_left: Callable[[], bool] = _never_left
 
 
-@dataclass(frozen=True, slots=True)
-class GatePolicy:
-    """Proportions of the admission rules."""
-
-    #: Share of the limit that only the top class may use.
-    headroom_share: float = 0.0
-    #: Share of the time left, service time deducted, that a call may wait.
-    wait_share: float = 1.0
-    #: The same for a call below the measured level, which most likely waits in
-    #: vain because better ranks keep arriving.
-    wait_share_below_level: float = 0.05
-    #: Calls that may wait, each in a thread of the server.
-    n_waiting_max: int = 1_000
-
-
 class Admission:
     """Permission to run one call; hand it back with :meth:`finish`."""
 
@@ -255,7 +241,7 @@
 
     def _current_level(self) -> Level | None:
         with self._lock:
-            level = self._meter.level(self._clock())
+            level = self._level(self._clock())
             changed = self._sheds != (level is not None)
             self._sheds = level is not None
         if changed:
@@ -263,6 +249,17 @@
             self._events.record(kind, limit=self.limit, n_waiting=len(self._queue))
         return level
 
+    def _level(self, now: float) -> Level | None:
+        """Return the measured level, at most the lowest rank of the top class.
+
+        A gate with few slots measures coarsely, and only the time that is left
+        may shed the top class.
+        """
+        level = self._meter.level(now)
+        if level is None:
+            return None
+        return min(level, Level(self._top_priority(), False, 0))
+
     def _goes_at_once(self, rank: Rank) -> bool:
         first = self._queue.first
         if first is not None and (self._passthrough or first.rank >= rank):
@@ -327,7 +324,7 @@
         share_below = self._policy.wait_share_below_level
         if wait_s <= left_s * share_below:
             return False
-        level = self._meter.level(now)
+        level = self._level(now)
         return level is not None and not level.admits(waiter.rank)
 
     def _displace_hopeless(self, now: float) -> None:
--- /dev/null
+++ b/packages/node/src/knapweedspring_node/_calls/_gate_policy.py
@@ -0,0 +1,20 @@
+"""Proportions of the admission rules."""
+
+from dataclasses import dataclass
+
+__all__ = ["GatePolicy"]
+
+
+@dataclass(frozen=True, slots=True)
+class GatePolicy:
+    """Proportions of the admission rules."""
+
+    #: Share of the limit that only the top class may use.
+    headroom_share: float = 0.0
+    #: Share of the time left, service time deducted, that a call may wait.
+    wait_share: float = 1.0
+    #: The same for a call below the measured level, which most likely waits in
+    #: vain because better ranks keep arriving.
+    wait_share_below_level: float = 0.05
+    #: Calls that may wait, each in a thread of the server.
+    n_waiting_max: int = 1_000
--- a/packages/node/tests/calls/test_admission.py
+++ b/packages/node/tests/calls/test_admission.py
@@ -317,3 +317,20 @@
             now += 0.15
             assert meter.level(now) < highest
             highest = meter.level(now)
+
+
+def test_level_never_shuts_the_top_class_out():
+    now = time.monotonic()
+    gate = make_gate(clock=lambda: now)
+    teach_service_time(gate, 10.0)
+    for _ in range(10):
+        now += 1.0
+        gate.load()
+    gate.admit(Ask(Rank(TOP, False, 0), "class-3", now + 99.0)).unwrap()
+    for draw in range(50):
+        call = Ask(Rank(TOP, False, draw << 26), f"class-{TOP}", now + 1.0)
+        assert gate.admit(call).unwrap_err().reason is Reason.OVERLOADED
+    now += 1.0
+    level = gate.load().level
+    assert level.admits(Rank(TOP, False, 0))
+    assert not level.admits(Rank(TOP - 1, True, 2**32 - 1))
