Keep a twentieth of the limit for the top class

Strict priority serves the top class first only when a slot becomes free, and long calls of a low class may hold all of them when it comes. A twentieth is put in force between the two; it is not yet measured, and no scenario lets the top class come late.

--- a/packages/node/src/knapweedspring_node/_calls/_gate_policy.py
+++ b/packages/node/src/knapweedspring_node/_calls/_gate_policy.py
@@ -10,7 +10,7 @@
     """Proportions of the admission rules."""
 
     #: Share of the limit that only the top class may use.
-    headroom_share: float = 0.0
+    headroom_share: float = 0.05
     #: Share of the time left, service time deducted, that a call may wait.
     wait_share: float = 1.0
     #: The same for a call below the measured level, which most likely waits in
--- a/packages/standins/src/knapweedspring_standins/_gate_bench.py
+++ b/packages/standins/src/knapweedspring_standins/_gate_bench.py
@@ -199,15 +199,23 @@
 VARIANTS = {
     "passthrough": Variant(passthrough=True),
     "current": Variant(limit=AdaptiveLimit, early_refusal=True),
-    "base": Variant(GatePolicy(wait_share_below_level=1.0)),
-    "random-draws": Variant(GatePolicy(wait_share_below_level=1.0), draws=Draws.RANDOM),
-    "early": Variant(GatePolicy(wait_share_below_level=1.0), early_refusal=True),
+    "base": Variant(GatePolicy(wait_share_below_level=1.0, headroom_share=0.0)),
+    "random-draws": Variant(
+        GatePolicy(wait_share_below_level=1.0, headroom_share=0.0), draws=Draws.RANDOM
+    ),
+    "early": Variant(
+        GatePolicy(wait_share_below_level=1.0, headroom_share=0.0), early_refusal=True
+    ),
     "early-twentieth": Variant(
-        GatePolicy(wait_share_below_level=0.05), early_refusal=True
+        GatePolicy(wait_share_below_level=0.05, headroom_share=0.0), early_refusal=True
+    ),
+    "early-tenth": Variant(
+        GatePolicy(wait_share_below_level=0.1, headroom_share=0.0), early_refusal=True
     ),
-    "early-tenth": Variant(GatePolicy(wait_share_below_level=0.1), early_refusal=True),
     "early-twentieth-random-draws": Variant(
-        GatePolicy(wait_share_below_level=0.05), early_refusal=True, draws=Draws.RANDOM
+        GatePolicy(wait_share_below_level=0.05, headroom_share=0.0),
+        early_refusal=True,
+        draws=Draws.RANDOM,
     ),
     "current-random-draws": Variant(
         limit=AdaptiveLimit, early_refusal=True, draws=Draws.RANDOM
@@ -218,20 +226,30 @@
     "no-displacement": Variant(
         limit=AdaptiveLimit, early_refusal=True, gate_type=_GateWithoutDisplacement
     ),
-    "headroom-twentieth": Variant(
-        GatePolicy(headroom_share=0.05), AdaptiveLimit, early_refusal=True
+    "headroom-none": Variant(
+        GatePolicy(headroom_share=0.0), AdaptiveLimit, early_refusal=True
     ),
     "headroom-tenth": Variant(
         GatePolicy(headroom_share=0.1), AdaptiveLimit, early_refusal=True
     ),
-    "wait-half": Variant(GatePolicy(wait_share=0.5, wait_share_below_level=1.0)),
-    "wait-quarter": Variant(GatePolicy(wait_share=0.25, wait_share_below_level=1.0)),
-    "wait-eighth": Variant(GatePolicy(wait_share=0.125, wait_share_below_level=1.0)),
-    "adaptive": Variant(GatePolicy(wait_share_below_level=1.0), AdaptiveLimit),
-    "gradient": Variant(GatePolicy(wait_share_below_level=1.0), GradientLimit),
-    "level-0": Variant(GatePolicy(wait_share_below_level=0.0)),
-    "level-twentieth": Variant(GatePolicy(wait_share_below_level=0.05)),
-    "level-tenth": Variant(GatePolicy(wait_share_below_level=0.1)),
+    "wait-half": Variant(GatePolicy(0.0, wait_share=0.5, wait_share_below_level=1.0)),
+    "wait-quarter": Variant(
+        GatePolicy(0.0, wait_share=0.25, wait_share_below_level=1.0)
+    ),
+    "wait-eighth": Variant(
+        GatePolicy(0.0, wait_share=0.125, wait_share_below_level=1.0)
+    ),
+    "adaptive": Variant(
+        GatePolicy(wait_share_below_level=1.0, headroom_share=0.0), AdaptiveLimit
+    ),
+    "gradient": Variant(
+        GatePolicy(wait_share_below_level=1.0, headroom_share=0.0), GradientLimit
+    ),
+    "level-0": Variant(GatePolicy(wait_share_below_level=0.0, headroom_share=0.0)),
+    "level-twentieth": Variant(
+        GatePolicy(wait_share_below_level=0.05, headroom_share=0.0)
+    ),
+    "level-tenth": Variant(GatePolicy(wait_share_below_level=0.1, headroom_share=0.0)),
 }
 
 
