Keep copies of valid content in the status objects

An invalid write replaces the only durable copy of the version in force; when every node is replaced after it, that version was gone. Status objects now hold the valid content that their reporter acts by, and a watcher's list reads them too. Writing the valid version back was ruled out, as a race with the operator.

--- a/packages/core/src/knapweedspring_core/__init__.py
+++ b/packages/core/src/knapweedspring_core/__init__.py
@@ -80,6 +80,7 @@
 )
 from knapweedspring_core._status_objects import (
     STATUS_KIND,
+    ContentCopy,
     DataCentreStatus,
     DeclarationForce,
     DrainStatus,
@@ -121,6 +122,7 @@
     "CodecError",
     "Contact",
     "Contacts",
+    "ContentCopy",
     "Counters",
     "DECLARATION_TYPES",
     "DataCentreStatus",
--- a/packages/core/src/knapweedspring_core/_status_objects.py
+++ b/packages/core/src/knapweedspring_core/_status_objects.py
@@ -15,6 +15,7 @@
 
 __all__ = [
     "STATUS_KIND",
+    "ContentCopy",
     "DataCentreStatus",
     "DeclarationForce",
     "DrainStatus",
@@ -68,6 +69,23 @@
         return ObjectKey(self.kind, self.name)
 
 
+@dataclass(frozen=True, slots=True)
+class ContentCopy:
+    """Copy of the highest valid version of a declaration.
+
+    An invalid write replaces the only other durable copy of what is in force.
+    """
+
+    #: Kind, such as ``RequestClass``.
+    kind: str
+    #: Name, unique within the kind.
+    name: str
+    #: The version copied.
+    version: int
+    #: Its JSON text.
+    content: str
+
+
 @dataclass(frozen=True, slots=True)
 class DrainStatus:
     """A node that takes no new work."""
@@ -106,6 +124,8 @@
     n_reporting: int
     #: Declarations, in the order of their keys.
     declarations: tuple[DeclarationForce, ...] = ()
+    #: Valid content that the reporter acts by.
+    copies: tuple[ContentCopy, ...] = ()
     #: How many nodes are suspected or held dead.
     n_unreachable: int = 0
     #: Some of them.
@@ -147,6 +167,16 @@
             return Force.IN_FORCE
         return Force.LAGGING
 
+    def copied_records(self) -> tuple[ObjectRecord, ...]:
+        """Return the copies as records that a store can merge."""
+        return tuple(
+            ObjectRecord(
+                ObjectKey(one.kind, one.name), one.version, content=one.content
+            )
+            for part in self.parts
+            for one in part.copies
+        )
+
     def lagging(self, key: ObjectKey) -> tuple[str, ...]:
         """Some of the nodes that do not act by the highest version."""
         return tuple(
--- a/packages/core/src/knapweedspring_core/_store.py
+++ b/packages/core/src/knapweedspring_core/_store.py
@@ -168,6 +168,12 @@
         record = self._valid.get(key)
         return 0 if record is None else record.version
 
+    def valid_records(self) -> tuple[ObjectRecord, ...]:
+        """Return the versions in force, without deletions, in order of keys."""
+        with self._lock:
+            held = [one for one in self._valid.values() if not one.deleted]
+        return tuple(sorted(held, key=lambda one: one.key))
+
     def service(self, name: str) -> Service | None:
         """Return the service declaration in force."""
         found = self._in_force.get(ObjectKey("Service", name))
--- a/packages/node/src/knapweedspring_node/_config/_reporter.py
+++ b/packages/node/src/knapweedspring_node/_config/_reporter.py
@@ -11,7 +11,9 @@
 from result import Ok, Result
 
 from knapweedspring_core import (
+    ContentCopy,
     Counters,
+    DeclarationStore,
     EventLog,
     Member,
     PlatformConflict,
@@ -46,6 +48,8 @@
 
     #: Who has which role.
     roles: Roles
+    #: Declarations, of which the status object keeps copies.
+    store: DeclarationStore
     #: Reads the node's own state.
     read_status: Callable[[], StatusPage]
     #: Tells whether the node is up to date with the platform.
@@ -170,7 +174,16 @@
         lost = sorted(member.node_id for member in roles.lost_members())
         part = self._book.summarise(roles.node_id, live_ids)
         return replace(
-            part, n_unreachable=len(lost), unreachable=tuple(lost[:MAX_NAMED])
+            part,
+            copies=self._copies(),
+            n_unreachable=len(lost),
+            unreachable=tuple(lost[:MAX_NAMED]),
+        )
+
+    def _copies(self) -> tuple[ContentCopy, ...]:
+        return tuple(
+            ContentCopy(one.key.kind, one.key.name, one.version, one.content)
+            for one in self._parts.store.valid_records()
         )
 
     def _send(self, page: StatusPage, reporter: Member) -> None:
--- a/packages/node/src/knapweedspring_node/_config/_watcher.py
+++ b/packages/node/src/knapweedspring_node/_config/_watcher.py
@@ -10,6 +10,7 @@
     CHECKPOINT_KEY,
     CONTACTS_KIND,
     DECLARATION_TYPES,
+    STATUS_KIND,
     Changes,
     Counters,
     DeclarationStore,
@@ -19,6 +20,7 @@
     PlatformError,
     PlatformVersionTooOld,
     ThreadChild,
+    parse_status,
 )
 from knapweedspring_node._config._roles import Roles
 
@@ -110,14 +112,14 @@
     def _read(self) -> Result[Changes, PlatformError]:
         if self._version is None:
             self._counters.add("platform_reads", "list")
-            return self._platform.list_all(WATCHED_KINDS)
+            return self._platform.list_all((*WATCHED_KINDS, STATUS_KIND))
         self._counters.add("platform_reads", "watch")
         return self._platform.watch(self._version, WATCH_WAIT_S, WATCHED_KINDS)
 
     def _take_in(self, changes: Changes) -> None:
         self._check_version(changes.version)
         declared = tuple(
-            record for record in changes.records if record.key.kind != CONTACTS_KIND
+            record for record in changes.records if record.key.kind in DECLARATION_TYPES
         )
         if self._version is None:
             self._store.merge_list(declared, changes.version)
@@ -128,6 +130,16 @@
         for record in changes.records:
             if record.key.kind == CONTACTS_KIND:
                 self._on_contacts(record)
+            elif record.key.kind == STATUS_KIND:
+                self._take_copies(record)
+
+    def _take_copies(self, status: ObjectRecord) -> None:
+        """Learn valid versions that an invalid write has replaced."""
+        parsed = parse_status(status)
+        if isinstance(parsed, Err):
+            return
+        for copy in parsed.ok_value.copied_records():
+            self._store.merge(copy)
 
     def _check_version(self, version: int) -> None:
         """Notice a platform that was restored from an older copy.
--- a/packages/node/src/knapweedspring_node/_node.py
+++ b/packages/node/src/knapweedspring_node/_node.py
@@ -224,6 +224,7 @@
     ) -> StatusReporter:
         parts = ReporterParts(
             roles=roles,
+            store=self._store,
             read_status=self._facts.status,
             watcher=watcher,
             contacts=contacts,
--- a/packages/node/tests/_config/test_failures.py
+++ b/packages/node/tests/_config/test_failures.py
@@ -221,6 +221,25 @@
     fresh.kill()
 
 
+def test_the_version_before_an_invalid_one_outlives_all_nodes(key):
+    with ProcessGroup() as group:
+        mesh = _Mesh(group)
+        version = mesh.put(key, '{"priority": 1}')
+        mesh.wait(lambda: mesh.everywhere(key, version))
+        mesh.wait(
+            lambda: all(
+                version in {one.version for one in status.copied_records()}
+                for status in mesh.statuses()
+            )
+        )
+        for node in mesh.nodes:
+            node.kill()
+        mesh.put(key, '{"priority": "high"}')
+        fresh = mesh.start("fresh", "sandton")
+        mesh.wait(lambda: _in_force(fresh, key) == version)
+        assert _held(fresh, key).invalid_path == "$.priority"
+
+
 def test_of_two_operators_racing_one_wins_and_the_other_is_told(mesh, key, write_file):
     version = mesh.put(key, '{"priority": 1}')
     racing = [
