Name the nodes that a wait does not count

A data centre shows a version in force though nodes that it holds dead may be alive, cut off, and act by an older one.

--- a/packages/ctl/src/knapweedspring_ctl/_apply.py
+++ b/packages/ctl/src/knapweedspring_ctl/_apply.py
@@ -108,6 +108,11 @@
 
     :return: the exit code that goes with it.
     """
+    for one in result.unreachable:
+        output.message(
+            f"not counted in {one.data_centre}: {one.n_nodes} unreachable "
+            f"({', '.join(one.nodes)}); if alive, they may act by older versions"
+        )
     if result.lags:
         output.message(f"not in force everywhere after {result.elapsed_s:.1f} s:")
         for lag in result.lags:
--- a/packages/ctl/src/knapweedspring_ctl/_wait.py
+++ b/packages/ctl/src/knapweedspring_ctl/_wait.py
@@ -38,6 +38,18 @@
     nodes: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class Unreachable:
+    """Nodes that do not count, because their data centre cannot reach them."""
+
+    #: Name of the data centre.
+    data_centre: str
+    #: How many they are.
+    n_nodes: int
+    #: Some of them.
+    nodes: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class WaitResult:
     """State at the end of a wait."""
@@ -46,6 +58,8 @@
     data_centres: tuple[str, ...]
     #: What is missing; empty when everything is in force everywhere.
     lags: tuple[Lag, ...]
+    #: Nodes that did not count; if one is alive, it may act by older versions.
+    unreachable: tuple[Unreachable, ...]
     #: How long it took, in seconds.
     elapsed_s: float
 
@@ -106,7 +120,20 @@
         lags = _lags(view.statuses, versions, asked)
         elapsed_s = time.monotonic() - started_at
         if (asked and not lags) or elapsed_s >= timeout_s:
-            return WaitResult(asked, lags, elapsed_s)
+            unreachable = _unreachable(view.statuses, asked)
+            return WaitResult(asked, lags, unreachable, elapsed_s)
+
+
+def _unreachable(
+    statuses: dict[str, DataCentreStatus], data_centres: tuple[str, ...]
+) -> tuple[Unreachable, ...]:
+    return tuple(
+        Unreachable(name, part.n_unreachable, part.unreachable)
+        for name in data_centres
+        if name in statuses
+        for part in statuses[name].parts
+        if part.n_unreachable
+    )
 
 
 def _lags(
--- a/packages/ctl/tests/test_apply.py
+++ b/packages/ctl/tests/test_apply.py
@@ -137,10 +137,11 @@
     assert client.list_all().unwrap().records == ()
 
 
-def _put_status(client, data_centre, *forces):
-    status = DataCentreStatus(
-        data_centre, (ReporterPart("n1", 1, 2, 2, declarations=forces),)
+def _put_status(client, data_centre, *forces, lost=()):
+    part = ReporterPart(
+        "n1", 1, 2, 2, declarations=forces, n_unreachable=len(lost), unreachable=lost
     )
+    status = DataCentreStatus(data_centre, (part,))
     key = ObjectKey("Status", data_centre)
     held = client.get(key).unwrap()
     version = 0 if held is None else held.version
@@ -166,6 +167,14 @@
     assert json.loads(out)["wait"]["data_centres"] == ["midrand", "sandton"]
 
 
+def test_wait_names_the_nodes_that_do_not_count(ctl, client, write_file):
+    held = DeclarationForce("RequestClass", "spice-order", 9, 9, 2)
+    _put_status(client, "sandton", held, lost=("n7",))
+    code, _, err = ctl("apply", write_file(7), "--wait")
+    assert code == ExitCode.OK
+    assert "not counted in sandton: 1 unreachable (n7)" in err
+
+
 def test_only_the_data_centres_of_the_settings_must_confirm(
     ctl, client, write_file, tmp_path
 ):
