Send a node's own change before all other news, also when the queue is full

The queue of news is bounded, and a node's own change, such as its upstream's leaving, was dropped or waited behind up to 512 entries of others after a mass restart. Own changes now go first and are always taken. The 36 membership tests pass.

--- a/packages/node/src/knapweedspring_node/_membership/_local.py
+++ b/packages/node/src/knapweedspring_node/_membership/_local.py
@@ -236,7 +236,7 @@
         is_own = member.node_id == self._own.node_id
         is_passed_on = is_own or not self._bulk.active
         if is_passed_on:
-            self._news.add_member(member)
+            self._news.add_member(member, urgent=is_own)
         is_new_state = held is None or held.state is not member.state
         if is_passed_on and is_new_state:
             self._events.record(
--- a/packages/node/src/knapweedspring_node/_membership/_news.py
+++ b/packages/node/src/knapweedspring_node/_membership/_news.py
@@ -33,10 +33,17 @@
         """Whether nothing waits."""
         return not self._members and not self._records
 
-    def add_member(self, member: Member) -> None:
-        """Queue an entry; it replaces an older one of the same node."""
+    def add_member(self, member: Member, urgent: bool = False) -> None:
+        """Queue an entry; it replaces an older one of the same node.
+
+        :param urgent: puts it before all others, and takes it even when the
+            queue is full.
+        """
         with self._lock:
-            if len(self._members) < MEMBERS_CAPACITY:
+            if urgent:
+                self._members.pop(member.node_id, None)
+                self._members = {member.node_id: member, **self._members}
+            elif member.node_id in self._members or not self._is_full:
                 self._members[member.node_id] = member
 
     def add_record(self, record: ObjectRecord) -> None:
@@ -58,6 +65,10 @@
                 self._count_repeat(node_id)
             return chosen
 
+    @property
+    def _is_full(self) -> bool:
+        return len(self._members) >= MEMBERS_CAPACITY
+
     def _count_repeat(self, node_id: str) -> None:
         self._repeats[node_id] -= 1
         if self._repeats[node_id] == 0:
--- a/packages/node/tests/membership/test_table.py
+++ b/packages/node/tests/membership/test_table.py
@@ -7,6 +7,7 @@
 from knapweedspring_core import AnnouncedUpstream, Member, MemberState, UpstreamState
 from knapweedspring_node._membership._digest import differing_buckets
 from knapweedspring_node._membership._messages import Gossip, pack, unpack
+from knapweedspring_node._membership._news import MEMBERS_CAPACITY, NewsQueue
 from knapweedspring_node._membership._table import MemberTable
 
 READY = AnnouncedUpstream("orders", "127.0.0.1:3", 1, 1)
@@ -83,3 +84,12 @@
 )
 def test_bytes_that_hold_no_message_are_an_error(payload):
     assert unpack(payload, Gossip).is_err()
+
+
+def test_own_change_goes_before_a_full_queue():
+    news = NewsQueue()
+    for index in range(MEMBERS_CAPACITY + 5):
+        news.add_member(_member(f"n{index}"))
+    news.add_member(_member("own", upstream=LEAVING), urgent=True)
+    members, _ = news.take()
+    assert members[:2] == (_member("own", upstream=LEAVING), _member("n0"))
