--- a/packages/standins/src/knapweedspring_standins/_port_owners.py
+++ b/packages/standins/src/knapweedspring_standins/_port_owners.py
@@ -10,6 +10,7 @@
 #: The kernel's table may lack a line while other connections come and go.
 N_LOOKUPS = 5
 LOOKUP_PAUSE_S = 0.002
+NO_INODE = "0"
 
 
 class PortOwners:
@@ -41,30 +42,35 @@
         return ""
 
     def _look_up(self, port: int) -> str:
-        inode = _inode_of(port)
-        if not inode:
+        wanted = {f"socket:[{inode}]" for inode in _inodes_of(port)}
+        if not wanted:
             return ""
         with self._lock:
             names = dict(self._names)
-        wanted = f"socket:[{inode}]"
         for pid, name in names.items():
             if _holds(pid, wanted):
                 return name
         return ""
 
 
-def _inode_of(port: int) -> str:
+def _inodes_of(port: int) -> set[str]:
+    """Inodes of the open sockets with a local port.
+
+    A closed connection that still waits in the kernel keeps its port without an
+    inode, so that a port may stand in several lines.
+    """
     suffix = f":{port:04X}"
+    inodes = set()
     with open(TCP_TABLE, encoding="ascii") as table:
         next(table)
         for line in table:
             fields = line.split()
-            if fields[1].endswith(suffix):
-                return fields[9]
-    return ""
+            if fields[1].endswith(suffix) and fields[9] != NO_INODE:
+                inodes.add(fields[9])
+    return inodes
 
 
-def _holds(pid: int, wanted: str) -> bool:
+def _holds(pid: int, wanted: set[str]) -> bool:
     directory = f"/proc/{pid}/fd"
     try:
         numbers = os.listdir(directory)
@@ -72,7 +78,7 @@
         return False
     for number in numbers:
         try:
-            if os.readlink(f"{directory}/{number}") == wanted:
+            if os.readlink(f"{directory}/{number}") in wanted:
                 return True
         except OSError:
             # The process closed the file meanwhile.
