--- a/packages/standins/src/knapweedspring_standins/_bench.py
+++ b/packages/standins/src/knapweedspring_standins/_bench.py
@@ -31,6 +31,7 @@
 )
 from knapweedspring_standins._firms import FIRMS, Firm
 from knapweedspring_standins._invariants import Evidence, check_invariants
+from knapweedspring_standins._journal import EntryKind
 from knapweedspring_standins._layout import DeclaredObject
 from knapweedspring_standins._mesh import Mesh, start_mesh
 from knapweedspring_standins._processes import Process, ProcessFailed, ProcessGroup
@@ -43,6 +44,7 @@
 LEAD_S = 2.0
 CALLERS_TIMEOUT_S = 120.0
 N_EXAMPLES = 8
+ENDS = (EntryKind.FINISHED, EntryKind.ABANDONED)
 
 
 def run_bench(
@@ -151,6 +153,7 @@
             violations=verdict.counts(),
             examples=tuple(examples[:N_EXAMPLES]),
             answers=_count_answers(evidence.records),
+            top_kind_failures=self._top_kind_failures(evidence, requests),
             n_non_repeatable=verdict.n_non_repeatable,
             n_not_run=verdict.n_not_run,
             n_late=sum(result.n_late for result in results),
@@ -228,6 +231,19 @@
         n_arrivals = sum(f.n_arrivals for f in chosen)
         return sum(f.n_succeeded for f in chosen) / n_arrivals if n_arrivals else None
 
+    def _top_kind_failures(
+        self, evidence: Evidence, requests: list[LogicalRequest]
+    ) -> dict[str, int]:
+        top = {r.nonce for r in requests if r.kind == self._firm.top_kind}
+        counts = Counter(
+            f"{entry.service}: {entry.detail}"
+            for page in evidence.journals
+            for entry in page.entries
+            if entry.kind in ENDS and entry.detail
+            if entry.nonce.partition("/")[0] in top
+        )
+        return dict(counts.most_common())
+
     def _cost(self, before: list[_Usage]) -> NodeCost:
         seconds = time.monotonic() - self._start_s + LEAD_S
         cores = [(u.process.cpu_s() - u.cpu_s) / seconds for u in before]
--- a/packages/standins/src/knapweedspring_standins/_bench_report.py
+++ b/packages/standins/src/knapweedspring_standins/_bench_report.py
@@ -51,6 +51,8 @@
     examples: tuple[str, ...]
     #: Sends by answer, or by outcome and reason for the layer's own answers.
     answers: dict[str, int]
+    #: Reasons for which upstreams failed requests of the top kind, by service.
+    top_kind_failures: dict[str, int]
     #: Non-repeatable requests checked for duplicates.
     n_non_repeatable: int
     #: Answers ``not-run`` checked for honesty.
@@ -122,6 +124,7 @@
         f"  attempts {work.attempts_per_request:.2f} a request, most beyond the "
         f"first {mode.n_extra_attempts_max}, sends {work.sends_per_request:.2f}; "
         f"wasted work {work.part_wasted:.3f} of {work.work_s:.0f} s",
+        f"  failures of the top kind {mode.top_kind_failures}",
         f"  answers {mode.answers}; late starts {mode.n_late}",
         f"  nodes {mode.cost.cores_mean:.3f} cores (max {mode.cost.cores_max:.3f}), "
         f"{mode.cost.memory_max_kb // 1024} MB",
--- a/packages/standins/tests/test_bench_summary.py
+++ b/packages/standins/tests/test_bench_summary.py
@@ -29,6 +29,7 @@
         violations={"no-duplicate": seed},
         examples=(),
         answers={"whole": 10},
+        top_kind_failures={},
         n_non_repeatable=5,
         n_not_run=1,
         n_late=0,
