Replay two runs of real processes against the specifications

Orders through a declared drain and back, and orders through a VM that is killed and replaced, are recorded by the nodes' event rings and the upstreams' journals, merged by their stamps and followed by the monitors.

--- /dev/null
+++ b/packages/standins/tests/specification/test_replay_of_processes.py
@@ -0,0 +1,140 @@
+"""A run of real processes is a path that the specifications allow."""
+
+import threading
+import time
+
+import msgspec
+import pytest
+
+from knapweedspring_core import (
+    Event,
+    Intent,
+    RequestClass,
+    RouteRule,
+    Service,
+    UpstreamIntent,
+)
+from knapweedspring_standins._caller_plan import CallerPlan, Phase, RequestKind
+from knapweedspring_standins._callers import Callers
+from knapweedspring_standins._journal import read_journal
+from knapweedspring_standins._layout import (
+    DeclaredObject,
+    MeshLayout,
+    ServiceLayout,
+)
+from knapweedspring_standins._mesh import start_mesh
+from knapweedspring_standins._processes import ProcessGroup, poll_until
+from knapweedspring_standins._specification import (
+    RunEventKind,
+    log_of_journal,
+    log_of_node,
+    replay,
+)
+
+SEED = 11
+LOAD_S = 8.0
+RATE = 30.0
+#: From the gate's decision to the upstream's journal, on a busy machine.
+WITNESS_DELAY_S = 1.0
+OBJECTS = (
+    DeclaredObject("spice-order", RequestClass(100, False, 4_000, 2)),
+    DeclaredObject("lookup", RequestClass(50)),
+    DeclaredObject(
+        "orders", Service("lookup", (RouteRule("spice-order", "POST", "/spice"),))
+    ),
+)
+SERVICES = (ServiceLayout("orders", 3, 24, 200, 20.0),)
+LAYOUT = MeshLayout("boerewors", ("johannesburg",), SERVICES, OBJECTS, 32, SEED)
+ORDER = RequestKind(
+    "spice-order", "orders", "/spice", "spice-order", 1.0, "POST", False, 200
+)
+
+
+@pytest.fixture
+def mesh():
+    with ProcessGroup() as group:
+        made = start_mesh(LAYOUT, group)
+        try:
+            assert made.wait_served()
+            yield made
+        finally:
+            made.close()
+
+
+def _start_load(mesh):
+    plan = CallerPlan(
+        entries_file=str(mesh.entries_file),
+        kinds=(ORDER,),
+        phases=(Phase("load", LOAD_S, RATE),),
+        seed=SEED,
+        start_s=time.monotonic(),
+        n_workers=32,
+    )
+    load = threading.Thread(target=Callers(plan).run)
+    load.start()
+    return load
+
+
+def _events(mesh, place):
+    page = mesh.node_page(place, "/events")
+    return msgspec.convert(page["events"], tuple[Event, ...])
+
+
+def _logs(mesh):
+    offset_s = time.time() - time.monotonic()
+    for place in mesh.places:
+        process = place.node_file.node_id
+        yield log_of_node(process, _events(mesh, place))
+        for file in place.journal_files:
+            yield log_of_journal(process, read_journal(file), offset_s)
+
+
+def test_orders_through_a_drain_and_a_return_are_an_allowed_path(mesh):
+    place = mesh.places_of("orders")[0]
+    node_id = place.node_file.node_id
+    load = _start_load(mesh)
+    time.sleep(1.5)
+    mesh.declare(node_id, UpstreamIntent(Intent.LEAVING))
+    assert poll_until(lambda: _has(mesh, place, RunEventKind.GATE_CLOSED))
+    time.sleep(2.0)
+    mesh.declare(node_id, UpstreamIntent(Intent.JOINING))
+    assert poll_until(lambda: _has(mesh, place, RunEventKind.GATE_REOPENED))
+    load.join()
+    logs = tuple(_logs(mesh))
+    report = replay(logs, WITNESS_DELAY_S)
+    assert report.breaches == ()
+    assert _n_tickets_started(logs) > 100
+    assert report.n_seen[RunEventKind.TICKET_ATTEMPT] > 100
+    n_finished = report.n_seen[RunEventKind.GATE_FINISHED]
+    assert n_finished == report.n_seen[RunEventKind.GATE_STARTED]
+    assert report.n_seen[RunEventKind.DECLARATION_IN_FORCE] >= 3 * len(OBJECTS)
+
+
+def test_orders_through_a_killed_vm_start_once_each(mesh):
+    place = mesh.places_of("orders")[0]
+    load = _start_load(mesh)
+    time.sleep(2.0)
+    place.node.kill()
+    place.upstream.kill()
+    assert place.node.wait(20) is not None
+    assert place.upstream.wait(20) is not None
+    mesh.replace(place)
+    load.join()
+    logs = tuple(_logs(mesh))
+    assert replay(logs, WITNESS_DELAY_S).breaches == ()
+    assert _n_tickets_started(logs) > 100
+
+
+def _n_tickets_started(logs):
+    return len(
+        {
+            event.ticket
+            for log in logs
+            for event in log.events
+            if event.kind is RunEventKind.GATE_STARTED and event.ticket
+        }
+    )
+
+
+def _has(mesh, place, kind):
+    return kind in [event.kind for event in _events(mesh, place)]
