Serve only after a whole list, and never start a run that was forgotten

A node answered calls from the first declaration it heard, so that a missing rule could have let an order pass as a lookup; it now refuses as not-run until every object of one complete list is held. The gate's ledger dropped a run after the ticket's lifetime and 60 s, so that a later message could start it again; the highest sequence dropped for each owner process now stays. Refused attempts name their ticket, which the replay needs for child calls.

--- a/packages/core/src/knapweedspring_core/_store.py
+++ b/packages/core/src/knapweedspring_core/_store.py
@@ -92,6 +92,7 @@
         self._invalid: dict[ObjectKey, InvalidObject] = {}
         self._existing: frozenset[str] = frozenset()
         self._objects: tuple[HeldObject, ...] | None = None
+        self._complete = False
         self._top_priority = 0
         self._subscribers: list[Callable[[ObjectRecord], None]] = []
 
@@ -114,9 +115,17 @@
             return self._objects
 
     @property
-    def is_empty(self) -> bool:
-        """Whether no object has been heard of yet."""
-        return not self._records
+    def is_complete(self) -> bool:
+        """Whether everything of one complete list has been heard.
+
+        A part of the declarations must not be acted by: a rule that is missing
+        could let a request run twice.
+        """
+        if not self._complete:
+            with self._lock:
+                held = {str(key) for key in self._records}
+            self._complete = str(CHECKPOINT_KEY) in held and self._existing <= held
+        return self._complete
 
     @property
     def invalid(self) -> tuple[InvalidObject, ...]:
--- a/packages/core/tests/test_store.py
+++ b/packages/core/tests/test_store.py
@@ -10,6 +10,7 @@
     ObjectRecord,
     declared_key,
 )
+from knapweedspring_core._store import CHECKPOINT_KEY
 
 KEY = ObjectKey("RequestClass", "spice-order")
 
@@ -136,3 +137,22 @@
     store = DeclarationStore()
     assert not store.merge(ObjectRecord(ObjectKey("Status", "sandton"), 3))
     assert store.records == ()
+
+
+def test_store_is_complete_once_every_listed_object_was_heard():
+    store = DeclarationStore()
+    record = _record(1, 7)
+    listed = DeclarationStore()
+    listed.merge_list((record,), 1)
+    assert listed.is_complete
+    assert not store.is_complete
+    for heard in sorted(listed.records, key=lambda one: one.key != CHECKPOINT_KEY):
+        assert not store.is_complete
+        store.merge(heard)
+    assert store.is_complete
+
+
+def test_empty_platform_is_a_complete_list():
+    store = DeclarationStore()
+    store.merge_list((), 0)
+    assert store.is_complete
--- a/packages/node/src/knapweedspring_node/_calls/_attempts.py
+++ b/packages/node/src/knapweedspring_node/_calls/_attempts.py
@@ -214,6 +214,7 @@
         self._events.trace(
             "call:attempt-refused",
             request=plan.request_id,
+            ticket="" if plan.run_key is None else str(plan.run_key),
             gate=member.node_id,
             outcome=reply.outcome,
             reason=reply.refusal.reason,
--- a/packages/node/src/knapweedspring_node/_calls/_classify.py
+++ b/packages/node/src/knapweedspring_node/_calls/_classify.py
@@ -38,9 +38,13 @@
     :return: the class, or a ``not-run`` refusal when the service or the class is
         not declared.
     """
+    if not store.is_complete:
+        detail = "this node has not heard all declarations yet"
+        return Err(Refusal(Outcome.NOT_RUN, Reason.NOT_CONFIGURED, 1_000, detail))
     service = store.service(request.service)
     if service is None:
-        return Err(_undeclared_service(store, request.service))
+        detail = f"Service {request.service} is not declared"
+        return Err(Refusal(Outcome.NOT_RUN, Reason.UNKNOWN_SERVICE, 0, detail))
     name = _class_name(service, store, request)
     declared = store.request_class(name)
     if declared is None:
@@ -49,14 +53,6 @@
     return Ok(Classified(name, declared))
 
 
-def _undeclared_service(store: DeclarationStore, name: str) -> Refusal:
-    if store.is_empty:
-        detail = "this node has not heard any declaration yet"
-        return Refusal(Outcome.NOT_RUN, Reason.NOT_CONFIGURED, 1_000, detail)
-    detail = f"Service {name} is not declared"
-    return Refusal(Outcome.NOT_RUN, Reason.UNKNOWN_SERVICE, 0, detail)
-
-
 def _class_name(service: Service, store: DeclarationStore, request: CallRequest) -> str:
     for rule in service.rules:
         if _matches(rule, request):
--- a/packages/node/src/knapweedspring_node/_calls/_run_ledger.py
+++ b/packages/node/src/knapweedspring_node/_calls/_run_ledger.py
@@ -10,6 +10,7 @@
 __all__ = ["RunLedger", "RunState"]
 
 MAX_ENTRIES = 200_000
+MAX_FLOORS = 20_000
 
 
 class RunState(StrEnum):
@@ -22,8 +23,9 @@
 class RunLedger:
     """Decides, once for each run key, between starting and revoking.
 
-    An entry outlives every message that could still ask for the run: it is kept
-    for the ticket's lifetime and a margin for delayed messages.
+    An entry is kept for the ticket's lifetime and a margin for delayed messages.
+    Of entries that were dropped, the highest sequence of each owner's process
+    stays: a message that is older still counts as one whose run has started.
 
     :param lifetime_s: how long entries are kept.
     """
@@ -32,6 +34,7 @@
         self._lifetime_s = lifetime_s
         self._lock = threading.Lock()
         self._entries: OrderedDict[RunKey, tuple[RunState, float]] = OrderedDict()
+        self._floors: OrderedDict[tuple[str, int], int] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -68,6 +71,8 @@
             held = self._entries.get(key)
             if held is not None:
                 return held[0]
+            if key.sequence <= self._floors.get((key.owner, key.epoch), 0):
+                return RunState.STARTED
             self._entries[key] = (state, now + self._lifetime_s)
             return None
 
@@ -78,3 +83,10 @@
             if expires_at > now:
                 return
             del self._entries[key]
+            self._raise_floor(key)
+
+    def _raise_floor(self, key: RunKey) -> None:
+        owner = (key.owner, key.epoch)
+        self._floors[owner] = max(key.sequence, self._floors.pop(owner, 0))
+        if len(self._floors) > MAX_FLOORS:
+            self._floors.popitem(last=False)
--- a/packages/node/tests/calls/test_run_ledger.py
+++ b/packages/node/tests/calls/test_run_ledger.py
@@ -22,6 +22,11 @@
     return decode(handler.handle(request), RevokeAnswer).unwrap().result
 
 
+def _revoke_key(ledger, key):
+    payload = encode(RevokeRequest(key, EPOCH))
+    return _revoke(ledger, payload=payload)
+
+
 def test_started_run_cannot_be_revoked():
     ledger = RunLedger(60)
     assert ledger.start(KEY) is None
@@ -62,8 +67,19 @@
     assert ledger.start(KEY) is None
 
 
-def test_entries_expire():
+def test_entries_expire_and_later_runs_may_start():
     ledger = RunLedger(0.0)
     ledger.start(KEY)
     assert not ledger.is_full()
     assert len(ledger) == 0
+    assert ledger.start(RunKey(KEY.owner, KEY.epoch, KEY.sequence + 1)) is None
+
+
+@pytest.mark.parametrize("sequence", [1, 2])
+def test_message_older_than_what_was_dropped_starts_nothing(sequence):
+    ledger = RunLedger(0.0)
+    ledger.start(RunKey(KEY.owner, KEY.epoch, 2))
+    assert not ledger.is_full()
+    late = RunKey(KEY.owner, KEY.epoch, sequence)
+    assert ledger.start(late) is RunState.STARTED
+    assert _revoke_key(ledger, late) is RevokeResult.MAY_HAVE_STARTED
