Bind a ticket to the first request that it was presented with

Read-through of the tickets: a caller that sent another request with a used ticket got the answer of the first one, which breaks the promise that nobody gets the answer to another request. The ticket now keeps method, target, length and digest of the first call and refuses any other as not-run, ticket-invalid.

--- a/packages/node/src/knapweedspring_node/_calls/_entry_side.py
+++ b/packages/node/src/knapweedspring_node/_calls/_entry_side.py
@@ -22,7 +22,6 @@
 from knapweedspring_node._calls._classify import Classified, classify
 from knapweedspring_node._calls._context import draw_of
 from knapweedspring_node._calls._in_flight import (
-    ChildCall,
     InFlightTable,
     ParentState,
     RunningCall,
@@ -32,7 +31,11 @@
 from knapweedspring_node._calls._rank import Rank
 from knapweedspring_node._calls._remote import RemoteGates
 from knapweedspring_node._calls._reply import Refused, Reply, refused
-from knapweedspring_node._calls._request import CallRequest, DetachedLink
+from knapweedspring_node._calls._request import (
+    CallRequest,
+    CallSignature,
+    DetachedLink,
+)
 from knapweedspring_node._calls._roots import RootBook
 from knapweedspring_node._calls._tickets import ClaimState, Ticket, TicketBook
 from knapweedspring_node._calls._workers import WorkerGuard
@@ -207,7 +210,7 @@
         if not self._tickets.owns(ticket):
             return self._forward(request, ticket.key.owner, deadline_at, forwarded)
         n_tokens = classified.declared.retry_budget
-        claimed = self._tickets.claim(ticket, n_tokens, deadline_at)
+        claimed = self._tickets.claim(ticket, request.signature, n_tokens, deadline_at)
         if isinstance(claimed, Err):
             return Refused(claimed.err_value)
         claim = claimed.ok_value
@@ -291,11 +294,7 @@
         if parent.hop.repeatable and not classified.declared.repeatable:
             # The parent may run again, so only a ticket keeps this to one run.
             return self._ticketed(request, classified, deadline_at, False, parent)
-        child = ChildCall(
-            request.method,
-            f"/{request.service}{request.target}",
-            request.body.digest,
-        )
+        child = request.signature
         begun = parent.begin_child(child, parent.hop.repeatable)
         if isinstance(begun, Err):
             return Refused(begun.err_value)
@@ -305,7 +304,7 @@
         self,
         request: CallRequest,
         parent: RunningCall,
-        child: ChildCall,
+        child: CallSignature,
         deadline_at: float,
     ) -> Reply:
         hop = parent.hop
--- a/packages/node/src/knapweedspring_node/_calls/_in_flight.py
+++ b/packages/node/src/knapweedspring_node/_calls/_in_flight.py
@@ -3,7 +3,6 @@
 import itertools
 import threading
 import time
-from dataclasses import dataclass
 from enum import Enum, auto
 
 from result import Err, Ok, Result
@@ -11,22 +10,11 @@
 from knapweedspring_core import Outcome, Reason, Refusal
 from knapweedspring_node._calls._budget import RetryBudget
 from knapweedspring_node._calls._context import HopContext
+from knapweedspring_node._calls._request import CallSignature
 
-__all__ = ["ChildCall", "InFlightTable", "ParentState", "RunningCall"]
+__all__ = ["InFlightTable", "ParentState", "RunningCall"]
 
-MAX_CHILD_SIGNATURES = 1_024
-
-
-@dataclass(frozen=True, slots=True)
-class ChildCall:
-    """Signature of a call that an upstream makes for a request."""
-
-    #: HTTP method.
-    method: str
-    #: Target as sent, service included.
-    target: str
-    #: Digest of the body; empty for a body that is streamed.
-    body_digest: bytes
+MAX_CHILDREN = 1_024
 
 
 class ParentState(Enum):
@@ -50,7 +38,7 @@
         self._deadline_at = deadline_at
         self._budget = RetryBudget(hop.n_tokens)
         self._lock = threading.Lock()
-        self._children: dict[ChildCall, Outcome | None] = {}
+        self._children: dict[CallSignature, Outcome | None] = {}
         self._n_children_started = 0
         self._n_children_running = 0
         self._children_since = 0.0
@@ -106,7 +94,9 @@
             if self._n_children_running == 0:
                 self._children_s += time.monotonic() - self._children_since
 
-    def begin_child(self, child: ChildCall, repeatable: bool) -> Result[None, Refusal]:
+    def begin_child(
+        self, child: CallSignature, repeatable: bool
+    ) -> Result[None, Refusal]:
         """Account for a call of the upstream; a repeated one is a retry.
 
         :param child: signature of the call.
@@ -119,14 +109,14 @@
                 refusal = self._refuse_repeat(self._children[child], repeatable)
                 if refusal is not None:
                     return Err(refusal)
-            elif len(self._children) >= MAX_CHILD_SIGNATURES:
+            elif len(self._children) >= MAX_CHILDREN:
                 detail = "too many calls for one request"
                 return Err(Refusal(Outcome.NOT_RUN, Reason.BUDGET_SPENT, 0, detail))
             self._children[child] = None
             self._n_children_started += 1
             return Ok(None)
 
-    def end_child(self, child: ChildCall, outcome: Outcome) -> None:
+    def end_child(self, child: CallSignature, outcome: Outcome) -> None:
         """Record what became of a call of the upstream."""
         with self._lock:
             self._children[child] = outcome
--- a/packages/node/src/knapweedspring_node/_calls/_request.py
+++ b/packages/node/src/knapweedspring_node/_calls/_request.py
@@ -156,6 +156,20 @@
             raise EOFError("the caller's body ended early")
 
 
+@dataclass(frozen=True, slots=True)
+class CallSignature:
+    """What makes two calls the same one."""
+
+    #: HTTP method.
+    method: str
+    #: Target as sent, service included.
+    target: str
+    #: Digest of the body; empty for a body that is streamed.
+    body_digest: bytes
+    #: Length of the body, None when it came in chunks and is streamed.
+    n_bytes: int | None = 0
+
+
 @dataclass(frozen=True, slots=True)
 class CallRequest:
     """A call as it arrived, its head checked."""
@@ -177,6 +191,12 @@
     #: Time that the caller allows, in ms; None when it names none.
     deadline_ms: int | None
 
+    @property
+    def signature(self) -> CallSignature:
+        """What a repeat of this call has in common with it."""
+        target = f"/{self.service}{self.target}"
+        return CallSignature(self.method, target, self.body.digest, self.body.length)
+
     def layer(self, header: Header) -> str:
         """Return one of the layer's headers, empty when absent."""
         return self.layer_headers.get(header, "")
--- a/packages/node/src/knapweedspring_node/_calls/_tickets.py
+++ b/packages/node/src/knapweedspring_node/_calls/_tickets.py
@@ -18,6 +18,7 @@
 from knapweedspring_node._calls._budget import RetryBudget
 from knapweedspring_node._calls._context import RunKey
 from knapweedspring_node._calls._reply import Refused, Relayed, Reply
+from knapweedspring_node._calls._request import CallSignature
 from knapweedspring_node._calls._seal import Seal
 
 __all__ = ["Claim", "ClaimState", "IssuedTicket", "Ticket", "TicketBook"]
@@ -72,7 +73,10 @@
 class _Record:
     """A ticket that was presented at least once."""
 
-    def __init__(self, budget: RetryBudget, expires_at: float) -> None:
+    def __init__(
+        self, signature: CallSignature, budget: RetryBudget, expires_at: float
+    ) -> None:
+        self.signature = signature
         self.condition = threading.Condition()
         self.budget = budget
         self.expires_at = expires_at
@@ -150,11 +154,17 @@
         return ticket.key.owner == self._node_id and ticket.key.epoch == self._epoch
 
     def claim(
-        self, ticket: Ticket, n_tokens: int, deadline_at: float
+        self,
+        ticket: Ticket,
+        signature: CallSignature,
+        n_tokens: int,
+        deadline_at: float,
     ) -> Result[Claim, Refusal]:
         """Present a ticket; waits while another call runs with it.
 
         :param ticket: one that :meth:`owns` is true of.
+        :param signature: the call; a ticket is bound to the first one, so that no
+            other request gets its answer.
         :param n_tokens: retry budget of the whole request, used at first sight.
         :param deadline_at: when this caller gives up waiting, monotonic seconds.
         """
@@ -171,9 +181,14 @@
                     detail = "too many tickets in use"
                     refusal = Refusal(Outcome.NOT_RUN, Reason.OVERLOADED, 1_000, detail)
                     return Err(refusal)
-                record = _Record(RetryBudget(n_tokens), ticket.expires_at_ms / 1_000)
+                expires_at = ticket.expires_at_ms / 1_000
+                record = _Record(signature, RetryBudget(n_tokens), expires_at)
                 self._records[ticket.key] = record
                 return Ok(Claim(ClaimState.RUN, record.budget))
+        if record.signature != signature:
+            # This call did not run; the one that the ticket is bound to may have.
+            detail = "this ticket was used for another request; take a new one"
+            return Err(Refusal(Outcome.NOT_RUN, Reason.TICKET_INVALID, 0, detail))
         return _claim_again(record, deadline_at)
 
     def settle(self, ticket: Ticket, reply: Reply) -> None:
--- a/packages/node/tests/calls/test_in_flight.py
+++ b/packages/node/tests/calls/test_in_flight.py
@@ -5,12 +5,12 @@
 from knapweedspring_core import Outcome, Reason
 from knapweedspring_node._calls._context import HopContext
 from knapweedspring_node._calls._in_flight import (
-    ChildCall,
     InFlightTable,
     ParentState,
 )
+from knapweedspring_node._calls._request import CallSignature
 
-CHILD = ChildCall("GET", "/stock/7", b"")
+CHILD = CallSignature("GET", "/stock/7", b"")
 
 
 def _hop(n_tokens=1, repeatable=True):
@@ -46,7 +46,7 @@
 def test_different_calls_are_no_retries():
     call = _running(n_tokens=0)
     for number in range(5):
-        child = ChildCall("GET", f"/stock/{number}", b"")
+        child = CallSignature("GET", f"/stock/{number}", b"")
         assert call.begin_child(child, True).is_ok()
 
 
