Give a node 512 workers by default

Cause: a gate runs at most a third of the workers' number, so that the default of 64 capped an upstream of 150 slots at 21 calls.

--- a/packages/node/src/knapweedspring_node/_settings.py
+++ b/packages/node/src/knapweedspring_node/_settings.py
@@ -30,8 +30,9 @@
     mesh_key: str
     #: Control addresses to join by when the platform does not answer.
     seeds: tuple[str, ...] = ()
-    #: Threads that serve calls; a waiting call occupies one.
-    n_workers: int = 64
+    #: Threads that serve calls; a waiting call occupies one. At least three times
+    #: the slots of the upstream, or the gate runs fewer calls than it could.
+    n_workers: int = 512
     #: Connections accepted at once on the call address.
     n_connections: int = 2_000
     #: Longest time a planned stop may take, in milliseconds.
