Name the specification's actions where the code implements them

A reader of the code could not tell which method stands for which action; the table in MODEL.md said so from one side only. Docstrings of tickets, run ledger, attempts, gate, running calls, repeats and the drain now name their actions.

--- a/packages/node/src/knapweedspring_node/_calls/_admission.py
+++ b/packages/node/src/knapweedspring_node/_calls/_admission.py
@@ -179,7 +179,10 @@
             self._start_waiting(self._clock())
 
     def close(self) -> None:
-        """Refuse new and waiting calls as not run; running ones finish."""
+        """Refuse new and waiting calls as not run; running ones finish.
+
+        Action ``gate:closed`` of the specification.
+        """
         with self._lock:
             self._closed = True
             for waiter in self._queue:
@@ -187,7 +190,10 @@
         self._events.record("gate:closed", n_in_flight=self._n_in_flight)
 
     def reopen(self) -> None:
-        """Admit calls again, slowly at first."""
+        """Admit calls again, slowly at first.
+
+        Action ``gate:reopened`` of the specification.
+        """
         with self._lock:
             self._closed = False
             self._limit.restart()
--- a/packages/node/src/knapweedspring_node/_calls/_attempts.py
+++ b/packages/node/src/knapweedspring_node/_calls/_attempts.py
@@ -144,7 +144,11 @@
         )
 
     def _attempt(self, plan: CallPlan, member: Member, attempt: int) -> Reply:
-        """Try one upstream, settling the loan of tokens and an uncertain run."""
+        """Try one upstream, settling the loan of tokens and an uncertain run.
+
+        Actions ``ticket:attempt`` and, for the loan, lend and return of the
+        specification.
+        """
         n_lent = plan.budget.lend()
         began_at = time.monotonic()
         self._trace_attempt(plan, member, attempt)
--- a/packages/node/src/knapweedspring_node/_calls/_in_flight.py
+++ b/packages/node/src/knapweedspring_node/_calls/_in_flight.py
@@ -99,6 +99,8 @@
     ) -> Result[None, Refusal]:
         """Account for a call of the upstream; a repeated one is a retry.
 
+        Action ``upstream:child-call`` of the specification and its repeat.
+
         :param child: signature of the call.
         :param repeatable: whether the call may run again.
         :return: a refusal when the budget is spent, or when the earlier call
--- a/packages/node/src/knapweedspring_node/_calls/_roots.py
+++ b/packages/node/src/knapweedspring_node/_calls/_roots.py
@@ -60,6 +60,8 @@
     def charge_repeat(self, request_id: RequestId) -> Result[RetryBudget, None]:
         """Charge one repeat of a request by its caller.
 
+        Action ``retry:caller-repeats`` of the specification.
+
         :return: the request's budget; Err when it is spent or forgotten, and the
             repeat must be refused for the bound to hold.
         """
--- a/packages/node/src/knapweedspring_node/_calls/_run_ledger.py
+++ b/packages/node/src/knapweedspring_node/_calls/_run_ledger.py
@@ -42,6 +42,8 @@
     def start(self, key: RunKey) -> RunState | None:
         """Mark a run as started unless it is already decided.
 
+        Actions ``gate:started`` and ``gate:already-started`` of the specification.
+
         :return: None when it is started now, else the earlier decision.
         """
         return self._decide(key, RunState.STARTED)
@@ -49,6 +51,8 @@
     def revoke(self, key: RunKey) -> RunState | None:
         """Forbid a run unless it is already decided.
 
+        Action ``gate:revoked`` of the specification.
+
         :return: None when it is forbidden now, else the earlier decision.
         """
         return self._decide(key, RunState.REVOKED)
--- a/packages/node/src/knapweedspring_node/_calls/_tickets.py
+++ b/packages/node/src/knapweedspring_node/_calls/_tickets.py
@@ -162,6 +162,9 @@
     ) -> Result[Claim, Refusal]:
         """Present a ticket; waits while another call runs with it.
 
+        Actions ``ticket:used``, ``ticket:expired``, ``owner:join`` and
+        ``owner:answer-held`` of the specification.
+
         :param ticket: one that :meth:`owns` is true of.
         :param signature: the call; a ticket is bound to the first one, so that no
             other request gets its answer.
@@ -192,7 +195,10 @@
         return _claim_again(record, deadline_at)
 
     def settle(self, ticket: Ticket, reply: Reply) -> None:
-        """Record what became of a run; callers that wait get it too."""
+        """Record what became of a run; callers that wait get it too.
+
+        Action ``ticket:outcome`` of the specification.
+        """
         record = self._records.get(ticket.key)
         if record is None:
             return
--- a/packages/node/src/knapweedspring_node/_drain.py
+++ b/packages/node/src/knapweedspring_node/_drain.py
@@ -47,6 +47,9 @@
     def run(self, stop_deadline_ms: int) -> bool:
         """Close the gates, tell peers, and wait until the work in hand is done.
 
+        Actions ``node:exit`` and ``node:exit at the stop deadline`` of the
+        specification.
+
         Tickets issued here can be run by no other node, so the node also waits
         until each was used or has expired.
 
