--- a/packages/standins/src/knapweedspring_standins/_port_owners.py
+++ b/packages/standins/src/knapweedspring_standins/_port_owners.py
@@ -3,6 +3,7 @@
 import os
 import threading
 import time
+from collections.abc import Iterator
 
 __all__ = ["PortOwners"]
 
@@ -11,17 +12,22 @@
 N_LOOKUPS = 5
 LOOKUP_PAUSE_S = 0.002
 NO_INODE = "0"
+SOCKET_PREFIX = "socket:["
 
 
 class PortOwners:
     """Finds the name of the process that holds a local port.
 
-    Only processes that were added are looked at.
+    Only processes that were added are looked at. Many ports that are asked for at
+    once share one scan of the kernel's tables.
     """
 
     def __init__(self) -> None:
         self._names: dict[int, str] = {}
         self._lock = threading.Lock()
+        self._scan_lock = threading.Lock()
+        self._scanned_at = 0.0
+        self._owners: dict[int, str] = {}
 
     def add(self, pid: int, name: str) -> None:
         """Name a process.
@@ -42,45 +48,51 @@
         return ""
 
     def _look_up(self, port: int) -> str:
-        wanted = {f"socket:[{inode}]" for inode in _inodes_of(port)}
-        if not wanted:
-            return ""
+        asked_at = time.monotonic()
+        with self._scan_lock:
+            # An earlier scan may show the port's holder before this connection.
+            if self._scanned_at < asked_at:
+                self._scan()
+            return self._owners.get(port, "")
+
+    def _scan(self) -> None:
+        self._scanned_at = time.monotonic()
         with self._lock:
             names = dict(self._names)
-        for pid, name in names.items():
-            if _holds(pid, wanted):
-                return name
-        return ""
+        holders = {
+            inode: name for pid, name in names.items() for inode in _inodes_of(pid)
+        }
+        self._owners = {
+            port: holders[inode] for port, inode in _open_ports() if inode in holders
+        }
 
 
-def _inodes_of(port: int) -> set[str]:
-    """Inodes of the open sockets with a local port.
+def _open_ports() -> Iterator[tuple[int, str]]:
+    """Local ports of open sockets and their inodes.
 
     A closed connection that still waits in the kernel keeps its port without an
     inode, so that a port may stand in several lines.
     """
-    suffix = f":{port:04X}"
-    inodes = set()
     with open(TCP_TABLE, encoding="ascii") as table:
         next(table)
         for line in table:
             fields = line.split()
-            if fields[1].endswith(suffix) and fields[9] != NO_INODE:
-                inodes.add(fields[9])
-    return inodes
+            if fields[9] != NO_INODE:
+                yield int(fields[1].rpartition(":")[2], 16), fields[9]
 
 
-def _holds(pid: int, wanted: set[str]) -> bool:
+def _inodes_of(pid: int) -> Iterator[str]:
+    """Inodes of the sockets that a process holds."""
     directory = f"/proc/{pid}/fd"
     try:
         numbers = os.listdir(directory)
     except OSError:
-        return False
+        return
     for number in numbers:
         try:
-            if os.readlink(f"{directory}/{number}") in wanted:
-                return True
+            target = os.readlink(f"{directory}/{number}")
         except OSError:
             # The process closed the file meanwhile.
             continue
-    return False
+        if target.startswith(SOCKET_PREFIX):
+            yield target.removeprefix(SOCKET_PREFIX).removesuffix("]")
