Keep one list of the headers that belong to a connection

The gate side and the entry side of a hop each had a list of answer headers that are not passed on, equal to the letter; a change to one would have let a header through at the other. Both use the one beside the exchanges now.

--- a/packages/node/src/knapweedspring_node/_calls/_gate_side.py
+++ b/packages/node/src/knapweedspring_node/_calls/_gate_side.py
@@ -25,7 +25,12 @@
 )
 from knapweedspring_node._calls._in_flight import InFlightTable, RunningCall
 from knapweedspring_node._calls._levels import LevelTable
-from knapweedspring_node._calls._outbound import Answer, ConnectionPools, OutboundCall
+from knapweedspring_node._calls._outbound import (
+    CONNECTION_HEADERS,
+    Answer,
+    ConnectionPools,
+    OutboundCall,
+)
 from knapweedspring_node._calls._reply import Refused, Relayed, Reply
 from knapweedspring_node._calls._request import CallRequest
 from knapweedspring_node._calls._run_ledger import RunLedger, RunState
@@ -35,9 +40,6 @@
 
 STATUS_ERROR = 500
 STATUS_SHED = 503
-_DROPPED_ANSWER_HEADERS = frozenset(
-    {"connection", "keep-alive", "transfer-encoding", "trailer", "upgrade"}
-)
 
 
 @dataclass(slots=True)
@@ -165,7 +167,7 @@
         headers = tuple(
             (name, value)
             for name, value in answer.headers
-            if name.lower() not in _DROPPED_ANSWER_HEADERS
+            if name.lower() not in CONNECTION_HEADERS
             and not name.lower().startswith("kws-")
         )
         relayed = Relayed(
--- a/packages/node/src/knapweedspring_node/_calls/_outbound.py
+++ b/packages/node/src/knapweedspring_node/_calls/_outbound.py
@@ -25,7 +25,7 @@
 from knapweedspring_node._calls._request import CHUNK_BYTES, Body, CallerLink
 from knapweedspring_node._calls._sockets import set_kernel_timeout
 
-__all__ = ["Answer", "ConnectionPools", "OutboundCall"]
+__all__ = ["CONNECTION_HEADERS", "Answer", "ConnectionPools", "OutboundCall"]
 
 CONNECT_TIMEOUT_S = 1.0
 #: Answers up to this size are read whole before their head is passed on.
@@ -36,6 +36,10 @@
 #: Bodies of an error answer that arrived before the request was fully sent.
 EARLY_ANSWER_WAIT_S = 0.2
 
+#: Headers of an answer that belong to its connection and are not passed on.
+CONNECTION_HEADERS = frozenset(
+    {"connection", "keep-alive", "transfer-encoding", "trailer", "upgrade"}
+)
 _BODILESS_STATUSES = frozenset({204, 304})
 _TRANSPORT_ERRORS = (urllib3.exceptions.HTTPError, OSError, EOFError, ValueError)
 
--- a/packages/node/src/knapweedspring_node/_calls/_remote.py
+++ b/packages/node/src/knapweedspring_node/_calls/_remote.py
@@ -14,17 +14,18 @@
     OutboundError,
     PeerUnreachable,
 )
-from knapweedspring_node._calls._outbound import Answer, ConnectionPools, OutboundCall
+from knapweedspring_node._calls._outbound import (
+    CONNECTION_HEADERS,
+    Answer,
+    ConnectionPools,
+    OutboundCall,
+)
 from knapweedspring_node._calls._reply import Refused, Relayed, Reply, refused
 from knapweedspring_node._calls._request import CallRequest
 from knapweedspring_node._calls._seal import Seal
 
 __all__ = ["ForwardMark", "RemoteGates"]
 
-_DROPPED_ANSWER_HEADERS = frozenset(
-    {"connection", "keep-alive", "transfer-encoding", "trailer", "upgrade"}
-)
-
 
 @dataclass(frozen=True, slots=True)
 class ForwardMark:
@@ -122,7 +123,7 @@
         lower = name.lower()
         if lower.startswith("kws-"):
             layer[lower] = value
-        elif lower not in _DROPPED_ANSWER_HEADERS:
+        elif lower not in CONNECTION_HEADERS:
             passed.append((name, value))
     if Header.OUTCOME.lower() in layer:
         answer.release(answer.body is not None)
