Let both kinds of reply tell their outcome

Read-through: three places asked whether a reply was a refusal in order to say that an upstream's answer means ran. The answer now says so itself, as the refusal did already. No behaviour changes; the 196 call-path tests and the tests of tickets under faults pass.

--- a/packages/node/src/knapweedspring_node/_calls/_entry_side.py
+++ b/packages/node/src/knapweedspring_node/_calls/_entry_side.py
@@ -183,7 +183,7 @@
             request=plan.request_id,
             service=plan.request.service,
             request_class=plan.class_name,
-            outcome=reply.outcome if isinstance(reply, Refused) else Outcome.RAN,
+            outcome=reply.outcome,
         )
         return _identified(reply, plan.request_id)
 
@@ -249,12 +249,11 @@
             return reply
         finally:
             self._tickets.settle(ticket, reply)
-            outcome = reply.outcome if isinstance(reply, Refused) else Outcome.RAN
             self._events.trace(
                 "ticket:outcome",
                 request=request_id,
                 ticket=request_id,
-                outcome=outcome,
+                outcome=reply.outcome,
             )
 
     def _forward(
@@ -323,7 +322,7 @@
                 run_key=None if hop.repeatable else self._tickets.new_key(),
             )
             reply = self._attempts.run(plan)
-            outcome = reply.outcome if isinstance(reply, Refused) else Outcome.RAN
+            outcome = reply.outcome
             return _identified(reply, hop.request_id)
         finally:
             parent.budget.give_back(budget.close())
--- a/packages/node/src/knapweedspring_node/_calls/_reply.py
+++ b/packages/node/src/knapweedspring_node/_calls/_reply.py
@@ -69,6 +69,11 @@
     #: Process of the gate.
     gate_epoch: int = 0
 
+    @property
+    def outcome(self) -> Outcome:
+        """What became of the request: an upstream answered it."""
+        return Outcome.RAN
+
 
 Reply = Refused | Relayed
 
