Add the relay, an event-loop node for deployments with an object store

Cause: the users' platform gives each upstream's VM one process, no disk and no list of members, and charges each wake-up; the threaded call path polls every 50 ms and needs contacts and files.

Change: package relay (entry, gate, admission by rank, balancing with locality, retry budget, directory and configuration from the store, peers when the store is away), package platform (the adapter), deploy/ (build, template, role).

Ruled out: a tier of control nodes (none is given), one watch for each pair of nodes, holding answers back.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := packages/core packages/node packages/ctl packages/standins
+PACKAGES := packages/core packages/node packages/ctl packages/standins packages/relay platform
 
 .PHONY: install demo test lint format
 
@@ -14,12 +14,12 @@
 	touch $@
 
 format: install
-	$(BIN)/ruff format packages
-	$(BIN)/ruff check --fix packages
+	$(BIN)/ruff format packages platform
+	$(BIN)/ruff check --fix packages platform
 
 lint: install
-	$(BIN)/ruff format --check packages
-	$(BIN)/ruff check packages
+	$(BIN)/ruff format --check packages platform
+	$(BIN)/ruff check packages platform
 	$(BIN)/mypy $(addsuffix /src,$(PACKAGES))
 
 test: lint
--- /dev/null
+++ b/packages/relay/src/knapweedspring_relay/__init__.py
@@ -0,0 +1,82 @@
+"""The node for deployments that keep their state in an object store.
+
+One event loop a process: the entry side takes callers' requests, the gate lets them
+to the upstream beside the node, and the directory of gates and the configuration
+follow the store. What a deployment speaks is met by an adapter.
+"""
+
+from knapweedspring_relay._configuration import (
+    CallKind,
+    CallLimits,
+    Configuration,
+    Destination,
+    Route,
+    Service,
+)
+from knapweedspring_relay._directory import DirectorySnapshot, GateEntry, UpstreamState
+from knapweedspring_relay._errors import CallError
+from knapweedspring_relay._headers import CallHeaders
+from knapweedspring_relay._http_client import (
+    Answer,
+    ConnectionPool,
+    ConnectionSettings,
+)
+from knapweedspring_relay._http_server import Exchange, RequestHandler
+from knapweedspring_relay._local_upstream import Heartbeat, HeartbeatVerdict
+from knapweedspring_relay._logs import LineBuffer
+from knapweedspring_relay._messages import request_bytes
+from knapweedspring_relay._object_store import (
+    ConfigurationRead,
+    DeploymentStore,
+    DirectoryChanges,
+    EntryRecord,
+    StoreConflict,
+    StoreError,
+    StoreHistoryGone,
+    StoreUnavailable,
+)
+from knapweedspring_relay._relay import DeploymentAdapter, HeartbeatReceiver, Relay
+from knapweedspring_relay._settings import (
+    RelaySettings,
+    RetrySettings,
+    ShutdownSettings,
+    StoreSettings,
+)
+
+__all__ = [
+    "Answer",
+    "CallError",
+    "CallHeaders",
+    "CallKind",
+    "CallLimits",
+    "Configuration",
+    "ConfigurationRead",
+    "ConnectionPool",
+    "ConnectionSettings",
+    "DeploymentAdapter",
+    "DeploymentStore",
+    "Destination",
+    "DirectoryChanges",
+    "DirectorySnapshot",
+    "EntryRecord",
+    "Exchange",
+    "GateEntry",
+    "Heartbeat",
+    "HeartbeatReceiver",
+    "HeartbeatVerdict",
+    "LineBuffer",
+    "Relay",
+    "RelaySettings",
+    "RequestHandler",
+    "RetrySettings",
+    "Route",
+    "Service",
+    "ShutdownSettings",
+    "StoreConflict",
+    "StoreError",
+    "StoreHistoryGone",
+    "StoreSettings",
+    "StoreUnavailable",
+    "UpstreamState",
+    "request_bytes",
+]
--- /dev/null
+++ b/packages/relay/src/knapweedspring_relay/_gate.py
@@ -0,0 +1,375 @@
+"""Gate: everything that reaches the upstream beside this node passes here."""
+
+import asyncio
+import time
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from knapweedspring_core import Counters
+from knapweedspring_relay._admission import AdmissionQueue, Demand, Place, PlaceState
+from knapweedspring_relay._errors import BadAnswer, CallError, ConnectFailed
+from knapweedspring_relay._headers import CallHeaders
+from knapweedspring_relay._histograms import LatencyHistograms
+from knapweedspring_relay._hop import GateReport, HopCall, HopOutcome
+from knapweedspring_relay._http_client import Answer, ConnectionPool
+from knapweedspring_relay._local_upstream import LocalUpstream, UpstreamTracker
+from knapweedspring_relay._logs import DecisionLog
+from knapweedspring_relay._messages import Header, Request, request_bytes
+
+__all__ = ["Gate", "GateAnswer", "GateLink", "GatePolicy"]
+
+#: Idle time of a connection on which a request that must not run twice is sent: the
+#: upstream may be closing one that has been idle for long.
+UNREPEATABLE_IDLE_S = 1.0
+#: Time past the deadline in which an answer that is ready is still passed on.
+LATE_ANSWER_S = 0.08
+#: Shortest time worth sending a request for, in seconds.
+MIN_LEFT_S = 0.005
+#: Weight of one of the upstream's own calls in the moving failure ratio.
+CHILD_FAILURE_STEP = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class GatePolicy:
+    """How long calls wait at a gate."""
+
+    #: Wait of a caller's request, as share of the time in which its answer counts.
+    max_wait_share: float = 0.25
+    #: Wait of an upstream's own call, as share of the time left: refusing it wastes
+    #: what was done for the request that it belongs to.
+    child_max_wait_share: float = 0.7
+    #: Time after the start of draining in which calls that wait are still sent, as
+    #: share of the time that a draining upstream goes on serving.
+    drain_share: float = 0.4
+
+
+@dataclass(frozen=True, slots=True)
+class GateAnswer:
+    """What a gate gives back for a call."""
+
+    #: What became of the call, and the state of the gate.
+    report: GateReport
+    #: The upstream's answer; None when there is none to pass on.
+    answer: Answer | None
+
+
+class GateLink(ABC):
+    """A way to a gate: in this process or on another VM."""
+
+    @abstractmethod
+    async def run(self, call: HopCall, request: Request) -> GateAnswer:
+        """Hand over a call and wait for its outcome.
+
+        :raises ConnectFailed: when the gate could not be reached.
+        :raises CallError: when the connection to the gate failed after sending.
+        """
+
+
+class Gate(GateLink):
+    """Admits calls and sends them to the upstream.
+
+    :param tracker: the upstream.
+    :param address: address of the upstream, as ``ip:port``.
+    :param pool: connections to the upstream.
+    :param headers: names of the headers that upstreams read and write.
+    :param drain_s: how long a draining upstream goes on serving, in seconds.
+    :param version: returns the version of the configuration in force.
+    :param log: decision log.
+    :param counters: counts outcomes.
+    :param latencies: records service times.
+    :param policy: how long calls wait.
+    """
+
+    def __init__(
+        self,
+        tracker: UpstreamTracker,
+        address: str,
+        pool: ConnectionPool,
+        headers: CallHeaders,
+        drain_s: float,
+        version: Callable[[], int],
+        log: DecisionLog,
+        counters: Counters,
+        latencies: LatencyHistograms,
+        policy: GatePolicy | None = None,
+    ) -> None:
+        self._tracker = tracker
+        self._address = address
+        self._pool = pool
+        self._headers = headers
+        self._drain_s = drain_s
+        self._version = version
+        self._log = log
+        self._counters = counters
+        self._latencies = latencies
+        self._policy = policy or GatePolicy()
+        self._queue = AdmissionQueue()
+        self._stopping = False
+        self._child_failure_ratio = 0.0
+        self._background: set[asyncio.Task[GateAnswer]] = set()
+
+    @property
+    def queue(self) -> AdmissionQueue:
+        """Calls that run and wait."""
+        return self._queue
+
+    @property
+    def n_running(self) -> int:
+        """Calls that the upstream works on."""
+        return self._queue.n_running
+
+    def refresh(self, now: float) -> None:
+        """Take over a change of the upstream."""
+        upstream = self._tracker.current
+        if upstream is not None:
+            self._queue.set_upstream(upstream.slots, upstream.warm_at)
+            self._queue.dispatch(now)
+
+    def stop(self) -> None:
+        """Refuse new calls: the process is about to end."""
+        self._stopping = True
+
+    def expire(self) -> None:
+        """Refuse what waited too long; called periodically."""
+        now = time.monotonic()
+        self._queue.expire(now)
+        upstream = self._tracker.current
+        if upstream is not None and self._is_past_draining(upstream, now):
+            self._queue.refuse_waiting("the upstream is draining")
+
+    def count_child_call(self, failed: bool) -> None:
+        """Take in the outcome of a call that the upstream made itself."""
+        target = 1.0 if failed else 0.0
+        difference = target - self._child_failure_ratio
+        self._child_failure_ratio += CHILD_FAILURE_STEP * difference
+
+    async def run(self, call: HopCall, request: Request) -> GateAnswer:
+        """Admit a call and send it to the upstream.
+
+        When the caller leaves, a call that may be repeated is broken off; any other
+        goes on, since its effects cannot be undone.
+        """
+        now = time.monotonic()
+        refusal = self._refusal(call, now)
+        if refusal:
+            return self._refused(call, refusal, 0.0)
+        place = self._place(call, now)
+        self._queue.offer(place.place, now)
+        if place.place.state is PlaceState.WAITING:
+            await self._wait(place)
+        waited_s = time.monotonic() - now
+        if place.place.state is not PlaceState.RUNNING:
+            return self._refused(call, place.place.reason, waited_s)
+        upstream = self._tracker.current
+        assert upstream is not None
+        if call.kind.is_repeatable:
+            return await self._send(call, request, place.place, upstream)
+        # Shielded: a caller that leaves does not break it off.
+        task = asyncio.ensure_future(self._send(call, request, place.place, upstream))
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+        return await asyncio.shield(task)
+
+    def report(
+        self,
+        outcome: HopOutcome,
+        reason: str = "",
+        waited_s: float = 0.0,
+        retry_after_s: float = 0.0,
+    ) -> GateReport:
+        """Return what the gate says of a call and of itself."""
+        upstream = self._tracker.current
+        return GateReport(
+            outcome=outcome,
+            reason=reason,
+            n_running=self._queue.n_running,
+            n_waiting=self._queue.n_waiting,
+            limit=self._queue.limit(time.monotonic()),
+            waited_s=waited_s,
+            child_failure_ratio=self._child_failure_ratio,
+            version=self._version(),
+            instance=upstream.instance if upstream is not None else "",
+            retry_after_s=retry_after_s,
+        )
+
+    def _refusal(self, call: HopCall, now: float) -> str:
+        """Return why a call cannot be taken at all; empty when it can."""
+        upstream = self._tracker.current
+        if self._stopping:
+            return "the node is stopping"
+        if upstream is None:
+            return "no upstream is known"
+        if upstream.service != call.service:
+            return "the upstream runs another service"
+        if call.instance and call.instance != upstream.instance:
+            return "another upstream was expected"
+        if not upstream.is_ready:
+            return "the upstream is draining"
+        if call.left_s <= MIN_LEFT_S:
+            return "too little time is left"
+        return ""
+
+    def _place(self, call: HopCall, now: float) -> "_WaitingPlace":
+        if call.is_child:
+            max_wait_s = self._policy.child_max_wait_share * call.left_s
+        else:
+            max_wait_s = self._policy.max_wait_share * max(0.0, call.goal_left_s)
+        demand = Demand(call.priority, call.route, now + call.left_s, max_wait_s)
+        return _WaitingPlace(demand)
+
+    async def _wait(self, waiting: "_WaitingPlace") -> None:
+        try:
+            await waiting.decided()
+        except asyncio.CancelledError:
+            now = time.monotonic()
+            self._queue.leave(waiting.place)
+            self._queue.finish(waiting.place, now, was_served=False)
+            raise
+
+    async def _send(
+        self, call: HopCall, request: Request, place: Place, upstream: LocalUpstream
+    ) -> GateAnswer:
+        """Send an admitted call; frees its slot in any case."""
+        answer: Answer | None = None
+        waited_s = place.started_at - place.entered_at
+        try:
+            left_s = place.demand.deadline_at - time.monotonic()
+            async with asyncio.timeout(max(0.0, left_s) + LATE_ANSWER_S):
+                answer = await self._exchange(call, request, upstream, left_s)
+            return self._answered(call, answer, waited_s, place.started_at)
+        except ConnectFailed as error:
+            return self._refused(
+                call, f"the upstream is unreachable: {error}", waited_s
+            )
+        except TimeoutError:
+            return self._failed(call, HopOutcome.LATE, "deadline", waited_s)
+        except CallError as error:
+            return self._failed(call, HopOutcome.LOST, str(error), waited_s)
+        finally:
+            self._free_slot(place, answer)
+
+    def _free_slot(self, place: Place, answer: Answer | None) -> None:
+        """Free the slot once the upstream has sent the whole answer."""
+        was_served = answer is not None and answer.status < 500
+
+        def finish() -> None:
+            self._queue.finish(place, time.monotonic(), was_served)
+
+        if answer is None or answer.has_ended:
+            finish()
+        else:
+            answer.on_end(finish)
+
+    async def _exchange(
+        self, call: HopCall, request: Request, upstream: LocalUpstream, left_s: float
+    ) -> Answer:
+        names = self._headers
+        headers: list[Header] = [
+            *request.headers,
+            (names.deadline_ms, str(max(1, int(left_s * 1_000))).encode()),
+            (names.expected_instance, upstream.instance.encode()),
+            (names.caller_service, call.caller.encode()),
+        ]
+        data = request_bytes(request.method, request.target, headers, request.body)
+        repeatable = call.kind.is_repeatable
+        answer = await self._pool.call(
+            self._address,
+            data,
+            call.request_id.encode(),
+            is_head=request.method == b"HEAD",
+            max_idle_s=float("inf") if repeatable else UNREPEATABLE_IDLE_S,
+        )
+        if answer.header(b"content-encoding") is not None:
+            answer.abandon()
+            raise BadAnswer("the body is encoded, which nobody asked for")
+        is_success = 200 <= answer.status < 300
+        if is_success and answer.header(names.seal) is None:
+            answer.abandon()
+            raise BadAnswer("the answer is not signed")
+        return answer
+
+    def _answered(
+        self, call: HopCall, answer: Answer, waited_s: float, started_at: float
+    ) -> GateAnswer:
+        service_s = time.monotonic() - started_at
+        names = self._headers
+        did_not_run = answer.header(names.not_executed) is not None
+        if did_not_run or answer.status == 421:
+            reason = f"the upstream answered {answer.status} without running it"
+            if answer.status == 421:
+                # The process behind the address has changed.
+                answer.abandon()
+                return self._refused(call, reason, waited_s)
+            return self._failed(call, HopOutcome.SHED, reason, waited_s, answer)
+        self._latencies.record(f"upstream:{call.service}", service_s)
+        self._counters.add("gate_calls", "answered")
+        self._log.call(
+            answer.status >= 500,
+            "gate:call",
+            request_id=call.request_id,
+            service=call.service,
+            instance=call.instance,
+            configuration=self._version(),
+            outcome="answered",
+            status=answer.status,
+            waited_ms=round(waited_s * 1_000, 1),
+            service_ms=round(service_s * 1_000, 1),
+            left_ms=round(call.left_s * 1_000),
+            n_running=self._queue.n_running,
+            n_waiting=self._queue.n_waiting,
+        )
+        return GateAnswer(self.report(HopOutcome.ANSWERED, "", waited_s), answer)
+
+    def _refused(self, call: HopCall, reason: str, waited_s: float) -> GateAnswer:
+        return self._failed(call, HopOutcome.REFUSED, reason, waited_s)
+
+    def _failed(
+        self,
+        call: HopCall,
+        outcome: HopOutcome,
+        reason: str,
+        waited_s: float,
+        answer: Answer | None = None,
+    ) -> GateAnswer:
+        self._counters.add("gate_calls", outcome.value)
+        upstream = self._tracker.current
+        self._log.call(
+            True,
+            "gate:call",
+            request_id=call.request_id,
+            service=call.service,
+            instance=upstream.instance if upstream is not None else "",
+            expected_instance=call.instance,
+            configuration=self._version(),
+            outcome=outcome.value,
+            reason=reason,
+            priority=call.priority,
+            waited_ms=round(waited_s * 1_000, 1),
+            left_ms=round(call.left_s * 1_000),
+            n_running=self._queue.n_running,
+            n_waiting=self._queue.n_waiting,
+        )
+        return GateAnswer(self.report(outcome, reason, waited_s), answer)
+
+    def _is_past_draining(self, upstream: LocalUpstream, now: float) -> bool:
+        since = upstream.draining_since
+        limit_s = self._policy.drain_share * self._drain_s
+        return since is not None and now - since > limit_s
+
+
+class _WaitingPlace:
+    """A place in the queue that a task can wait on."""
+
+    def __init__(self, demand: Demand) -> None:
+        self._decision: asyncio.Future[None] | None = None
+        self.place = Place(demand, self._wake)
+
+    async def decided(self) -> None:
+        """Wait until the call is admitted or refused."""
+        self._decision = asyncio.get_running_loop().create_future()
+        await self._decision
+
+    def _wake(self) -> None:
+        if self._decision is not None and not self._decision.done():
+            self._decision.set_result(None)
--- /dev/null
+++ b/packages/relay/src/knapweedspring_relay/_readiness.py
@@ -0,0 +1,46 @@
+"""Readiness of a node, and the listeners for readiness and metrics."""
+
+from collections.abc import Callable
+
+from knapweedspring_core import MetricsPage
+from knapweedspring_relay._http_server import Exchange, RequestHandler
+
+__all__ = ["MetricsHandler", "ReadinessHandler"]
+
+
+class ReadinessHandler(RequestHandler):
+    """Tells whether callers may be sent here.
+
+    :param path: path that is asked for.
+    :param is_ready: whether the node serves.
+    """
+
+    def __init__(self, path: str, is_ready: Callable[[], bool]) -> None:
+        self._path = path.encode()
+        self._is_ready = is_ready
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer 200 when ready, else 503."""
+        path = exchange.request.target.partition(b"?")[0]
+        if path != self._path:
+            exchange.answer(404, [])
+        else:
+            exchange.answer(200 if self._is_ready() else 503, [])
+
+
+class MetricsHandler(RequestHandler):
+    """Serves the metrics page.
+
+    :param page: the page.
+    """
+
+    def __init__(self, page: MetricsPage) -> None:
+        self._page = page
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer with the page."""
+        if exchange.request.target.partition(b"?")[0] != b"/metrics":
+            exchange.answer(404, [])
+            return
+        content_type = (b"content-type", b"text/plain; version=0.0.4; charset=utf-8")
+        exchange.answer(200, [content_type], self._page.render())
--- /dev/null
+++ b/packages/relay/src/knapweedspring_relay/_relay.py
@@ -0,0 +1,481 @@
+"""One relay process: its parts, its start, its reload and its end."""
+
+import asyncio
+import random
+import signal
+import time
+import zlib
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+from result import Err, Result
+
+from knapweedspring_core import Counters, MetricsPage, SettingsError
+from knapweedspring_relay._balancer import Balancer
+from knapweedspring_relay._declared_state import DeclaredState
+from knapweedspring_relay._directory import Directory, GateEntry
+from knapweedspring_relay._entry import Entry, EntryPolicy
+from knapweedspring_relay._gate import Gate
+from knapweedspring_relay._headers import CallHeaders
+from knapweedspring_relay._histograms import LatencyHistograms
+from knapweedspring_relay._hop_link import GateListenerHandler
+from knapweedspring_relay._http_client import ConnectionPool, ConnectionSettings
+from knapweedspring_relay._http_server import HttpListener, RequestHandler
+from knapweedspring_relay._local_upstream import (
+    Heartbeat,
+    HeartbeatVerdict,
+    LocalUpstream,
+    UpstreamTracker,
+)
+from knapweedspring_relay._logs import DecisionLog, LineBuffer
+from knapweedspring_relay._object_store import DeploymentStore
+from knapweedspring_relay._own_entry import OwnEntryKeeper
+from knapweedspring_relay._peer_pages import PeerPages
+from knapweedspring_relay._readiness import MetricsHandler, ReadinessHandler
+from knapweedspring_relay._retry_budget import RetryBudget
+from knapweedspring_relay._settings import RelaySettings
+from knapweedspring_relay._splitter import Splitter
+from knapweedspring_relay._store_sync import (
+    ConfigurationSync,
+    DirectorySync,
+    PeerSync,
+    StoreHealth,
+)
+from knapweedspring_relay._task_supervisor import TaskSupervisor
+from knapweedspring_relay._timers import LoopTimers
+
+__all__ = ["DeploymentAdapter", "Relay"]
+
+#: Time for a connection to be established, in seconds: several round trips between
+#: data centres of a region.
+UPSTREAM_CONNECT_S = 1.0
+PEER_CONNECT_S = 0.4
+#: Idle connections are used for this long unless the server states less, in seconds.
+UPSTREAM_IDLE_S = 4.0
+PEER_IDLE_S = 20.0
+#: Time that sent bytes may stay unacknowledged before a connection counts as dead.
+UNACKNOWLEDGED_S = 1.0
+#: Periods of the timer service's subscribers, in seconds.
+EXPIRY_PERIOD_S = 0.02
+FLUSH_PERIOD_S = 0.1
+SWEEP_PERIOD_S = 1.0
+#: After the signal to stop: callers are sent elsewhere once two readiness questions,
+#: one a second, went without a 200; until then the node serves.
+STOP_MIN_S = 2.6
+#: Calls of other nodes are refused from then on, while callers are still served.
+STOP_GATE_S = 1.0
+#: Left of the grace when the process ends in any case.
+STOP_MARGIN_S = 0.4
+
+
+@dataclass(frozen=True, slots=True)
+class DeploymentAdapter:
+    """What a deployment's adapter supplies."""
+
+    #: Names of the callers' and upstreams' headers.
+    headers: CallHeaders
+    #: Path that readiness is asked at.
+    readiness_path: str
+    #: The deployment's store.
+    store: DeploymentStore
+    #: Makes the handler of the upstream's heartbeats.
+    heartbeat_handler: Callable[["HeartbeatReceiver"], RequestHandler]
+    #: Reads the settings file again.
+    read_settings: Callable[[], Result[RelaySettings, SettingsError]]
+    #: Path of the settings file.
+    settings_file: str
+
+
+class HeartbeatReceiver:
+    """Takes in what the upstream beside the node says of itself.
+
+    :param relay: the process.
+    """
+
+    def __init__(self, relay: "Relay") -> None:
+        self._relay = relay
+
+    def take_heartbeat(self, heartbeat: Heartbeat) -> HeartbeatVerdict:
+        """Take in a heartbeat; it is in force when this returns."""
+        return self._relay.take_heartbeat(heartbeat)
+
+    def take_departure(self, instance: str) -> HeartbeatVerdict:
+        """Take in that the upstream leaves; in force when this returns."""
+        return self._relay.take_departure(instance)
+
+    def reject(self, reason: str) -> None:
+        """Log a heartbeat that cannot be read."""
+        self._relay.log.state("upstream:rejected", reason=reason)
+
+
+class Relay:
+    """The parts of one process.
+
+    :param settings: checked settings.
+    :param adapter: what the deployment's adapter supplies.
+    :param counters: the process's counters.
+    :param lines: where log lines wait to be written.
+    """
+
+    def __init__(
+        self,
+        settings: RelaySettings,
+        adapter: DeploymentAdapter,
+        counters: Counters,
+        lines: LineBuffer,
+    ) -> None:
+        self._settings = settings
+        self._adapter = adapter
+        self._counters = counters
+        self._lines = lines
+        self._rng = random.Random()
+        self._log = DecisionLog(settings.node, counters)
+        self._latencies = LatencyHistograms()
+        self._state = DeclaredState(self._log, counters)
+        self._directory = Directory()
+        self._health = StoreHealth(self._log)
+        self._tracker = UpstreamTracker(settings.upstream_address)
+        self._supervisor = TaskSupervisor(self._log, counters)
+        self._timers = LoopTimers(self._note_timer_error)
+        self._stopping = asyncio.Event()
+        self._stop_at: float | None = None
+        self._settings_mtime = 0.0
+        self._make_call_path()
+        self._make_sync()
+        self._make_listeners()
+
+    @property
+    def log(self) -> DecisionLog:
+        """Decision log."""
+        return self._log
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may be sent here."""
+        has_routes = self._state.table is not None
+        return has_routes and self._directory.revision > 0 and self._stop_at is None
+
+    def _make_call_path(self) -> None:
+        settings, headers = self._settings, self._adapter.headers
+        self._upstream_pool = ConnectionPool(
+            ConnectionSettings(
+                connect_s=UPSTREAM_CONNECT_S,
+                idle_s=UPSTREAM_IDLE_S,
+                unacknowledged_s=UNACKNOWLEDGED_S,
+                request_id_header=headers.request_id,
+            )
+        )
+        self._peer_pool = ConnectionPool(
+            ConnectionSettings(PEER_CONNECT_S, PEER_IDLE_S, UNACKNOWLEDGED_S)
+        )
+        self._gate = Gate(
+            tracker=self._tracker,
+            address=settings.upstream_address,
+            pool=self._upstream_pool,
+            headers=headers,
+            drain_s=settings.shutdown.drain_s,
+            version=lambda: self._state.version,
+            log=self._log,
+            counters=self._counters,
+            latencies=self._latencies,
+        )
+        self._budget = RetryBudget(
+            settings.retries.ratio,
+            settings.retries.slack,
+            settings.retries.window_s,
+            self._counters,
+        )
+        self._balancer = Balancer(self._directory, settings.data_centre, self._rng)
+        self._entry = Entry(
+            policy=_entry_policy(settings),
+            headers=headers,
+            table=lambda: self._state.table,
+            balancer=self._balancer,
+            gate=self._gate,
+            pool=self._peer_pool,
+            budget=self._budget,
+            splitter=Splitter(zlib.crc32(settings.node.encode())),
+            on_version=self._state.hear_of,
+            log=self._log,
+            counters=self._counters,
+            latencies=self._latencies,
+            rng=self._rng,
+        )
+
+    def _make_sync(self) -> None:
+        store, rng = self._adapter.store, self._rng
+        self._own_entry = OwnEntryKeeper(
+            store=store,
+            node=self._settings.node,
+            wanted=self._wanted_entry,
+            health=self._health,
+            rng=rng,
+            log=self._log,
+            counters=self._counters,
+        )
+        self._configuration_sync = ConfigurationSync(
+            store, self._state, self._health, rng, self._log, self._counters
+        )
+        self._directory_sync = DirectorySync(
+            store,
+            self._directory,
+            self._health,
+            self._directory_changed,
+            rng,
+            self._log,
+            self._counters,
+        )
+        self._peer_sync = PeerSync(
+            self._state,
+            self._directory,
+            self._peer_pool,
+            self._health,
+            self._settings.node,
+            self._directory_changed,
+            rng,
+            self._log,
+        )
+
+    def _make_listeners(self) -> None:
+        settings = self._settings
+        pages = PeerPages(
+            lambda: self._state.table, self._directory, self._state.hear_of
+        )
+        self._metrics = MetricsPage(self._counters)
+        self._register_gauges()
+        receiver = HeartbeatReceiver(self)
+        self._entry_listener = HttpListener(settings.entry_address, self._entry)
+        self._gate_listener = HttpListener(
+            settings.gate_address, GateListenerHandler(self._gate, pages)
+        )
+        self._other_listeners = (
+            HttpListener(
+                settings.heartbeat_address, self._adapter.heartbeat_handler(receiver)
+            ),
+            HttpListener(
+                settings.readiness_address,
+                ReadinessHandler(self._adapter.readiness_path, lambda: self.is_ready),
+            ),
+            HttpListener(settings.metrics_address, MetricsHandler(self._metrics)),
+        )
+
+    def _register_gauges(self) -> None:
+        page, queue = self._metrics, self._gate.queue
+        page.add_gauge("gate_running", lambda: float(queue.n_running))
+        page.add_gauge("gate_waiting", lambda: float(queue.n_waiting))
+        page.add_gauge("gate_limit", lambda: float(queue.limit(time.monotonic())))
+        page.add_gauge("configuration_version", lambda: float(self._state.version))
+        page.add_gauge("directory_revision", lambda: float(self._directory.revision))
+        page.add_gauge("directory_nodes", lambda: float(len(self._directory.entries)))
+        page.add_gauge("store_failing", lambda: float(self._health.is_failing))
+        self._latencies.register(page)
+
+    @property
+    def _listeners(self) -> tuple[HttpListener, ...]:
+        return (self._entry_listener, self._gate_listener, *self._other_listeners)
+
+    async def run(self) -> None:
+        """Serve until a signal to stop, and end gracefully.
+
+        :raises OSError: when an address cannot be used.
+        """
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.stop)
+        loop.add_signal_handler(signal.SIGINT, self.stop)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._settings_mtime = self._read_mtime()
+        for listener in self._listeners:
+            await listener.start()
+        self._subscribe()
+        self._log.state(
+            "process:started",
+            service=self._settings.service,
+            data_centre=self._settings.data_centre,
+            entry=self._settings.entry_address,
+            gate=self._settings.gate_address,
+        )
+        self._supervisor.start("configuration", self._configuration_sync.run)
+        self._supervisor.start("directory", self._directory_sync.run)
+        self._supervisor.start("own entry", self._follow_own_entry)
+        self._supervisor.start("peers", self._peer_sync.run)
+        await self._stopping.wait()
+        await self._end()
+
+    def stop(self) -> None:
+        """Begin to end: not ready, and each connection closes after its answer."""
+        if self._stop_at is not None:
+            return
+        self._stop_at = time.monotonic()
+        self._log.state("process:stopping", n_running=self._gate.n_running)
+        self._entry_listener.drain()
+        self._own_entry.check()
+        self._stopping.set()
+
+    def take_heartbeat(self, heartbeat: Heartbeat) -> HeartbeatVerdict:
+        """Take in what the upstream says of itself."""
+        table = self._state.table
+        service_known = (
+            heartbeat.service == self._settings.service
+            or table is None
+            or table.service(heartbeat.service) is not None
+        )
+        if not service_known:
+            verdict = HeartbeatVerdict.FOREIGN
+        else:
+            verdict = self._tracker.take_heartbeat(heartbeat, time.monotonic())
+        if verdict is not HeartbeatVerdict.UNCHANGED:
+            self._log.state(
+                "upstream:heartbeat",
+                instance=heartbeat.instance,
+                service=heartbeat.service,
+                state=heartbeat.state.value,
+                sequence=heartbeat.sequence,
+                born_ms=heartbeat.born_ms,
+                verdict=verdict.value,
+            )
+        self._upstream_changed(verdict)
+        return verdict
+
+    def take_departure(self, instance: str) -> HeartbeatVerdict:
+        """Take in that the upstream leaves."""
+        verdict = self._tracker.take_departure(instance, time.monotonic())
+        self._log.state("upstream:departure", instance=instance, verdict=verdict.value)
+        self._upstream_changed(verdict)
+        return verdict
+
+    def _upstream_changed(self, verdict: HeartbeatVerdict) -> None:
+        if verdict is HeartbeatVerdict.CHANGED:
+            self._gate.refresh(time.monotonic())
+            self._upstream_pool.close_idle(self._settings.upstream_address)
+            self._own_entry.check()
+        elif verdict is HeartbeatVerdict.UNCHANGED:
+            self._gate.refresh(time.monotonic())
+
+    def _wanted_entry(self) -> GateEntry | None:
+        upstream = self._tracker.current
+        if upstream is None or self._has_left(upstream):
+            return None
+        return GateEntry(
+            node=self._settings.node,
+            gate_address=self._settings.gate_address,
+            data_centre=self._settings.data_centre,
+            service=upstream.service,
+            instance=upstream.instance,
+            born_ms=upstream.born_ms,
+            slots=upstream.slots,
+            state=upstream.state,
+        )
+
+    def _has_left(self, upstream: LocalUpstream) -> bool:
+        """Tell whether this process ends after its upstream did."""
+        return self._stop_at is not None and not upstream.is_ready
+
+    async def _follow_own_entry(self) -> None:
+        previous = await self._own_entry.read_previous()
+        if previous is not None and self._tracker.current is None:
+            self._assume(previous)
+        await self._own_entry.run()
+
+    def _assume(self, previous: GateEntry) -> None:
+        """Go by what was published before a restart until the next heartbeat."""
+        is_own = previous.gate_address == self._settings.gate_address
+        if not is_own or previous.service != self._settings.service:
+            return
+        self._tracker.assume(
+            LocalUpstream(
+                instance=previous.instance,
+                service=previous.service,
+                slots=previous.slots,
+                state=previous.state,
+                born_ms=previous.born_ms,
+                sequence=-1,
+                warm_at=0.0,
+            )
+        )
+        self._gate.refresh(time.monotonic())
+        self._log.state(
+            "upstream:assumed",
+            instance=previous.instance,
+            state=previous.state.value,
+        )
+
+    def _directory_changed(self) -> None:
+        self._budget.set_n_nodes(self._directory.n_nodes)
+        self._own_entry.note_stored(self._directory.entries.get(self._settings.node))
+
+    def _subscribe(self) -> None:
+        self._timers.every(EXPIRY_PERIOD_S, self._gate.expire)
+        self._timers.every(FLUSH_PERIOD_S, self._lines.flush)
+        self._timers.every(SWEEP_PERIOD_S, self._sweep)
+
+    def _sweep(self) -> None:
+        for listener in self._listeners:
+            listener.sweep()
+        self._upstream_pool.sweep()
+        self._peer_pool.sweep()
+        for node in self._directory.drop_missing(time.monotonic()):
+            self._balancer.forget(node)
+            self._log.state("directory:dropped", entry=node)
+        mtime = self._read_mtime()
+        if mtime != self._settings_mtime:
+            self._settings_mtime = mtime
+            self._reload()
+
+    def _read_mtime(self) -> float:
+        try:
+            return Path(self._adapter.settings_file).stat().st_mtime
+        except OSError:
+            # The file is being replaced; the next sweep finds it.
+            return self._settings_mtime
+
+    def _reload(self) -> None:
+        """Take over changed settings; addresses hold until the next start."""
+        read = self._adapter.read_settings()
+        if isinstance(read, Err):
+            self._log.state("process:reload-refused", reason=str(read.err_value))
+            return
+        self._settings = settings = read.ok_value
+        self._entry.set_policy(_entry_policy(settings))
+        retries = settings.retries
+        self._budget.set_limits(retries.ratio, retries.slack, retries.window_s)
+        self._log.state("process:reloaded", service=settings.service)
+
+    async def _end(self) -> None:
+        """Finish what is in flight, then end inside the grace."""
+        assert self._stop_at is not None
+        grace_s = self._settings.shutdown.grace_s
+        end_at = self._stop_at + max(STOP_MIN_S, grace_s - STOP_MARGIN_S)
+        gate_closes_at = self._stop_at + STOP_GATE_S
+        while time.monotonic() < end_at:
+            await asyncio.sleep(0.05)
+            now = time.monotonic()
+            if now >= gate_closes_at:
+                self._gate.stop()
+                self._gate_listener.drain()
+            if now >= self._stop_at + STOP_MIN_S and self._is_idle():
+                break
+        self._log.state(
+            "process:ended",
+            n_cut=self._entry_listener.n_active + self._gate_listener.n_active,
+            after_s=round(time.monotonic() - self._stop_at, 2),
+        )
+        self._supervisor.stop()
+        self._adapter.store.close()
+        for listener in self._listeners:
+            listener.close()
+        # Lets the closed connections send what they have left.
+        await asyncio.sleep(0.05)
+        self._lines.flush()
+
+    def _is_idle(self) -> bool:
+        n_active = self._entry_listener.n_active + self._gate_listener.n_active
+        return n_active == 0 and self._gate.n_running == 0
+
+    def _note_timer_error(self, error: BaseException) -> None:
+        self._counters.add("timer_failures")
+        self._log.state("timer:failed", error=repr(error))
+
+
+def _entry_policy(settings: RelaySettings) -> EntryPolicy:
+    return EntryPolicy(settings.service, settings.node, settings.host)
