Test the relay and the adapter; ask the kernel less often on the call path

Cause: asyncio.timeout, get_running_loop and sleep ask for the process id on Python 3.11, 19 times a call (strace of a local pair of relays), and each system call is charged. A 20 ms timer woke every node. A check for folded headers read bodies too: one spice order was answered 400.

Change: one timer of our own for each outgoing call, the loop kept, refusal timers only for calls that wait; the check ends with the head.

Ruled out: eager tasks (not in 3.11).

--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,7 @@
 
 test: lint
 	$(BIN)/pytest
+	$(BIN)/pytest -c platform/pyproject.toml platform
 
 demo: install
 	$(BIN)/python -m knapweedspring_standins demo
--- a/packages/relay/src/knapweedspring_relay/_admission.py
+++ b/packages/relay/src/knapweedspring_relay/_admission.py
@@ -16,6 +16,8 @@
 SERVICE_TIME_STEP = 0.1
 #: A call is let to the upstream only if this share of its usual service time is left.
 MIN_LEFT_SHARE = 0.7
+#: Precision of the event loop's timers, in seconds.
+TIMER_SLACK_S = 0.002
 #: Routes whose service times are kept.
 MAX_ROUTES = 1_024
 
@@ -190,8 +192,17 @@
                 self._run(place, now)
                 place.decide(PlaceState.RUNNING)
 
+    def longest_wait_s(self, place: Place, now: float) -> float:
+        """Return after which time a waiting call is refused."""
+        demand = place.demand
+        needed_s = MIN_LEFT_SHARE * self.service_s(demand.route)
+        left_s = max(0.0, demand.deadline_at - needed_s - now)
+        return min(demand.max_wait_s, left_s)
+
     def expire(self, now: float) -> None:
-        """Refuse those that have waited too long; called periodically."""
+        """Refuse those that have waited too long."""
+        # Timers fire up to a millisecond early.
+        now += TIMER_SLACK_S
         overdue = [
             place
             for place in self._waiting
--- a/packages/relay/src/knapweedspring_relay/_entry.py
+++ b/packages/relay/src/knapweedspring_relay/_entry.py
@@ -221,10 +221,7 @@
         result, report = CallResult.NOTHING, None
         self._balancer.started(entry)
         try:
-            link = self._link(entry)
-            limit_s = max(0.0, journey.deadline_at - now) + LATE_ANSWER_S
-            async with asyncio.timeout(limit_s):
-                answered = await link.run(call, request)
+            answered = await self._link(entry).run(call, request)
             report = answered.report
             result = _result_of(answered)
             self._on_version(report.version)
@@ -290,17 +287,25 @@
     async def _deliver(
         self, journey: _Journey, exchange: Exchange, answer: Answer
     ) -> None:
+        if answer.is_complete:
+            is_whole = await relay_answer(exchange, answer)
+        else:
+            is_whole = await self._stream(journey, exchange, answer)
+        self._note(
+            journey, exchange, "answered" if is_whole else "broke-off", answer.status
+        )
+
+    async def _stream(
+        self, journey: _Journey, exchange: Exchange, answer: Answer
+    ) -> bool:
         left_s = journey.deadline_at - time.monotonic() + LATE_ANSWER_S
         try:
             async with asyncio.timeout(max(LATE_ANSWER_S, left_s)):
-                is_whole = await relay_answer(exchange, answer)
+                return await relay_answer(exchange, answer)
         except TimeoutError:
             answer.abandon()
             exchange.abort()
-            is_whole = False
-        self._note(
-            journey, exchange, "answered" if is_whole else "broke-off", answer.status
-        )
+            return False
 
     def _give_up(self, journey: _Journey, exchange: Exchange) -> None:
         """Answer a request that no upstream answered."""
--- a/packages/relay/src/knapweedspring_relay/_gate.py
+++ b/packages/relay/src/knapweedspring_relay/_gate.py
@@ -131,7 +131,7 @@
         self._stopping = True
 
     def expire(self) -> None:
-        """Refuse what waited too long; called periodically."""
+        """Refuse what waited too long."""
         now = time.monotonic()
         self._queue.expire(now)
         upstream = self._tracker.current
@@ -157,7 +157,7 @@
         place = self._place(call, now)
         self._queue.offer(place.place, now)
         if place.place.state is PlaceState.WAITING:
-            await self._wait(place)
+            await self._wait(place, now)
         waited_s = time.monotonic() - now
         if place.place.state is not PlaceState.RUNNING:
             return self._refused(call, place.place.reason, waited_s)
@@ -218,14 +218,20 @@
         demand = Demand(call.priority, call.route, now + call.left_s, max_wait_s)
         return _WaitingPlace(demand)
 
-    async def _wait(self, waiting: "_WaitingPlace") -> None:
+    async def _wait(self, waiting: "_WaitingPlace", now: float) -> None:
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(
+            self._queue.longest_wait_s(waiting.place, now), self.expire
+        )
         try:
-            await waiting.decided()
+            await waiting.decided(loop)
         except asyncio.CancelledError:
             now = time.monotonic()
             self._queue.leave(waiting.place)
             self._queue.finish(waiting.place, now, was_served=False)
             raise
+        finally:
+            timer.cancel()
 
     async def _send(
         self, call: HopCall, request: Request, place: Place, upstream: LocalUpstream
@@ -235,8 +241,7 @@
         waited_s = place.started_at - place.entered_at
         try:
             left_s = place.demand.deadline_at - time.monotonic()
-            async with asyncio.timeout(max(0.0, left_s) + LATE_ANSWER_S):
-                answer = await self._exchange(call, request, upstream, left_s)
+            answer = await self._exchange(call, request, upstream, left_s)
             return self._answered(call, answer, waited_s, place.started_at)
         except ConnectFailed as error:
             return self._refused(
@@ -279,6 +284,7 @@
             call.request_id.encode(),
             is_head=request.method == b"HEAD",
             max_idle_s=float("inf") if repeatable else UNREPEATABLE_IDLE_S,
+            limit_s=max(0.0, left_s) + LATE_ANSWER_S,
         )
         if answer.header(b"content-encoding") is not None:
             answer.abandon()
@@ -365,9 +371,9 @@
         self._decision: asyncio.Future[None] | None = None
         self.place = Place(demand, self._wake)
 
-    async def decided(self) -> None:
+    async def decided(self, loop: asyncio.AbstractEventLoop) -> None:
         """Wait until the call is admitted or refused."""
-        self._decision = asyncio.get_running_loop().create_future()
+        self._decision = loop.create_future()
         await self._decision
 
     def _wake(self) -> None:
--- a/packages/relay/src/knapweedspring_relay/_histograms.py
+++ b/packages/relay/src/knapweedspring_relay/_histograms.py
@@ -1,5 +1,7 @@
 """Latency histograms and their part of the metrics page."""
 
+from functools import partial
+
 from hdrh.histogram import HdrHistogram
 
 from knapweedspring_core import MetricsPage
@@ -50,11 +52,7 @@
         for percentile in PERCENTILES:
             text = str(percentile).replace(".", "_")
             page.add_gauges(
-                f"latency_p{text}_seconds",
-                lambda percentile=percentile: {
-                    name: self.percentile_s(name, percentile)
-                    for name in self._histograms
-                },
+                f"latency_p{text}_seconds", partial(self._percentiles_s, percentile)
             )
         page.add_gauges(
             "latency_count",
@@ -63,3 +61,6 @@
                 for name, histogram in self._histograms.items()
             },
         )
+
+    def _percentiles_s(self, percentile: float) -> dict[str, float]:
+        return {name: self.percentile_s(name, percentile) for name in self._histograms}
--- a/packages/relay/src/knapweedspring_relay/_hop_link.py
+++ b/packages/relay/src/knapweedspring_relay/_hop_link.py
@@ -26,6 +26,8 @@
 _HOP_HEADERS = frozenset({HOP_HEADER, REPORT_HEADER})
 #: Status of an answer between nodes that carries no upstream's answer.
 NO_ANSWER_STATUS = 590
+#: Time past the deadline in which the gate's outcome is still awaited, in seconds.
+LATE_ANSWER_S = 0.1
 #: Limits between nodes: those of callers were applied at the entry.
 PEER_LIMITS = CallLimits(header_bytes=131_072, header_s=10.0, idle_s=60.0)
 
@@ -46,7 +48,10 @@
         headers = [*request.headers, (HOP_HEADER, _encoder.encode(call))]
         data = request_bytes(request.method, request.target, headers, request.body)
         answer = await self._pool.call(
-            self._entry.gate_address, data, is_head=request.method == b"HEAD"
+            self._entry.gate_address,
+            data,
+            is_head=request.method == b"HEAD",
+            limit_s=max(0.0, call.left_s) + LATE_ANSWER_S,
         )
         report = decode_report(answer.header(REPORT_HEADER))
         if report is None:
--- a/packages/relay/src/knapweedspring_relay/_http_client.py
+++ b/packages/relay/src/knapweedspring_relay/_http_client.py
@@ -22,6 +22,8 @@
 READ_HIGH_WATER_BYTES = 131_072
 #: Head and unread part of an answer in front of which a connection is given up.
 MAX_ANSWER_HEAD_BYTES = 65_536
+#: Longest wait for an answer unless the caller says less, in seconds.
+DEFAULT_LIMIT_S = 60.0
 #: An idle connection is used only when this much of its time-out is left, seconds.
 IDLE_MARGIN_S = 1.5
 
@@ -45,9 +47,12 @@
 
     :param status: status code.
     :param headers: all headers; names in lower case.
+    :param loop: the event loop.
     """
 
-    def __init__(self, status: int, headers: list[Header]) -> None:
+    def __init__(
+        self, status: int, headers: list[Header], loop: asyncio.AbstractEventLoop
+    ) -> None:
         self._status = status
         self._headers = headers
         self._pieces: deque[bytes] = deque()
@@ -58,6 +63,7 @@
         self._on_read: Callable[[], None] = lambda: None
         self._on_abandon: Callable[[], None] = lambda: None
         self._on_end: Callable[[], None] = lambda: None
+        self._loop = loop
 
     @property
     def status(self) -> int:
@@ -109,7 +115,7 @@
                 raise self._error
             if self._complete:
                 return b""
-            self._waiter = asyncio.get_running_loop().create_future()
+            self._waiter = self._loop.create_future()
             await self._waiter
         piece = self._pieces.popleft()
         self._n_bytes -= len(piece)
@@ -161,9 +167,12 @@
 class _ClientConnection(asyncio.Protocol):
     """One connection to a server."""
 
-    def __init__(self, pool: "ConnectionPool", address: str) -> None:
+    def __init__(
+        self, pool: "ConnectionPool", address: str, loop: asyncio.AbstractEventLoop
+    ) -> None:
         self._pool = pool
         self._address = address
+        self._loop = loop
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._result: asyncio.Future[Answer] | None = None
@@ -194,10 +203,11 @@
         return self.is_open and now - self._idle_since < min(self._idle_s, max_idle_s)
 
     async def call(
-        self, data: bytes, request_id: bytes | None, is_head: bool
+        self, data: bytes, request_id: bytes | None, is_head: bool, limit_s: float
     ) -> Answer:
         """Send a request and wait for the head of its answer, or all of it.
 
+        :raises TimeoutError: when neither came in time.
         :raises ConnectionBroke: when the connection ends first.
         :raises BadAnswer: when what comes back is no answer.
         """
@@ -206,12 +216,19 @@
         self._answer = None
         self._skipping = False
         self._in_answer = False
-        self._result = asyncio.get_running_loop().create_future()
+        result: asyncio.Future[Answer] = self._loop.create_future()
+        self._result = result
         if not self.is_open:
             raise ConnectionBroke("the connection was closed while it was idle")
         assert self._transport is not None
         self._transport.write(data)
-        return await self._result
+        # A timer of its own instead of asyncio.timeout, which asks the kernel for
+        # the process id several times a call.
+        timer = self._loop.call_later(limit_s, _expire, result)
+        try:
+            return await result
+        finally:
+            timer.cancel()
 
     def discard(self) -> None:
         """Break the connection; the server drops the request."""
@@ -280,7 +297,7 @@
         status = self._parser.get_status_code()
         if status < 200:
             return
-        answer = Answer(status, self._headers)
+        answer = Answer(status, self._headers, self._loop)
         if not self._belongs(answer):
             self._skipping = True
             self._spoiled = True
@@ -333,7 +350,7 @@
             self._idle_since = time.monotonic()
             # Bytes after the answer may be in the same segment: only when all of
             # it is parsed can the connection be used again.
-            asyncio.get_running_loop().call_soon(self._return_to_pool)
+            self._loop.call_soon(self._return_to_pool)
 
     def _return_to_pool(self) -> None:
         if self._spoiled:
@@ -417,6 +434,7 @@
         request_id: bytes | None = None,
         is_head: bool = False,
         max_idle_s: float = float("inf"),
+        limit_s: float = DEFAULT_LIMIT_S,
     ) -> Answer:
         """Send a request and wait for its answer.
 
@@ -427,6 +445,8 @@
         :param request_id: id that the answer must carry.
         :param is_head: whether the answer has no body, as to a HEAD request.
         :param max_idle_s: use only connections idle for less than this, in seconds.
+        :param limit_s: longest wait for the answer, in seconds.
+        :raises TimeoutError: when it did not come in time.
         :raises ConnectFailed: when nothing was sent.
         :raises ConnectionBroke: when the connection ended before the answer's end.
         :raises BadAnswer: when what came back is no answer.
@@ -435,7 +455,7 @@
         if connection is None:
             connection = await self._open(address)
         try:
-            return await connection.call(data, request_id, is_head)
+            return await connection.call(data, request_id, is_head, limit_s)
         except BaseException:
             connection.discard()
             raise
@@ -489,7 +509,7 @@
         try:
             async with asyncio.timeout(self._settings.connect_s):
                 _, connection = await loop.create_connection(
-                    lambda: _ClientConnection(self, address), host, int(port)
+                    lambda: _ClientConnection(self, address, loop), host, int(port)
                 )
         except (OSError, TimeoutError, ValueError) as error:
             raise ConnectFailed(f"{address}: {error or 'timed out'}") from error
@@ -498,6 +518,11 @@
         return connection
 
 
+def _expire(result: "asyncio.Future[Answer]") -> None:
+    if not result.done():
+        result.set_exception(TimeoutError())
+
+
 def _is_chunked(answer: Answer) -> bool:
     return answer.header(b"transfer-encoding") is not None
 
--- a/packages/relay/src/knapweedspring_relay/_http_server.py
+++ b/packages/relay/src/knapweedspring_relay/_http_server.py
@@ -132,6 +132,13 @@
         self._server: asyncio.Server | None = None
         self._body_bytes = 0
         self._draining = False
+        self._loop: asyncio.AbstractEventLoop | None = None
+
+    @property
+    def loop(self) -> asyncio.AbstractEventLoop:
+        """The event loop that it listens on."""
+        assert self._loop is not None
+        return self._loop
 
     @property
     def address(self) -> str:
@@ -164,7 +171,7 @@
         :raises OSError: when the address cannot be used.
         """
         host, port = self._address.rsplit(":", 1)
-        loop = asyncio.get_running_loop()
+        self._loop = loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             lambda: _ServerConnection(self), host, int(port), backlog=BACKLOG
         )
@@ -273,7 +280,8 @@
             return
         if not self._in_body:
             self._n_head_bytes += len(data)
-            if b"\r\n " in data or b"\r\n\t" in data:
+            head = data.partition(b"\r\n\r\n")[0]
+            if b"\r\n " in head or b"\r\n\t" in head:
                 self._fail(MessageError(400, "a header is folded over lines"))
                 return
         try:
@@ -370,7 +378,7 @@
     async def writable(self) -> None:
         """Wait until the caller has read enough."""
         while self._paused and not self._transport_closing():
-            self._writable = asyncio.get_running_loop().create_future()
+            self._writable = self._listener.loop.create_future()
             await self._writable
 
     def abort(self) -> None:
@@ -400,7 +408,7 @@
         if self._task is not None or not self._requests or self._closing:
             return
         request = self._requests.popleft()
-        self._task = asyncio.get_running_loop().create_task(self._answer(request))
+        self._task = self._listener.loop.create_task(self._answer(request))
 
     async def _answer(self, request: Request) -> None:
         exchange = Exchange(self, request)
--- a/packages/relay/src/knapweedspring_relay/_relay.py
+++ b/packages/relay/src/knapweedspring_relay/_relay.py
@@ -57,8 +57,8 @@
 #: Time that sent bytes may stay unacknowledged before a connection counts as dead.
 UNACKNOWLEDGED_S = 1.0
 #: Periods of the timer service's subscribers, in seconds.
-EXPIRY_PERIOD_S = 0.02
-FLUSH_PERIOD_S = 0.1
+DRAIN_CHECK_PERIOD_S = 0.2
+FLUSH_PERIOD_S = 0.25
 SWEEP_PERIOD_S = 1.0
 #: After the signal to stop: callers are sent elsewhere once two readiness questions,
 #: one a second, went without a 200; until then the node serves.
@@ -405,7 +405,7 @@
         self._own_entry.note_stored(self._directory.entries.get(self._settings.node))
 
     def _subscribe(self) -> None:
-        self._timers.every(EXPIRY_PERIOD_S, self._gate.expire)
+        self._timers.every(DRAIN_CHECK_PERIOD_S, self._gate.expire)
         self._timers.every(FLUSH_PERIOD_S, self._lines.flush)
         self._timers.every(SWEEP_PERIOD_S, self._sweep)
 
--- /dev/null
+++ b/packages/relay/tests/_deployment.py
@@ -0,0 +1,332 @@
+"""Relays in one process with a store in memory and scripted upstreams."""
+
+import asyncio
+import contextlib
+import os
+import socket
+import tempfile
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field, replace
+
+from result import Err, Ok
+
+from knapweedspring_core import Counters
+from knapweedspring_relay import (
+    CallHeaders,
+    CallKind,
+    CallLimits,
+    Configuration,
+    ConfigurationRead,
+    ConnectionPool,
+    ConnectionSettings,
+    DeploymentAdapter,
+    DeploymentStore,
+    Destination,
+    DirectoryChanges,
+    DirectorySnapshot,
+    EntryRecord,
+    Exchange,
+    Heartbeat,
+    LineBuffer,
+    Relay,
+    RelaySettings,
+    RequestHandler,
+    RetrySettings,
+    Route,
+    Service,
+    ShutdownSettings,
+    StoreConflict,
+    StoreSettings,
+    StoreUnavailable,
+    UpstreamState,
+    request_bytes,
+)
+
+HEADERS = CallHeaders(
+    request_id=b"x-id",
+    deadline_ms=b"x-deadline-ms",
+    seal=b"x-seal",
+    expected_instance=b"x-expect",
+    not_executed=b"x-not-run",
+    caller_service=b"x-caller",
+)
+ROUTES = (
+    Route(
+        "read", "h", "/read/", CallKind.IDEMPOTENT, (Destination("svc"),), 1, 2, 2, 2
+    ),
+    Route(
+        "write",
+        "h",
+        "/write/",
+        CallKind.NON_IDEMPOTENT,
+        (Destination("svc"),),
+        1,
+        2,
+        2,
+        0,
+    ),
+)
+
+
+def make_configuration(version=1, routes=ROUTES, limits=None):
+    return Configuration(
+        version, routes, (Service("svc", "/health", 100),), limits or CallLimits()
+    )
+
+
+def free_address():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+class MemoryStore(DeploymentStore):
+    """A store that can be switched off."""
+
+    def __init__(self, configuration=None):
+        self.configuration = configuration
+        self.entries = {}
+        self.revisions = {}
+        self.revision = 1
+        self.is_down = False
+        self.changed = asyncio.Event()
+
+    def put_configuration(self, configuration):
+        self.configuration = configuration
+        self._touch()
+
+    def _touch(self):
+        self.revision += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def _wait(self, revision, wait_s):
+        if revision >= self.revision and not self.is_down:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.changed.wait(), wait_s)
+
+    async def read_configuration(self):
+        if self.is_down:
+            return Err(StoreUnavailable("down"))
+        return Ok(ConfigurationRead(self.revision, self.configuration))
+
+    async def watch_configuration(self, revision, wait_s):
+        await self._wait(revision, wait_s)
+        return await self.read_configuration()
+
+    async def read_directory(self):
+        if self.is_down:
+            return Err(StoreUnavailable("down"))
+        return Ok(DirectorySnapshot(self.revision, dict(self.entries)))
+
+    async def watch_directory(self, revision, wait_s):
+        await self._wait(revision, wait_s)
+        if self.is_down:
+            return Err(StoreUnavailable("down"))
+        return Ok(DirectoryChanges(self.revision, tuple(self.entries.values()), ()))
+
+    async def read_entry(self, node):
+        if self.is_down:
+            return Err(StoreUnavailable("down"))
+        return Ok(EntryRecord(self.revisions.get(node, 0), self.entries.get(node)))
+
+    async def write_entry(self, entry, revision):
+        if self.is_down:
+            return Err(StoreUnavailable("down"))
+        if self.revisions.get(entry.node, 0) != revision:
+            return Err(StoreConflict("newer"))
+        self._touch()
+        self.entries[entry.node] = entry
+        self.revisions[entry.node] = self.revision
+        return Ok(EntryRecord(self.revision, entry))
+
+    async def delete_entry(self, node, revision):
+        self.entries.pop(node, None)
+        self.revisions.pop(node, None)
+        self._touch()
+        return Ok(EntryRecord(0, None))
+
+    def close(self):
+        pass
+
+
+@dataclass
+class Upstream:
+    """A server whose bytes a test scripts."""
+
+    address: str
+    script: Callable[["Upstream", bytes, asyncio.StreamWriter], Awaitable[None]]
+    requests: list[bytes] = field(default_factory=list)
+    n_connections: int = 0
+    n_dropped: int = 0
+
+    async def start(self):
+        host, port = self.address.split(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+
+    async def _serve(self, reader, writer):
+        self.n_connections += 1
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = int(header_of(head, b"content-length") or 0)
+                request = head + await reader.readexactly(length)
+                self.requests.append(request)
+                await self.script(self, request, writer)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            self.n_dropped += 1
+        finally:
+            writer.close()
+
+
+def header_of(message, name):
+    for line in message.split(b"\r\n\r\n")[0].split(b"\r\n")[1:]:
+        key, _, value = line.partition(b":")
+        if key.lower() == name:
+            return value.strip()
+    return None
+
+
+def answer_of(request, body=b"ok", status=b"200 OK", extra=b""):
+    request_id = header_of(request, b"x-id") or b""
+    return b"HTTP/1.1 %b\r\nx-id: %b\r\nx-seal: s\r\n%bcontent-length: %d\r\n\r\n%b" % (
+        status,
+        request_id,
+        extra,
+        len(body),
+        body,
+    )
+
+
+async def answer_well(upstream, request, writer):
+    writer.write(answer_of(request))
+
+
+class Deployment:
+    """Relays, each with an upstream beside it."""
+
+    def __init__(self, scripts, configuration=None, services=None):
+        self.store = MemoryStore(configuration or make_configuration())
+        self.upstreams = [Upstream(free_address(), script) for script in scripts]
+        self.services = services or ["svc"] * len(scripts)
+        self.relays = []
+        self.settings = []
+        self.tasks = []
+        self.client = ConnectionPool(ConnectionSettings(1.0, 60.0, 2.0, b"x-id"))
+        descriptor = os.open(os.devnull, os.O_WRONLY)
+        self._lines = LineBuffer(descriptor, Counters())
+        self._n_ids = 0
+
+    async def __aenter__(self):
+        for index, upstream in enumerate(self.upstreams):
+            await upstream.start()
+            self.add_relay(index)
+        await asyncio.sleep(0.05)
+        for index in range(len(self.upstreams)):
+            self.beat(index)
+        await self.until(
+            lambda: all(
+                len(r._directory.providers("svc")) == self.services.count("svc")
+                and r.is_ready
+                for r in self.relays
+            )
+        )
+        return self
+
+    async def __aexit__(self, *_):
+        for task in self.tasks:
+            task.cancel()
+        for relay in self.relays:
+            relay._supervisor.stop()
+            for listener in relay._listeners:
+                listener.close()
+
+    def add_relay(self, index):
+        settings = RelaySettings(
+            node=f"n{index}",
+            data_centre="dc",
+            host="127.0.0.9",
+            service=self.services[index],
+            upstream_address=self.upstreams[index].address,
+            entry_address=free_address(),
+            gate_address=free_address(),
+            heartbeat_address=free_address(),
+            readiness_address=free_address(),
+            metrics_address=free_address(),
+            store=StoreSettings("127.0.0.1:1", 1, 1),
+            shutdown=ShutdownSettings(3.0, 1.0),
+            retries=RetrySettings(0.2, 480.0, 10.0),
+        )
+        adapter = DeploymentAdapter(
+            headers=HEADERS,
+            readiness_path="/ready",
+            store=self.store,
+            heartbeat_handler=lambda _: _NoHeartbeats(),
+            read_settings=lambda: Ok(settings),
+            settings_file=os.path.join(tempfile.gettempdir(), "absent"),
+        )
+        relay = Relay(settings, adapter, Counters(), self._lines)
+        self.settings.append(settings)
+        self.relays.append(relay)
+        self.tasks.append(asyncio.ensure_future(relay.run()))
+
+    def beat(self, index, sequence=1, **changes):
+        heartbeat = Heartbeat(
+            f"i-{index}",
+            self.services[index],
+            self.upstreams[index].address,
+            20,
+            UpstreamState.READY,
+            0.0,
+            sequence,
+            1000 + index,
+        )
+        return self.relays[index].take_heartbeat(replace(heartbeat, **changes))
+
+    async def call(self, path="/read/1", method=b"GET", body=b"", index=0, **headers):
+        self._n_ids += 1
+        request_id = b"id-%d" % self._n_ids
+        fields = {"host": "h", "x-id": request_id.decode(), "x-deadline-ms": "1500"}
+        fields.update({name.replace("_", "-"): v for name, v in headers.items()})
+        data = request_bytes(
+            method,
+            path.encode(),
+            [(k.encode(), v.encode()) for k, v in fields.items()],
+            body,
+        )
+        address = self.settings[index].entry_address
+        answer = await self.client.call(address, data, request_id, limit_s=5.0)
+        pieces = b""
+        while piece := await answer.read():
+            pieces += piece
+        return answer.status, answer, pieces
+
+    async def raw(self, data, index=0, wait_s=0.5):
+        """Send bytes to an entry and return all that comes back."""
+        host, port = self.settings[index].entry_address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(data)
+        received = b""
+        try:
+            while True:
+                piece = await asyncio.wait_for(reader.read(65536), wait_s)
+                if not piece:
+                    break
+                received += piece
+        except (TimeoutError, ConnectionError):
+            pass
+        writer.close()
+        return received
+
+    async def until(self, condition, limit_s=3.0):
+        for _ in range(int(limit_s / 0.01)):
+            if condition():
+                return
+            await asyncio.sleep(0.01)
+        raise AssertionError("the condition did not come true in time")
+
+
+class _NoHeartbeats(RequestHandler):
+    async def handle(self, exchange: Exchange):
+        exchange.answer(404, [])
--- /dev/null
+++ b/packages/relay/tests/test_calls.py
@@ -0,0 +1,333 @@
+"""The call path over sockets: outcomes told to callers, and what upstreams see."""
+
+import asyncio
+import time
+
+import pytest
+from _deployment import (
+    Deployment,
+    answer_of,
+    answer_well,
+    header_of,
+    make_configuration,
+)
+
+from knapweedspring_relay import CallLimits, UpstreamState
+from knapweedspring_relay._errors import CallError
+
+
+def run(scenario):
+    asyncio.run(asyncio.wait_for(scenario(), 20))
+
+
+async def fail(upstream, request, writer):
+    writer.write(answer_of(request, b"no", b"500 Internal Server Error"))
+
+
+async def shed(upstream, request, writer):
+    extra = b"x-not-run: 1\r\n"
+    writer.write(answer_of(request, b"", b"503 Service Unavailable", extra))
+
+
+async def reset(upstream, request, writer):
+    writer.transport.abort()
+
+
+async def garbage(upstream, request, writer):
+    writer.write(b"\x00\x01 this is no answer\r\n\r\n")
+
+
+async def truncated(upstream, request, writer):
+    writer.write(answer_of(request, b"0123456789")[:-4])
+    writer.close()
+
+
+async def unsigned(upstream, request, writer):
+    writer.write(answer_of(request).replace(b"x-seal: s\r\n", b""))
+
+
+async def encoded(upstream, request, writer):
+    writer.write(answer_of(request, extra=b"content-encoding: gzip\r\n"))
+
+
+async def late_extra(upstream, request, writer):
+    """Puts an answer to an earlier request in front of the right one."""
+    earlier = request.replace(b"x-id: ", b"x-id: old-")
+    writer.write(answer_of(earlier, b"wrong") + answer_of(request, b"right"))
+
+
+async def second_answer(upstream, request, writer):
+    writer.write(answer_of(request, b"right") + answer_of(request, b"again"))
+
+
+async def unframed(upstream, request, writer):
+    answer = answer_of(request, b"until the end")
+    head, _, body = answer.partition(b"\r\n\r\n")
+    lines = [x for x in head.split(b"\r\n") if not x.startswith(b"content-length")]
+    writer.write(b"\r\n".join(lines) + b"\r\n\r\n" + body)
+    writer.close()
+
+
+def test_answer_is_passed_on_unchanged():
+    async def scenario():
+        async with Deployment([answer_well]) as deployment:
+            status, answer, body = await deployment.call(x_deadline_ms="900")
+            assert (status, body) == (200, b"ok")
+            assert answer.header(b"x-seal") == b"s"
+            request = deployment.upstreams[0].requests[0]
+            assert header_of(request, b"x-caller") == b"svc"
+            assert header_of(request, b"x-expect") == b"i-0"
+            assert 0 < int(header_of(request, b"x-deadline-ms")) <= 900
+
+    run(scenario)
+
+
+def test_headers_of_the_system_are_replaced_whatever_callers_send():
+    async def scenario():
+        async with Deployment([answer_well]) as deployment:
+            await deployment.call(
+                x_caller="forged",
+                x_expect="forged",
+                connection="x-secret",
+                x_secret="1",
+            )
+            request = deployment.upstreams[0].requests[0]
+            assert request.count(b"x-caller") == 1
+            assert header_of(request, b"x-caller") == b"svc"
+            assert header_of(request, b"x-expect") == b"i-0"
+            assert header_of(request, b"x-secret") is None
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("bad", [fail, reset, garbage, truncated, unsigned, encoded])
+def test_repeatable_request_goes_to_a_second_upstream(bad):
+    async def scenario():
+        async with Deployment([bad, answer_well]) as deployment:
+            for _ in range(6):
+                status, _, body = await deployment.call()
+                assert (status, body) == (200, b"ok")
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("bad", [reset, garbage, truncated, unsigned, encoded])
+def test_request_that_may_have_run_is_not_repeated(bad):
+    async def scenario():
+        async with Deployment([bad, bad]) as deployment:
+            status, _, _ = await deployment.call("/write/1", b"POST", b"body")
+            assert status == 502
+            assert sum(len(u.requests) for u in deployment.upstreams) == 1
+
+    run(scenario)
+
+
+def test_shed_request_goes_on_although_it_may_not_run_twice():
+    async def scenario():
+        async with Deployment([shed, answer_well]) as deployment:
+            for _ in range(6):
+                status, _, _ = await deployment.call("/write/1", b"POST", b"body")
+                assert status == 200
+
+    run(scenario)
+
+
+def test_request_that_all_shed_is_refused_with_a_time_to_come_back():
+    async def scenario():
+        async with Deployment([shed, shed]) as deployment:
+            status, answer, _ = await deployment.call("/write/1", b"POST", b"body")
+            assert status == 503
+            assert 0.0 < float(answer.header(b"retry-after")) <= 0.5
+            assert answer.header(b"x-seal") is None
+
+    run(scenario)
+
+
+def test_failure_of_the_last_upstream_is_passed_on_unchanged():
+    async def scenario():
+        async with Deployment([fail]) as deployment:
+            status, answer, body = await deployment.call()
+            assert (status, body, answer.header(b"x-seal")) == (500, b"no", b"s")
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("script", [late_extra, second_answer])
+def test_answers_that_belong_to_other_requests_are_dropped(script):
+    async def scenario():
+        async with Deployment([script]) as deployment:
+            for _ in range(4):
+                status, _, body = await deployment.call("/write/1", b"POST", b"x")
+                assert (status, body) == (200, b"right")
+
+    run(scenario)
+
+
+def test_body_without_a_length_ends_with_the_connection():
+    async def scenario():
+        async with Deployment([unframed]) as deployment:
+            status, _, body = await deployment.call()
+            assert (status, body) == (200, b"until the end")
+
+    run(scenario)
+
+
+def test_large_body_streams_and_a_broken_one_does_not_look_complete():
+    async def large(upstream, request, writer):
+        writer.write(answer_of(request, b"x" * 1_000_000))
+
+    async def broken(upstream, request, writer):
+        writer.write(answer_of(request, b"x" * 1_000_000)[:-500_000])
+        await writer.drain()
+        writer.close()
+
+    async def scenario():
+        async with Deployment([large]) as deployment:
+            _, _, body = await deployment.call()
+            assert len(body) == 1_000_000
+        async with Deployment([broken]) as deployment:
+            with pytest.raises(CallError):
+                await deployment.call()
+
+    run(scenario)
+
+
+def test_deadline_is_told_at_once():
+    async def slow(upstream, request, writer):
+        await asyncio.sleep(3.0)
+
+    async def scenario():
+        async with Deployment([slow]) as deployment:
+            started = time.monotonic()
+            status, _, _ = await deployment.call(x_deadline_ms="300")
+            assert status == 504
+            assert 0.25 < time.monotonic() - started < 0.7
+
+    run(scenario)
+
+
+def test_caller_that_leaves_ends_a_repeatable_run_and_no_other():
+    finished = []
+
+    async def slow(upstream, request, writer):
+        await asyncio.sleep(0.4)
+        writer.write(answer_of(request))
+        finished.append(header_of(request, b"x-id"))
+
+    async def scenario():
+        async with Deployment([slow, slow]) as deployment:
+            request = (
+                b"%b 1 HTTP/1.1\r\nhost: h\r\nx-id: %b\r\nx-deadline-ms: 2000\r\n"
+                b"content-length: 0\r\n\r\n"
+            )
+            await asyncio.gather(
+                deployment.raw(
+                    request.replace(b"%b 1", b"GET /read/1").replace(b"%b", b"r"),
+                    wait_s=0.1,
+                ),
+                deployment.raw(
+                    request.replace(b"%b 1", b"POST /write/1").replace(b"%b", b"w"),
+                    wait_s=0.1,
+                ),
+            )
+            await asyncio.sleep(0.2)
+            gates = [relay._gate.n_running for relay in deployment.relays]
+            assert sum(gates) == 1
+            await deployment.until(lambda: b"w" in finished)
+
+    run(scenario)
+
+
+def test_draining_upstream_gets_nothing_new_and_nothing_is_refused():
+    async def scenario():
+        async with Deployment([answer_well, answer_well]) as deployment:
+            deployment.beat(0, 2, state=UpstreamState.DRAINING)
+            n_before = len(deployment.upstreams[0].requests)
+            for _ in range(10):
+                status, _, _ = await deployment.call("/write/1", b"POST", b"x")
+                assert status == 200
+            assert len(deployment.upstreams[0].requests) == n_before
+            assert len(deployment.upstreams[1].requests) == 10
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    ("head", "status"),
+    [
+        (b"GET /read/ HTTP/1.1\r\nhost: h\r\n\r\n", b"200"),
+        (b"GET /none/ HTTP/1.1\r\nhost: h\r\n\r\n", b"404"),
+        (b"GET /read/ HTTP/1.1\r\nhost: other\r\n\r\n", b"404"),
+        (b"GET http://h/read/ HTTP/1.1\r\nhost: h\r\n\r\n", b"400"),
+        (b"GET /read/ HTTP/1.1\r\nhost: h\r\na: b\r\n c\r\n\r\n", b"400"),
+        (
+            b"POST /read/ HTTP/1.1\r\nhost: h\r\ncontent-length: 1\r\n"
+            b"transfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+            b"400",
+        ),
+        (
+            b"POST /read/ HTTP/1.1\r\nhost: h\r\ncontent-length: 1\r\n"
+            b"content-length: 2\r\n\r\nab",
+            b"400",
+        ),
+        (b"GET /read/ HTTP/1.1\r\nhost: h\r\na: " + b"x" * 3000 + b"\r\n\r\n", b"431"),
+        (b"POST /read/ HTTP/1.1\r\nhost: h\r\ncontent-length: 2000\r\n\r\n", b"413"),
+        (b"nonsense\r\n\r\n", b"400"),
+    ],
+)
+def test_requests_that_break_the_rules_are_refused(head, status):
+    limits = CallLimits(header_bytes=2_000, body_bytes=1_000, header_s=5, idle_s=5)
+
+    async def scenario():
+        configuration = make_configuration(limits=limits)
+        async with Deployment([answer_well], configuration) as deployment:
+            received = await deployment.raw(head)
+            assert received.split(b" ")[1] == status
+
+    run(scenario)
+
+
+def test_body_that_looks_like_a_folded_header_is_passed_on():
+    async def scenario():
+        async with Deployment([answer_well]) as deployment:
+            body = b"line\r\n folded\r\n\tagain"
+            status, _, _ = await deployment.call("/write/1", b"POST", body)
+            assert status == 200
+            assert deployment.upstreams[0].requests[0].endswith(body)
+
+    run(scenario)
+
+
+def test_fragments_and_pipelined_requests_are_answered_in_order():
+    async def scenario():
+        async with Deployment([answer_well]) as deployment:
+            host, port = deployment.settings[0].entry_address.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            one = b"GET /read/%d HTTP/1.1\r\nhost: h\r\nx-id: %d\r\n\r\n"
+            data = b"".join(one % (i, i) for i in range(3))
+            for byte in data:
+                writer.write(bytes([byte]))
+                await asyncio.sleep(0)
+            received = b""
+            while received.count(b"ok") < 3:
+                received += await asyncio.wait_for(reader.read(4096), 2)
+            ids = [x[:1] for x in received.split(b"x-id: ")[1:]]
+            assert ids == [b"0", b"1", b"2"]
+            paths = [r.split(b" ")[1] for r in deployment.upstreams[0].requests]
+            assert paths == [b"/read/0", b"/read/1", b"/read/2"]
+            writer.close()
+
+    run(scenario)
+
+
+def test_chunked_body_arrives_whole():
+    async def scenario():
+        async with Deployment([answer_well]) as deployment:
+            received = await deployment.raw(
+                b"POST /write/ HTTP/1.1\r\nhost: h\r\nx-id: 1\r\n"
+                b"transfer-encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+            )
+            assert received.startswith(b"HTTP/1.1 200")
+            assert deployment.upstreams[0].requests[0].endswith(b"\r\n\r\nabcde")
+
+    run(scenario)
--- /dev/null
+++ b/packages/relay/tests/test_deployment_changes.py
@@ -0,0 +1,141 @@
+"""Configuration, directory and shutdown while calls go on."""
+
+import asyncio
+from dataclasses import replace
+
+from _deployment import (
+    ROUTES,
+    Deployment,
+    answer_of,
+    answer_well,
+    make_configuration,
+)
+
+from knapweedspring_relay import Destination
+
+
+def run(scenario):
+    asyncio.run(asyncio.wait_for(scenario(), 20))
+
+
+def test_newer_configuration_is_in_force_and_an_older_one_never_again():
+    async def scenario():
+        async with Deployment([answer_well]) as deployment:
+            added = replace(ROUTES[0], name="added", path_prefix="/added/")
+            assert (await deployment.call("/added/1"))[0] == 404
+            deployment.store.put_configuration(make_configuration(5, (*ROUTES, added)))
+            await deployment.until(lambda: deployment.relays[0]._state.version == 5)
+            assert (await deployment.call("/added/1"))[0] == 200
+            deployment.store.put_configuration(make_configuration(4))
+            await asyncio.sleep(0.1)
+            assert (await deployment.call("/added/1"))[0] == 200
+
+    run(scenario)
+
+
+def test_node_without_a_configuration_says_503():
+    async def scenario():
+        deployment = Deployment([answer_well])
+        deployment.store.configuration = None
+        await deployment.upstreams[0].start()
+        deployment.add_relay(0)
+        await asyncio.sleep(0.1)
+        status, answer, _ = await deployment.call()
+        assert status == 503
+        assert answer.header(b"retry-after")
+        assert not deployment.relays[0].is_ready
+        await deployment.__aexit__()
+
+    run(scenario)
+
+
+def test_node_that_the_store_turns_away_learns_from_a_peer():
+    async def scenario():
+        async with Deployment([answer_well, answer_well]) as deployment:
+            deployment.store.is_down = True
+            deployment.store.changed.set()
+            moved = replace(ROUTES[0], destinations=(Destination("svc", 2.0),))
+            newer = make_configuration(9, (moved,))
+            deployment.relays[1]._state.offer(newer, "test")
+            await deployment.until(
+                lambda: deployment.relays[0]._state.version == 9, limit_s=5.0
+            )
+
+    run(scenario)
+
+
+def test_calls_go_on_while_the_store_is_away():
+    async def scenario():
+        async with Deployment([answer_well, answer_well]) as deployment:
+            deployment.store.is_down = True
+            deployment.store.changed.set()
+            await asyncio.sleep(0.2)
+            for _ in range(5):
+                assert (await deployment.call())[0] == 200
+
+    run(scenario)
+
+
+def test_entry_that_the_store_lost_is_put_back():
+    async def scenario():
+        async with Deployment([answer_well, answer_well]) as deployment:
+            deployment.store.entries.clear()
+            deployment.store.revisions.clear()
+            deployment.store._touch()
+            # The listing that follows an outage, not a change, shows the loss.
+            for relay in deployment.relays:
+                relay._own_entry.note_stored(None)
+            await deployment.until(
+                lambda: set(deployment.store.entries) == {"n0", "n1"}, limit_s=2.0
+            )
+
+    run(scenario)
+
+
+def test_stop_finishes_what_is_in_flight():
+    async def slow(upstream, request, writer):
+        await asyncio.sleep(0.8)
+        writer.write(answer_of(request))
+
+    async def scenario():
+        async with Deployment([slow, slow]) as deployment:
+            calls = [
+                asyncio.ensure_future(deployment.call(index=i % 2)) for i in range(8)
+            ]
+            await asyncio.sleep(0.1)
+            deployment.relays[0].stop()
+            assert not deployment.relays[0].is_ready
+            statuses = [(await call)[0] for call in calls]
+            assert statuses == [200] * 8
+            status, answer, _ = await deployment.call()
+            assert status == 200
+            assert answer.header(b"connection") == b"close"
+            await asyncio.wait_for(deployment.tasks[0], 5)
+
+    run(scenario)
+
+
+def test_restarted_node_goes_by_its_entry_until_the_next_heartbeat():
+    async def scenario():
+        async with Deployment([answer_well]) as deployment:
+            deployment.tasks[0].cancel()
+            relay = deployment.relays[0]
+            relay._supervisor.stop()
+            for listener in relay._listeners:
+                listener.close()
+            await asyncio.sleep(0.05)
+            settings = deployment.settings[0]
+            entry = deployment.store.entries["n0"]
+            deployment.add_relay(0)
+            renewed = deployment.settings[1]
+            deployment.store.entries["n0"] = replace(
+                entry, gate_address=renewed.gate_address
+            )
+            await deployment.until(lambda: deployment.relays[1].is_ready)
+            await deployment.until(
+                lambda: deployment.relays[1]._tracker.current is not None
+            )
+            assert (await deployment.call(index=1))[0] == 200
+            assert settings.node == renewed.node
+
+    run(scenario)
--- /dev/null
+++ b/packages/relay/tests/test_directory.py
@@ -0,0 +1,58 @@
+"""Directory: newer revisions win, lapses are bridged, addresses have one holder."""
+
+from dataclasses import replace
+
+from knapweedspring_relay._directory import (
+    MISSING_GRACE_S,
+    Directory,
+    DirectorySnapshot,
+    GateEntry,
+    UpstreamState,
+)
+
+ENTRY = GateEntry("a", "10.0.0.1:1", "dc", "svc", "i-1", 100, 20, UpstreamState.READY)
+OTHER = replace(ENTRY, node="b", gate_address="10.0.0.2:1", instance="i-2")
+
+
+def make_directory(*entries, revision=5):
+    directory = Directory()
+    listing = DirectorySnapshot(revision, {e.node: e for e in entries})
+    directory.replace_all(listing, 0.0)
+    return directory
+
+
+def test_providers_are_those_that_take_requests():
+    draining = replace(OTHER, state=UpstreamState.DRAINING)
+    directory = make_directory(ENTRY, draining)
+    assert directory.providers("svc") == (ENTRY,)
+    assert directory.providers("unknown") == ()
+
+
+def test_older_listing_changes_nothing():
+    directory = make_directory(ENTRY, OTHER)
+    assert not directory.replace_all(DirectorySnapshot(4, {}), 0.0)
+    assert len(directory.providers("svc")) == 2
+
+
+def test_lapsed_entry_is_used_until_the_grace_has_passed():
+    directory = make_directory(ENTRY, OTHER)
+    directory.replace_all(DirectorySnapshot(6, {"a": ENTRY}), 10.0)
+    assert directory.drop_missing(10.0 + MISSING_GRACE_S - 0.1) == ()
+    assert len(directory.providers("svc")) == 2
+    assert directory.drop_missing(10.0 + MISSING_GRACE_S) == ("b",)
+    assert directory.providers("svc") == (ENTRY,)
+
+
+def test_entry_that_comes_back_within_the_grace_stays():
+    directory = make_directory(ENTRY, OTHER)
+    directory.change(6, (), ("b",), 10.0)
+    directory.change(7, (OTHER,), (), 11.0)
+    assert directory.drop_missing(20.0) == ()
+    assert len(directory.providers("svc")) == 2
+
+
+def test_reused_address_belongs_to_the_newest_process():
+    newcomer = replace(ENTRY, node="c", service="new", instance="i-9", born_ms=200)
+    directory = make_directory(ENTRY, OTHER, newcomer)
+    assert directory.providers("svc") == (OTHER,)
+    assert directory.providers("new") == (newcomer,)
