Go by a clock that counts suspensions, ask seeds, and clean the directory

The monotonic clock stops while a VM is suspended, so a request would be sent on past its deadline; a node that starts while the store is away knows no peer to ask; entries of VMs that vanish stay for ever, and each costs connection attempts; bodies over 8 MiB were refused with 413 although the declared limit allows 64 MiB.

Change: deadlines go by the boot clock; seeds from the settings answer the peers' page at the heartbeat address; entries unreachable for a minute are deleted at the revision read, and a node that lives puts its own back; bodies up to 32 MiB in all are held, beyond that 503.

--- a/packages/relay/src/knapweedspring_relay/_balancer.py
+++ b/packages/relay/src/knapweedspring_relay/_balancer.py
@@ -97,6 +97,8 @@
     avoid_until: float = 0.0
     #: Next pause after it could not be reached.
     avoid_s: float = AVOID_MIN_S
+    #: Since when it could not be reached; None when it could.
+    unreachable_since: float | None = None
     #: Latencies by route.
     latencies: dict[str, _Latency] = field(default_factory=dict)
 
@@ -201,6 +203,8 @@
             gate.limit = report.limit
             gate.reported_at = now
         if result is CallResult.UNREACHABLE:
+            if gate.unreachable_since is None:
+                gate.unreachable_since = now
             if gate.avoid_until <= now:
                 gate.avoid_until = now + gate.avoid_s * self._rng.uniform(0.7, 1.3)
                 gate.avoid_s = min(AVOID_MAX_S, 2.0 * gate.avoid_s)
@@ -209,6 +213,7 @@
             gate.avoid_until = now + CLOSED_S
         if result is not CallResult.NOTHING:
             gate.avoid_s = AVOID_MIN_S
+            gate.unreachable_since = None
         if result in (CallResult.GOOD, CallResult.FAILED):
             failed = 1.0 if result is CallResult.FAILED else 0.0
             ratio = gate.failures(now)
@@ -221,6 +226,12 @@
         """Take in how long an answer without an error took."""
         self._gate(entry).learn_latency(route.name, latency_s, now)
 
+    def unreachable_s(self, node: str, now: float) -> float:
+        """Return for how long calls to a node have been failing, in seconds."""
+        gate = self._gates.get(node)
+        since = gate.unreachable_since if gate is not None else None
+        return now - since if since is not None else 0.0
+
     def forget(self, node: str) -> None:
         """Forget a node that has left."""
         self._gates.pop(node, None)
--- a/packages/relay/src/knapweedspring_relay/_entry.py
+++ b/packages/relay/src/knapweedspring_relay/_entry.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from knapweedspring_core import Counters
 from knapweedspring_relay._balancer import Balancer, CallResult
+from knapweedspring_relay._clock import now_s
 from knapweedspring_relay._configuration import (
     CallLimits,
     Route,
@@ -189,7 +189,7 @@
     async def _travel(self, journey: _Journey, exchange: Exchange) -> None:
         """Offer the request to gates until one gives its final outcome."""
         request = self._forwarded(exchange.request)
-        self._budget.count_request(journey.service, time.monotonic())
+        self._budget.count_request(journey.service, now_s())
         while True:
             entry = self._next_gate(journey)
             if entry is None:
@@ -202,7 +202,7 @@
                 return
 
     def _next_gate(self, journey: _Journey) -> GateEntry | None:
-        now = time.monotonic()
+        now = now_s()
         if journey.n_offers >= MAX_GATES or journey.deadline_at <= now:
             return None
         entry = self._balancer.pick(
@@ -221,7 +221,7 @@
 
         :return: its outcome; None when the gate could not be reached.
         """
-        now = time.monotonic()
+        now = now_s()
         call = self._hop_call(journey, entry, now)
         result, report = CallResult.NOTHING, None
         self._balancer.started(entry)
@@ -231,7 +231,7 @@
             result = _result_of(answered)
             self._on_version(report.version)
             if result is CallResult.GOOD:
-                ended = time.monotonic()
+                ended = now_s()
                 self._balancer.answered(entry, journey.route, ended - now, ended)
             return answered
         except ConnectFailed as error:
@@ -245,7 +245,7 @@
         except TimeoutError:
             return self._lost(HopOutcome.LATE, "deadline")
         finally:
-            self._balancer.finished(entry, result, report, time.monotonic())
+            self._balancer.finished(entry, result, report, now_s())
 
     async def _conclude(
         self, journey: _Journey, exchange: Exchange, answered: GateAnswer
@@ -281,7 +281,7 @@
     def _may_repeat(self, journey: _Journey) -> bool:
         """Tell whether the request may go to another server, and pay for it."""
         route = journey.route
-        now = time.monotonic()
+        now = now_s()
         if journey.may_have_run and not route.kind.is_repeatable:
             return False
         if journey.n_sent >= route.max_attempts or journey.n_offers >= MAX_GATES:
@@ -312,7 +312,7 @@
     async def _stream(
         self, journey: _Journey, exchange: Exchange, answer: Answer
     ) -> bool:
-        left_s = journey.deadline_at - time.monotonic() + LATE_ANSWER_S
+        left_s = journey.deadline_at - now_s() + LATE_ANSWER_S
         try:
             async with asyncio.timeout(max(LATE_ANSWER_S, left_s)):
                 return await relay_answer(exchange, answer)
@@ -340,7 +340,7 @@
         self, journey: _Journey, exchange: Exchange, outcome: str, status: int
     ) -> None:
         """Count, log and learn from the end of a request."""
-        now = time.monotonic()
+        now = now_s()
         latency_s = now - exchange.request.arrived_at
         failed = outcome != "answered" or status >= 500
         if journey.is_child and outcome != "caller-left":
--- a/packages/relay/src/knapweedspring_relay/_gate.py
+++ b/packages/relay/src/knapweedspring_relay/_gate.py
@@ -1,13 +1,13 @@
 """Gate: everything that reaches the upstream beside this node passes here."""
 
 import asyncio
-import time
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from knapweedspring_core import Counters
 from knapweedspring_relay._admission import AdmissionQueue, Demand, Place, PlaceState
+from knapweedspring_relay._clock import now_s
 from knapweedspring_relay._errors import BadAnswer, CallError, ConnectFailed
 from knapweedspring_relay._headers import CallHeaders
 from knapweedspring_relay._histograms import LatencyHistograms
@@ -132,7 +132,7 @@
 
     def expire(self) -> None:
         """Refuse what waited too long."""
-        now = time.monotonic()
+        now = now_s()
         self._queue.expire(now)
         upstream = self._tracker.current
         if upstream is not None and self._is_past_draining(upstream, now):
@@ -150,7 +150,7 @@
         When the caller leaves, a call that may be repeated is broken off; any other
         goes on, since its effects cannot be undone.
         """
-        now = time.monotonic()
+        now = now_s()
         refusal = self._refusal(call, now)
         if refusal:
             return self._failed(call, HopOutcome.CLOSED, refusal, 0.0)
@@ -160,7 +160,7 @@
         self._queue.offer(place.place, now)
         if place.place.state is PlaceState.WAITING:
             await self._wait(place, now)
-        waited_s = time.monotonic() - now
+        waited_s = now_s() - now
         if place.place.state is not PlaceState.RUNNING:
             return self._refused(call, place.place.reason, waited_s)
         upstream = self._tracker.current
@@ -187,7 +187,7 @@
             reason=reason,
             n_running=self._queue.n_running,
             n_waiting=self._queue.n_waiting,
-            limit=self._queue.limit(time.monotonic()),
+            limit=self._queue.limit(now_s()),
             waited_s=waited_s,
             child_failure_ratio=self._child_failure_ratio,
             version=self._version(),
@@ -226,7 +226,7 @@
         try:
             await waiting.decided(loop)
         except asyncio.CancelledError:
-            now = time.monotonic()
+            now = now_s()
             self._queue.leave(waiting.place)
             self._queue.finish(waiting.place, now, was_served=False)
             raise
@@ -240,7 +240,7 @@
         answer: Answer | None = None
         waited_s = place.started_at - place.entered_at
         try:
-            left_s = place.demand.deadline_at - time.monotonic()
+            left_s = place.demand.deadline_at - now_s()
             answer = await self._exchange(call, request, upstream, left_s)
             return self._answered(call, answer, waited_s, place.started_at)
         except ConnectFailed as error:
@@ -258,7 +258,7 @@
         was_served = answer is not None and answer.status < 500
 
         def finish() -> None:
-            self._queue.finish(place, time.monotonic(), was_served)
+            self._queue.finish(place, now_s(), was_served)
 
         if answer is None or answer.has_ended:
             finish()
@@ -297,7 +297,7 @@
     def _answered(
         self, call: HopCall, answer: Answer, waited_s: float, started_at: float
     ) -> GateAnswer:
-        service_s = time.monotonic() - started_at
+        service_s = now_s() - started_at
         names = self._headers
         did_not_run = answer.header(names.not_executed) is not None
         if did_not_run or answer.status == 421:
--- a/packages/relay/src/knapweedspring_relay/_http_client.py
+++ b/packages/relay/src/knapweedspring_relay/_http_client.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import socket
-import time
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -10,6 +9,7 @@
 
 import httptools
 
+from knapweedspring_relay._clock import now_s
 from knapweedspring_relay._errors import BadAnswer, ConnectFailed, ConnectionBroke
 from knapweedspring_relay._messages import Header, header_value
 
@@ -347,7 +347,7 @@
             # taken for the next request's bytes.
             self._spoil()
         else:
-            self._idle_since = time.monotonic()
+            self._idle_since = now_s()
             # Bytes after the answer may be in the same segment: only when all of
             # it is parsed can the connection be used again.
             self._loop.call_soon(self._return_to_pool)
@@ -484,7 +484,7 @@
 
     def sweep(self) -> None:
         """Close connections that have been idle too long; called periodically."""
-        now = time.monotonic()
+        now = now_s()
         for address, idle in tuple(self._idle.items()):
             stale = [c for c in idle if not c.is_fresh(now, self._settings.idle_s)]
             for connection in stale:
@@ -495,7 +495,7 @@
 
     def _take_idle(self, address: str, max_idle_s: float) -> _ClientConnection | None:
         idle = self._idle.get(address)
-        now = time.monotonic()
+        now = now_s()
         while idle:
             connection = idle.pop()
             if connection.is_fresh(now, max_idle_s):
@@ -514,7 +514,7 @@
         except (OSError, TimeoutError, ValueError) as error:
             raise ConnectFailed(f"{address}: {error or 'timed out'}") from error
         self._n_opened += 1
-        connection._idle_since = time.monotonic()
+        connection._idle_since = now_s()
         return connection
 
 
--- a/packages/relay/src/knapweedspring_relay/_http_server.py
+++ b/packages/relay/src/knapweedspring_relay/_http_server.py
@@ -1,7 +1,6 @@
 """HTTP/1.1 server on the event loop: connections, limits and answers."""
 
 import asyncio
-import time
 from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import Iterable
@@ -9,6 +8,7 @@
 
 import httptools
 
+from knapweedspring_relay._clock import now_s
 from knapweedspring_relay._configuration import CallLimits
 from knapweedspring_relay._errors import MessageError
 from knapweedspring_relay._messages import Header, Request, answer_head
@@ -19,11 +19,10 @@
 WRITE_HIGH_WATER_BYTES = 65_536
 #: Requests that one connection may send ahead of their answers.
 MAX_PIPELINED = 8
-#: Largest body held in memory; every request is held whole, so that it can be sent
-#: again to another server.
-MAX_BODY_BYTES = 8 * 1_048_576
-#: Bodies held by one process; beyond that, requests are told to come back.
-MAX_BODIES_BYTES = 64 * 1_048_576
+#: Bodies held by one listener, of which up to four copies exist while one is sent; an
+#: eighth of the memory of a small VM. Every request is held whole, so that it can be
+#: sent again to another server; beyond this, callers are told to come back.
+MAX_BODIES_BYTES = 32 * 1_048_576
 #: Time for a body to arrive after its head, in seconds.
 BODY_S = 60.0
 #: Colon, space and the end of the line.
@@ -194,7 +193,7 @@
 
     def sweep(self) -> None:
         """Close connections that are idle or too slow; called periodically."""
-        now = time.monotonic()
+        now = now_s()
         for connection in tuple(self._connections):
             connection.check_age(now)
 
@@ -232,7 +231,7 @@
         self._paused = False
         self._closing = False
         self._failed: MessageError | None = None
-        self._changed_at = time.monotonic()
+        self._changed_at = now_s()
         self._reset_message()
 
     @property
@@ -315,7 +314,7 @@
     def on_message_begin(self) -> None:
         """Begin a request."""
         self._in_message = True
-        self._changed_at = time.monotonic()
+        self._changed_at = now_s()
 
     def on_url(self, url: bytes) -> None:
         """Collect the target; it may arrive in fragments."""
@@ -328,13 +327,13 @@
     def on_headers_complete(self) -> None:
         """Check the head."""
         limits = self._listener.handler.limits
-        self._arrived_at = self._changed_at = time.monotonic()
+        self._arrived_at = self._changed_at = now_s()
         self._in_body = True
         head_bytes = len(self._target)
         for key, value in self._headers:
             head_bytes += len(key) + len(value) + HEADER_SEPARATOR_BYTES
             if key == b"content-length":
-                if int(value) > _body_limit(limits):
+                if int(value) > limits.body_bytes:
                     raise MessageError(413, f"the body has {value.decode()} bytes")
             elif key == b"expect" and value.lower() == b"100-continue":
                 self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -346,7 +345,7 @@
     def on_body(self, piece: bytes) -> None:
         """Collect a piece of the body."""
         limits = self._listener.handler.limits
-        if self._n_body_bytes + len(piece) > _body_limit(limits):
+        if self._n_body_bytes + len(piece) > limits.body_bytes:
             raise MessageError(413, "the body is too long")
         if not self._listener.reserve_body(len(piece)):
             raise MessageError(503, "too many bodies are held in memory")
@@ -421,7 +420,7 @@
         finally:
             self._listener.release_body(len(request.body))
             self._task = None
-            self._changed_at = time.monotonic()
+            self._changed_at = now_s()
             self._go_on()
 
     def _go_on(self) -> None:
@@ -463,7 +462,3 @@
     def _wake_writer(self) -> None:
         if self._writable is not None and not self._writable.done():
             self._writable.set_result(None)
-
-
-def _body_limit(limits: CallLimits) -> int:
-    return min(limits.body_bytes, MAX_BODY_BYTES)
--- a/packages/relay/src/knapweedspring_relay/_logs.py
+++ b/packages/relay/src/knapweedspring_relay/_logs.py
@@ -1,7 +1,6 @@
 """Decision log: JSON lines on standard output, bounded and never blocking."""
 
 import os
-import time
 from collections import deque
 from enum import IntEnum
 from typing import Any
@@ -10,6 +9,7 @@
 import msgspec
 
 from knapweedspring_core import Counters
+from knapweedspring_relay._clock import now_s
 
 __all__ = ["DecisionLog", "LineBuffer", "Severity"]
 
@@ -101,7 +101,7 @@
         :param event: what was decided, such as ``call``.
         :param fields: request id, inputs with their age or version, outcome.
         """
-        second = int(time.monotonic())
+        second = int(now_s())
         if second != self._second:
             self._tell_suppressed()
             self._second = second
@@ -122,7 +122,7 @@
         severity = Severity.FAILURE if failed else Severity.ROUTINE
         if self._n_lines[severity] < _LINES_PER_S[severity]:
             return True
-        if int(time.monotonic()) != self._second:
+        if int(now_s()) != self._second:
             return True
         self._suppress(severity)
         return False
--- a/packages/relay/src/knapweedspring_relay/_peer_pages.py
+++ b/packages/relay/src/knapweedspring_relay/_peer_pages.py
@@ -6,9 +6,15 @@
 
 from knapweedspring_relay._configuration import Configuration, RouteTable
 from knapweedspring_relay._directory import Directory, GateEntry
-from knapweedspring_relay._http_server import Exchange
+from knapweedspring_relay._http_server import Exchange, RequestHandler
 
-__all__ = ["PEER_PAGE_PATH", "PeerKnowledge", "PeerPages", "decode_knowledge"]
+__all__ = [
+    "ControlHandler",
+    "PEER_PAGE_PATH",
+    "PeerKnowledge",
+    "PeerPages",
+    "decode_knowledge",
+]
 
 #: Path of the page on the gate's address.
 PEER_PAGE_PATH = b"/knowledge"
@@ -84,3 +90,22 @@
 
 def _number(text: bytes) -> int:
     return int(text) if text.isdigit() else 0
+
+
+class ControlHandler(RequestHandler):
+    """Serves heartbeats, and nodes that know no other address than this one.
+
+    :param heartbeats: answers the upstream.
+    :param pages: answers other nodes.
+    """
+
+    def __init__(self, heartbeats: RequestHandler, pages: PeerPages) -> None:
+        self._heartbeats = heartbeats
+        self._pages = pages
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer the upstream or another node."""
+        if exchange.request.target.startswith(PEER_PAGE_PATH):
+            self._pages.answer(exchange)
+        else:
+            await self._heartbeats.handle(exchange)
--- a/packages/relay/src/knapweedspring_relay/_relay.py
+++ b/packages/relay/src/knapweedspring_relay/_relay.py
@@ -4,7 +4,6 @@
 import gc
 import random
 import signal
-import time
 import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -14,9 +13,11 @@
 
 from knapweedspring_core import Counters, MetricsPage, SettingsError
 from knapweedspring_relay._balancer import Balancer
+from knapweedspring_relay._clock import now_s
 from knapweedspring_relay._declared_state import DeclaredState
 from knapweedspring_relay._directory import Directory, GateEntry
 from knapweedspring_relay._entry import Entry, EntryPolicy
+from knapweedspring_relay._entry_cleaner import EntryCleaner
 from knapweedspring_relay._gate import Gate
 from knapweedspring_relay._headers import CallHeaders
 from knapweedspring_relay._histograms import LatencyHistograms
@@ -32,7 +33,7 @@
 from knapweedspring_relay._logs import DecisionLog, LineBuffer
 from knapweedspring_relay._object_store import DeploymentStore
 from knapweedspring_relay._own_entry import OwnEntryKeeper
-from knapweedspring_relay._peer_pages import PeerPages
+from knapweedspring_relay._peer_pages import ControlHandler, PeerPages
 from knapweedspring_relay._readiness import MetricsHandler, ReadinessHandler
 from knapweedspring_relay._retry_budget import RetryBudget
 from knapweedspring_relay._settings import RelaySettings
@@ -67,7 +68,7 @@
 #: one a second, went without a 200; until then the node serves.
 STOP_MIN_S = 2.6
 #: Calls of other nodes are refused from then on, while callers are still served.
-STOP_GATE_S = 1.0
+STOP_GATE_S = 1.6
 #: Left of the grace when the process ends in any case.
 STOP_MARGIN_S = 0.4
 
@@ -229,6 +230,9 @@
             self._log,
             self._counters,
         )
+        self._cleaner = EntryCleaner(
+            store, self._directory, self._balancer, self._health, rng, self._log
+        )
         self._peer_sync = PeerSync(
             self._state,
             self._directory,
@@ -238,6 +242,7 @@
             self._directory_changed,
             rng,
             self._log,
+            self._settings.seed_addresses,
         )
 
     def _make_listeners(self) -> None:
@@ -254,7 +259,8 @@
         )
         self._other_listeners = (
             HttpListener(
-                settings.heartbeat_address, self._adapter.heartbeat_handler(receiver)
+                settings.heartbeat_address,
+                ControlHandler(self._adapter.heartbeat_handler(receiver), pages),
             ),
             HttpListener(
                 settings.readiness_address,
@@ -267,7 +273,7 @@
         page, queue = self._metrics, self._gate.queue
         page.add_gauge("gate_running", lambda: float(queue.n_running))
         page.add_gauge("gate_waiting", lambda: float(queue.n_waiting))
-        page.add_gauge("gate_limit", lambda: float(queue.limit(time.monotonic())))
+        page.add_gauge("gate_limit", lambda: float(queue.limit(now_s())))
         page.add_gauge("configuration_version", lambda: float(self._state.version))
         page.add_gauge("directory_revision", lambda: float(self._directory.revision))
         page.add_gauge("directory_nodes", lambda: float(len(self._directory.entries)))
@@ -302,6 +308,7 @@
         self._supervisor.start("directory", self._directory_sync.run)
         self._supervisor.start("own entry", self._follow_own_entry)
         self._supervisor.start("peers", self._peer_sync.run)
+        self._supervisor.start("cleaner", self._cleaner.run)
         # What was made so far lives as long as the process; the collector need not
         # look at it again, and few cycles come up in calls.
         gc.collect()
@@ -314,7 +321,7 @@
         """Begin to end: not ready, and each connection closes after its answer."""
         if self._stop_at is not None:
             return
-        self._stop_at = time.monotonic()
+        self._stop_at = now_s()
         self._log.state("process:stopping", n_running=self._gate.n_running)
         self._entry_listener.drain()
         self._own_entry.check()
@@ -331,7 +338,7 @@
         if not service_known:
             verdict = HeartbeatVerdict.FOREIGN
         else:
-            verdict = self._tracker.take_heartbeat(heartbeat, time.monotonic())
+            verdict = self._tracker.take_heartbeat(heartbeat, now_s())
         if verdict is not HeartbeatVerdict.UNCHANGED:
             self._log.state(
                 "upstream:heartbeat",
@@ -347,18 +354,18 @@
 
     def take_departure(self, instance: str) -> HeartbeatVerdict:
         """Take in that the upstream leaves."""
-        verdict = self._tracker.take_departure(instance, time.monotonic())
+        verdict = self._tracker.take_departure(instance, now_s())
         self._log.state("upstream:departure", instance=instance, verdict=verdict.value)
         self._upstream_changed(verdict)
         return verdict
 
     def _upstream_changed(self, verdict: HeartbeatVerdict) -> None:
         if verdict is HeartbeatVerdict.CHANGED:
-            self._gate.refresh(time.monotonic())
+            self._gate.refresh(now_s())
             self._upstream_pool.close_idle(self._settings.upstream_address)
             self._own_entry.check()
         elif verdict is HeartbeatVerdict.UNCHANGED:
-            self._gate.refresh(time.monotonic())
+            self._gate.refresh(now_s())
 
     def _wanted_entry(self) -> GateEntry | None:
         upstream = self._tracker.current
@@ -401,7 +408,7 @@
                 warm_at=0.0,
             )
         )
-        self._gate.refresh(time.monotonic())
+        self._gate.refresh(now_s())
         self._log.state(
             "upstream:assumed",
             instance=previous.instance,
@@ -422,7 +429,7 @@
             listener.sweep()
         self._upstream_pool.sweep()
         self._peer_pool.sweep()
-        for node in self._directory.drop_missing(time.monotonic()):
+        for node in self._directory.drop_missing(now_s()):
             self._balancer.forget(node)
             self._log.state("directory:dropped", entry=node)
         mtime = self._read_mtime()
@@ -455,9 +462,9 @@
         grace_s = self._settings.shutdown.grace_s
         end_at = self._stop_at + max(STOP_MIN_S, grace_s - STOP_MARGIN_S)
         gate_closes_at = self._stop_at + STOP_GATE_S
-        while time.monotonic() < end_at:
+        while now_s() < end_at:
             await asyncio.sleep(0.05)
-            now = time.monotonic()
+            now = now_s()
             if now >= gate_closes_at:
                 self._gate.stop()
                 self._gate_listener.drain()
@@ -466,7 +473,7 @@
         self._log.state(
             "process:ended",
             n_cut=self._entry_listener.n_active + self._gate_listener.n_active,
-            after_s=round(time.monotonic() - self._stop_at, 2),
+            after_s=round(now_s() - self._stop_at, 2),
         )
         self._supervisor.stop()
         self._adapter.store.close()
--- a/packages/relay/src/knapweedspring_relay/_settings.py
+++ b/packages/relay/src/knapweedspring_relay/_settings.py
@@ -67,6 +67,8 @@
     store: StoreSettings
     #: How the process ends.
     shutdown: ShutdownSettings
+    #: Heartbeat addresses of a few other nodes, asked while the store is away.
+    seed_addresses: tuple[str, ...] = ()
     #: Second sends that all nodes may make together.
     retries: RetrySettings = field(
         default_factory=lambda: RetrySettings(ratio=0.2, slack=48.0, window_s=10.0)
--- a/packages/relay/src/knapweedspring_relay/_store_sync.py
+++ b/packages/relay/src/knapweedspring_relay/_store_sync.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Callable
 from enum import StrEnum
 
 from result import Err, Result
 
 from knapweedspring_core import Counters
+from knapweedspring_relay._clock import now_s
 from knapweedspring_relay._declared_state import DeclaredState
 from knapweedspring_relay._directory import Directory, DirectorySnapshot
 from knapweedspring_relay._errors import CallError
@@ -69,10 +69,10 @@
         if error is None:
             since = self._failing_since.pop(purpose, None)
             if since is not None:
-                away_s = round(time.monotonic() - since, 3)
+                away_s = round(now_s() - since, 3)
                 self._log.state("store:regained", purpose=purpose, away_s=away_s)
         elif purpose not in self._failing_since:
-            self._failing_since[purpose] = time.monotonic()
+            self._failing_since[purpose] = now_s()
             self._log.state("store:lost", purpose=purpose, reason=error.detail)
 
 
@@ -239,7 +239,7 @@
         if isinstance(listed, Err):
             return listed.err_value
         self._listed = True
-        taken = self._directory.replace_all(listed.ok_value, time.monotonic())
+        taken = self._directory.replace_all(listed.ok_value, now_s())
         self._log.state(
             "directory:listed",
             revision=listed.ok_value.revision,
@@ -257,7 +257,7 @@
             return watched.err_value
         changes = watched.ok_value
         self._directory.change(
-            changes.revision, changes.updated, changes.removed, time.monotonic()
+            changes.revision, changes.updated, changes.removed, now_s()
         )
         if changes.updated or changes.removed:
             self._log.state(
@@ -281,6 +281,7 @@
     :param on_change: told after a change of the directory.
     :param rng: chooses the peer.
     :param log: decision log.
+    :param seed_addresses: nodes to ask while the directory names none.
     """
 
     def __init__(
@@ -293,6 +294,7 @@
         on_change: Callable[[], None],
         rng: random.Random,
         log: DecisionLog,
+        seed_addresses: tuple[str, ...] = (),
     ) -> None:
         self._state = state
         self._directory = directory
@@ -302,20 +304,24 @@
         self._on_change = on_change
         self._rng = rng
         self._log = log
+        self._seed_addresses = seed_addresses
 
     async def run(self) -> None:
         """Ask peers while the store does not answer, until cancelled."""
         while True:
             await asyncio.sleep(PEER_PERIOD_S * self._rng.uniform(0.7, 1.3))
-            in_doubt = self._health.failing_s(time.monotonic()) > STORE_DOUBT_S
+            in_doubt = self._health.failing_s(now_s()) > STORE_DOUBT_S
             if in_doubt or self._state.newer_exists.is_set():
                 await self._ask()
 
     async def _ask(self) -> None:
-        peers = [e for e in self._directory.entries.values() if e.node != self._node]
-        if not peers:
+        peers = self._directory.entries.values()
+        addresses = [peer.gate_address for peer in peers if peer.node != self._node]
+        if not addresses:
+            addresses = list(self._seed_addresses)
+        if not addresses:
             return
-        address = self._rng.choice(peers).gate_address
+        address = self._rng.choice(addresses)
         path = b"%b?%d&%d" % (
             PEER_PAGE_PATH,
             self._state.version,
@@ -339,7 +345,7 @@
         if knowledge.entries is not None:
             entries = {entry.node: entry for entry in knowledge.entries}
             snapshot = DirectorySnapshot(knowledge.revision, entries)
-            if self._directory.replace_all(snapshot, time.monotonic()):
+            if self._directory.replace_all(snapshot, now_s()):
                 self._log.state(
                     "directory:from-peer",
                     revision=knowledge.revision,
--- a/packages/relay/tests/_deployment.py
+++ b/packages/relay/tests/_deployment.py
@@ -250,7 +250,7 @@
             for listener in relay._listeners:
                 listener.close()
 
-    def add_relay(self, index):
+    def add_relay(self, index, **changes):
         settings = RelaySettings(
             node=f"n{index}",
             data_centre="dc",
@@ -266,6 +266,7 @@
             shutdown=ShutdownSettings(3.0, 1.0),
             retries=RetrySettings(0.2, 480.0, 10.0),
         )
+        settings = replace(settings, **changes)
         adapter = DeploymentAdapter(
             headers=HEADERS,
             readiness_path="/ready",
--- a/packages/relay/tests/test_deployment_changes.py
+++ b/packages/relay/tests/test_deployment_changes.py
@@ -12,6 +12,9 @@
 )
 
 from knapweedspring_relay import Destination
+from knapweedspring_relay._balancer import CallResult
+from knapweedspring_relay._clock import now_s
+from knapweedspring_relay._entry_cleaner import UNREACHABLE_S
 
 
 def run(scenario):
@@ -139,3 +142,35 @@
             assert settings.node == renewed.node
 
     run(scenario)
+
+
+def test_entry_of_a_node_that_is_gone_is_deleted_and_no_other():
+    async def scenario():
+        async with Deployment([answer_well, answer_well]) as deployment:
+            relay = deployment.relays[0]
+            entry = relay._directory.entries["n1"]
+            relay._balancer.started(entry)
+            long_ago = now_s() - UNREACHABLE_S - 1.0
+            relay._balancer.finished(entry, CallResult.UNREACHABLE, None, long_ago)
+            await relay._cleaner.clean()
+            assert set(deployment.store.entries) == {"n0"}
+            # The node lives after all, and puts its entry back.
+            deployment.relays[1]._own_entry.note_stored(None)
+            await deployment.until(lambda: "n1" in deployment.store.entries)
+
+    run(scenario)
+
+
+def test_node_that_knows_no_peers_asks_the_seeds():
+    async def scenario():
+        async with Deployment([answer_well, answer_well]) as deployment:
+            deployment.store.is_down = True
+            deployment.store.changed.set()
+            seed = deployment.settings[1].heartbeat_address
+            deployment.services.append("svc")
+            deployment.upstreams.append(deployment.upstreams[0])
+            deployment.add_relay(2, seed_addresses=(seed,))
+            await deployment.until(lambda: deployment.relays[2].is_ready, limit_s=5.0)
+            assert (await deployment.call(index=2))[0] == 200
+
+    run(scenario)
