Let a published upstream lapse unless a heartbeat confirms it

Cause: found in reading. A node that acknowledges a departure and loses power before it has published it would, after its restart, go by its old entry and send to an upstream that left. An answer over 64 KiB whose caller left kept its slot for ever. A defect in a handler ended in a reset without a log line.

Change: what was published holds for 2 s; such answers are abandoned; handler errors are logged with the request's id and answered 502. The directory's watch pauses 1 s.

Ruled out: publishing before the acknowledgement (the store may be away, and the acknowledgement is due within a second).

124 tests of the relay pass, each new one failed before.

--- a/packages/relay/src/knapweedspring_relay/_gate.py
+++ b/packages/relay/src/knapweedspring_relay/_gate.py
@@ -171,7 +171,11 @@
         task = asyncio.ensure_future(self._send(call, request, place.place, upstream))
         self._background.add(task)
         task.add_done_callback(self._background.discard)
-        return await asyncio.shield(task)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            task.add_done_callback(_abandon_answer)
+            raise
 
     def report(
         self,
@@ -365,6 +369,14 @@
         return since is not None and now - since > limit_s
 
 
+def _abandon_answer(task: "asyncio.Task[GateAnswer]") -> None:
+    """Give up an answer that nobody waits for, so that its slot becomes free."""
+    if not task.cancelled() and task.exception() is None:
+        answer = task.result().answer
+        if answer is not None:
+            answer.abandon()
+
+
 class _WaitingPlace:
     """A place in the queue that a task can wait on."""
 
--- a/packages/relay/src/knapweedspring_relay/_http_server.py
+++ b/packages/relay/src/knapweedspring_relay/_http_server.py
@@ -3,7 +3,7 @@
 import asyncio
 from abc import ABC, abstractmethod
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import cast
 
 import httptools
@@ -134,6 +134,7 @@
         self._body_bytes = 0
         self._draining = False
         self._loop: asyncio.AbstractEventLoop | None = None
+        self._on_error: Callable[[Request, Exception], None] | None = None
 
     @property
     def loop(self) -> asyncio.AbstractEventLoop:
@@ -197,6 +198,15 @@
         for connection in tuple(self._connections):
             connection.check_age(now)
 
+    def on_error(self, callback: Callable[[Request, Exception], None]) -> None:
+        """Have a callback told of the exceptions that the handler raises."""
+        self._on_error = callback
+
+    def note_error(self, request: Request, error: Exception) -> None:
+        """Pass on an exception of the handler."""
+        if self._on_error is not None:
+            self._on_error(request, error)
+
     def join(self, connection: "_ServerConnection") -> None:
         """Register a connection."""
         self._connections.add(connection)
@@ -415,8 +425,13 @@
         exchange = Exchange(self, request)
         try:
             await self._listener.handler.handle(exchange)
-            if not exchange.head_sent:
+        except Exception as error:
+            self._listener.note_error(request, error)
+            if exchange.head_sent:
                 self.abort()
+            else:
+                # Whether a server ran it is unknown, so no status that denies it.
+                exchange.answer(502, [])
         finally:
             self._listener.release_body(len(request.body))
             self._task = None
--- a/packages/relay/src/knapweedspring_relay/_local_upstream.py
+++ b/packages/relay/src/knapweedspring_relay/_local_upstream.py
@@ -5,10 +5,18 @@
 
 from knapweedspring_relay._directory import UpstreamState
 
-__all__ = ["Heartbeat", "HeartbeatVerdict", "LocalUpstream", "UpstreamTracker"]
+__all__ = [
+    "ASSUMED_SEQUENCE",
+    "Heartbeat",
+    "HeartbeatVerdict",
+    "LocalUpstream",
+    "UpstreamTracker",
+]
 
 #: Departed processes that are remembered, so that their late heartbeats lose.
 MAX_DEPARTED = 64
+#: Sequence of an upstream that is known from what was published only.
+ASSUMED_SEQUENCE = -1
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,6 +117,20 @@
         if self._current is None:
             self._current = upstream
 
+    def drop_unconfirmed(self) -> bool:
+        """Forget an upstream that was assumed and sent no heartbeat since.
+
+        It may have left after what was published: a departure that was acknowledged
+        just before the restart is not known any more.
+
+        :return: whether there was one.
+        """
+        current = self._current
+        if current is None or current.sequence != ASSUMED_SEQUENCE:
+            return False
+        self._current = None
+        return True
+
     def take_heartbeat(self, heartbeat: Heartbeat, now: float) -> HeartbeatVerdict:
         """Take in a heartbeat.
 
--- a/packages/relay/src/knapweedspring_relay/_relay.py
+++ b/packages/relay/src/knapweedspring_relay/_relay.py
@@ -4,6 +4,7 @@
 import gc
 import random
 import signal
+import traceback
 import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -25,12 +26,14 @@
 from knapweedspring_relay._http_client import ConnectionPool, ConnectionSettings
 from knapweedspring_relay._http_server import HttpListener, RequestHandler
 from knapweedspring_relay._local_upstream import (
+    ASSUMED_SEQUENCE,
     Heartbeat,
     HeartbeatVerdict,
     LocalUpstream,
     UpstreamTracker,
 )
 from knapweedspring_relay._logs import DecisionLog, LineBuffer
+from knapweedspring_relay._messages import Request
 from knapweedspring_relay._object_store import DeploymentStore
 from knapweedspring_relay._own_entry import OwnEntryKeeper
 from knapweedspring_relay._peer_pages import ControlHandler, PeerPages
@@ -62,6 +65,10 @@
 DRAIN_CHECK_PERIOD_S = 0.2
 FLUSH_PERIOD_S = 0.25
 SWEEP_PERIOD_S = 1.0
+#: Time in which a heartbeat must confirm what was published before a restart, in
+#: seconds: more than one period of heartbeats, less than what an upstream that left
+#: without draining goes on serving.
+ASSUMED_S = 2.0
 #: New containers between two runs of the garbage collector.
 GC_THRESHOLD = 20_000
 #: After the signal to stop: callers are sent elsewhere once two readiness questions,
@@ -295,6 +302,7 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._settings_mtime = self._read_mtime()
         for listener in self._listeners:
+            listener.on_error(self._note_handler_error)
             await listener.start()
         self._subscribe()
         self._log.state(
@@ -404,17 +412,23 @@
                 slots=previous.slots,
                 state=previous.state,
                 born_ms=previous.born_ms,
-                sequence=-1,
+                sequence=ASSUMED_SEQUENCE,
                 warm_at=0.0,
             )
         )
         self._gate.refresh(now_s())
+        loop = asyncio.get_running_loop()
+        loop.call_later(ASSUMED_S, self._drop_unconfirmed)
         self._log.state(
             "upstream:assumed",
             instance=previous.instance,
             state=previous.state.value,
         )
 
+    def _drop_unconfirmed(self) -> None:
+        if self._tracker.drop_unconfirmed():
+            self._log.state("upstream:unconfirmed", after_s=ASSUMED_S)
+
     def _directory_changed(self) -> None:
         self._budget.set_n_nodes(self._directory.n_nodes)
         self._own_entry.note_stored(self._directory.entries.get(self._settings.node))
@@ -487,6 +501,17 @@
         n_active = self._entry_listener.n_active + self._gate_listener.n_active
         return n_active == 0 and self._gate.n_running == 0
 
+    def _note_handler_error(self, request: Request, error: Exception) -> None:
+        self._counters.add("handler_failures", type(error).__name__)
+        request_id = request.header(self._adapter.headers.request_id) or b""
+        self._log.state(
+            "handler:failed",
+            request_id=request_id.decode("latin-1"),
+            target=request.target.decode("latin-1"),
+            error=repr(error),
+            traceback="".join(traceback.format_exception(error, limit=-6)),
+        )
+
     def _note_timer_error(self, error: BaseException) -> None:
         self._counters.add("timer_failures")
         self._log.state("timer:failed", error=repr(error))
--- a/packages/relay/src/knapweedspring_relay/_store_sync.py
+++ b/packages/relay/src/knapweedspring_relay/_store_sync.py
@@ -29,7 +29,7 @@
 WATCH_WAIT_S = 25.0
 #: Pause between a change of the directory and the next watch, which so collects the
 #: changes that come together; peers refuse what is out of date meanwhile.
-DIRECTORY_PAUSE_S = 0.4
+DIRECTORY_PAUSE_S = 1.0
 #: Pause after a failed call to the store, with jitter and growing.
 RETRY_MIN_S = 0.3
 RETRY_MAX_S = 1.2
--- a/packages/relay/tests/test_calls.py
+++ b/packages/relay/tests/test_calls.py
@@ -345,3 +345,34 @@
             assert sum(len(u.requests) for u in deployment.upstreams) == 1
 
     run(scenario)
+
+
+def test_long_answer_that_nobody_waits_for_frees_its_slot():
+    async def long_and_slow(upstream, request, writer):
+        await asyncio.sleep(0.3)
+        writer.write(answer_of(request, b"x" * 2_000_000))
+
+    async def scenario():
+        async with Deployment([long_and_slow]) as deployment:
+            await deployment.raw(
+                b"POST /write/1 HTTP/1.1\r\nhost: h\r\nx-id: 1\r\n"
+                b"content-length: 0\r\n\r\n",
+                wait_s=0.1,
+            )
+            assert deployment.relays[0]._gate.n_running == 1
+            await deployment.until(lambda: deployment.relays[0]._gate.n_running == 0)
+
+    run(scenario)
+
+
+def test_defect_in_a_handler_is_logged_and_denies_nothing(monkeypatch):
+    async def scenario():
+        async with Deployment([answer_well]) as deployment:
+            relay = deployment.relays[0]
+            monkeypatch.setattr(relay._balancer, "pick", lambda *_: 1 / 0)
+            status, _, _ = await deployment.call()
+            assert status == 502
+            failures = relay._counters.get("handler_failures", "ZeroDivisionError")
+            assert failures == 1
+
+    run(scenario)
--- a/packages/relay/tests/test_deployment_changes.py
+++ b/packages/relay/tests/test_deployment_changes.py
@@ -140,6 +140,11 @@
             )
             assert (await deployment.call(index=1))[0] == 200
             assert settings.node == renewed.node
+            # Without a heartbeat the upstream may have left meanwhile.
+            await deployment.until(
+                lambda: deployment.relays[1]._tracker.current is None
+            )
+            assert (await deployment.call(index=1))[0] == 503
 
     run(scenario)
 
--- a/packages/relay/tests/test_local_upstream.py
+++ b/packages/relay/tests/test_local_upstream.py
@@ -76,3 +76,15 @@
     newer = replace(BEAT, instance="i-2", born_ms=2000)
     tracker.take_heartbeat(newer, 1.0)
     assert tracker.current.instance == "i-2"
+
+
+def test_published_state_lapses_without_a_heartbeat():
+    tracker = UpstreamTracker(ADDRESS)
+    published = LocalUpstream("i-1", "svc", 20, UpstreamState.READY, 1000, -1, 0.0)
+    tracker.assume(published)
+    assert tracker.drop_unconfirmed()
+    assert tracker.current is None
+    tracker.assume(published)
+    tracker.take_heartbeat(BEAT, 1.0)
+    assert not tracker.drop_unconfirmed()
+    assert tracker.current.is_ready
