--- a/packages/relay/src/knapweedspring_relay/_retry_budget.py
+++ b/packages/relay/src/knapweedspring_relay/_retry_budget.py
@@ -9,12 +9,12 @@
 #: Parts of the allowed ratio and of the fixed allowance for requests that did not run.
 #: The allowance is divided among the nodes, and a service's calls are not spread
 #: evenly over nodes and windows.
-NOT_RUN_RATIO_SHARE = 0.45
+NOT_RUN_RATIO_SHARE = 0.4
 NOT_RUN_SLACK_SHARE = 0.3
 #: The same for requests that may have run. Such a run makes its own calls again, and
 #: they count as second sends at each deeper service: over a chain these parts add up.
-RUN_RATIO_SHARE = 0.1
-RUN_SLACK_SHARE = 0.07
+RUN_RATIO_SHARE = 0.15
+RUN_SLACK_SHARE = 0.1
 #: Share of a service's allowance that only ranks above the lowest may use.
 RESERVED_SHARE = 0.5
 
