Treat the calls of callers and upstreams alike, as nothing tells them apart

Change: the distinction goes; the longest wait is 0.7 of the time left for all, and the ratio is named for what it counts.

To try next: a gate can learn that a route is only called from VMs of one service.

--- a/packages/relay/src/knapweedspring_relay/_entry.py
+++ b/packages/relay/src/knapweedspring_relay/_entry.py
@@ -38,9 +38,10 @@
 LATE_ANSWER_S = 0.1
 #: Shortest time worth another send, as share of the route's goal.
 MIN_RETRY_LEFT_SHARE = 0.1
-#: Share of an upstream's own calls that fail above which its failures are taken for
-#: those of a deeper service: another run would only load that one more.
-CHILD_FAILURE_RATIO = 0.05
+#: Share of the calls through the entry beside an upstream, its own among them, above
+#: whose failure its failures are taken for those of a deeper service: another run would
+#: only load that one more.
+DEEPER_FAILURE_RATIO = 0.05
 #: Bounds of Retry-After as shares of the goal: callers come back spread out, and
 #: early enough for their answer to be of use.
 RETRY_AFTER_MIN_SHARE = 0.15
@@ -57,8 +58,6 @@
     caller_service: str
     #: Name of this node.
     node: str
-    #: Address of this VM; the upstream's own calls come from it.
-    host: str
 
 
 @dataclass(slots=True)
@@ -73,10 +72,6 @@
     request_id: str
     #: Its end, on the monotonic clock.
     deadline_at: float
-    #: When its answer loses value, on the monotonic clock.
-    goal_at: float
-    #: Whether the upstream on this VM makes the call.
-    is_child: bool
     #: Version of the configuration that it goes by.
     version: int
     #: Nodes whose gates were tried.
@@ -181,8 +176,6 @@
             service=self._splitter.choose(route),
             request_id=request_id.decode("latin-1"),
             deadline_at=request.arrived_at + left_s,
-            goal_at=request.arrived_at + min(route.goal_s, left_s),
-            is_child=request.peer_host == self._policy.host,
             version=version,
         )
 
@@ -267,7 +260,7 @@
             return True
         journey.may_have_run = True
         if report.outcome is HopOutcome.ANSWERED and answer is not None:
-            is_own_failure = report.child_failure_ratio < CHILD_FAILURE_RATIO
+            is_own_failure = report.entry_failure_ratio < DEEPER_FAILURE_RATIO
             if answer.status >= 500 and is_own_failure and self._may_repeat(journey):
                 answer.abandon()
                 return False
@@ -343,8 +336,8 @@
         now = now_s()
         latency_s = now - exchange.request.arrived_at
         failed = outcome != "answered" or status >= 500
-        if journey.is_child and outcome != "caller-left":
-            self._gate.count_child_call(failed)
+        if outcome != "caller-left":
+            self._gate.count_entry_call(failed)
         self._counters.add("calls", f"{outcome}-{status}")
         self._latencies.record(f"route:{journey.route.name}", latency_s)
         if self._log.has_room(failed):
@@ -358,7 +351,6 @@
                 gate=journey.last_node,
                 n_offers=journey.n_offers,
                 n_sent=journey.n_sent,
-                is_child=journey.is_child,
                 outcome=outcome,
                 status=status,
                 reason=journey.last_reason if failed else "",
@@ -395,7 +387,6 @@
             body=request.body,
             arrived_at=request.arrived_at,
             keep_alive=request.keep_alive,
-            peer_host=request.peer_host,
         )
 
     def _hop_call(self, journey: _Journey, entry: GateEntry, now: float) -> HopCall:
@@ -405,10 +396,8 @@
             service=journey.service,
             instance=entry.instance,
             left_s=journey.deadline_at - now,
-            goal_left_s=journey.goal_at - now,
             priority=route.priority,
             kind=route.kind,
-            is_child=journey.is_child,
             is_repeat=journey.n_sent > 0,
             route=route.name,
             caller=self._policy.caller_service,
--- a/packages/relay/src/knapweedspring_relay/_gate.py
+++ b/packages/relay/src/knapweedspring_relay/_gate.py
@@ -28,19 +28,17 @@
 LATE_ANSWER_S = 0.08
 #: Shortest time worth sending a request for, in seconds.
 MIN_LEFT_S = 0.005
-#: Weight of one of the upstream's own calls in the moving failure ratio.
-CHILD_FAILURE_STEP = 0.05
+#: Weight of one call through this node's entry in the moving failure ratio.
+ENTRY_FAILURE_STEP = 0.05
 
 
 @dataclass(frozen=True, slots=True)
 class GatePolicy:
     """How long calls wait at a gate."""
 
-    #: Wait of a caller's request, as share of the time in which its answer counts.
-    max_wait_share: float = 0.25
-    #: Wait of an upstream's own call, as share of the time left: refusing it wastes
-    #: what was done for the request that it belongs to.
-    child_max_wait_share: float = 0.7
+    #: Longest wait, as share of the time left. Calls of upstreams and of callers cannot
+    #: be told apart, and refusing the former wastes what was done for their request.
+    max_wait_share: float = 0.7
     #: Time after the start of draining in which calls that wait are still sent, as
     #: share of the time that a draining upstream goes on serving.
     drain_share: float = 0.4
@@ -107,7 +105,7 @@
         self._policy = policy or GatePolicy()
         self._queue = AdmissionQueue()
         self._stopping = False
-        self._child_failure_ratio = 0.0
+        self._entry_failure_ratio = 0.0
         self._background: set[asyncio.Task[GateAnswer]] = set()
 
     @property
@@ -139,11 +137,14 @@
         if upstream is not None and self._is_past_draining(upstream, now):
             self._queue.refuse_waiting("the upstream is draining")
 
-    def count_child_call(self, failed: bool) -> None:
-        """Take in the outcome of a call that the upstream made itself."""
+    def count_entry_call(self, failed: bool) -> None:
+        """Take in the outcome of a call through the entry on this VM.
+
+        The upstream's own calls are among them, and its failures follow theirs.
+        """
         target = 1.0 if failed else 0.0
-        difference = target - self._child_failure_ratio
-        self._child_failure_ratio += CHILD_FAILURE_STEP * difference
+        difference = target - self._entry_failure_ratio
+        self._entry_failure_ratio += ENTRY_FAILURE_STEP * difference
 
     async def run(self, call: HopCall, request: Request) -> GateAnswer:
         """Admit a call and send it to the upstream.
@@ -194,7 +195,7 @@
             n_waiting=self._queue.n_waiting,
             limit=self._queue.limit(now_s()),
             waited_s=waited_s,
-            child_failure_ratio=self._child_failure_ratio,
+            entry_failure_ratio=self._entry_failure_ratio,
             version=self._version(),
             instance=upstream.instance if upstream is not None else "",
             retry_after_s=retry_after_s,
@@ -216,10 +217,7 @@
         return ""
 
     def _place(self, call: HopCall, now: float) -> "_WaitingPlace":
-        if call.is_child:
-            max_wait_s = self._policy.child_max_wait_share * call.left_s
-        else:
-            max_wait_s = self._policy.max_wait_share * max(0.0, call.goal_left_s)
+        max_wait_s = self._policy.max_wait_share * call.left_s
         demand = Demand(call.priority, call.route, now + call.left_s, max_wait_s)
         return _WaitingPlace(demand)
 
--- a/packages/relay/src/knapweedspring_relay/_hop.py
+++ b/packages/relay/src/knapweedspring_relay/_hop.py
@@ -51,14 +51,10 @@
     instance: str
     #: Time left for it, in seconds.
     left_s: float
-    #: Time left until its answer loses value, in seconds; may be negative.
-    goal_left_s: float
     #: Rank; 0 is the highest.
     priority: int
     #: What may be repeated.
     kind: CallKind
-    #: Whether an upstream makes the call for a request that runs already.
-    is_child: bool
     #: Whether an earlier send of the same request may have reached a server.
     is_repeat: bool
     #: Name of the route.
@@ -84,8 +80,9 @@
     limit: int
     #: Time that the call waited at the gate, in seconds.
     waited_s: float
-    #: Share of the upstream's own calls that failed lately, 0 to 1.
-    child_failure_ratio: float
+    #: Share of the calls through the entry on the gate's VM, among them the upstream's
+    #: own, that failed lately, 0 to 1.
+    entry_failure_ratio: float
     #: Version of the configuration that the gate goes by.
     version: int
     #: Identity of the upstream beside the gate; empty when there is none.
--- a/packages/relay/src/knapweedspring_relay/_hop_link.py
+++ b/packages/relay/src/knapweedspring_relay/_hop_link.py
@@ -108,5 +108,4 @@
         body=request.body,
         arrived_at=request.arrived_at,
         keep_alive=request.keep_alive,
-        peer_host=request.peer_host,
     )
--- a/packages/relay/src/knapweedspring_relay/_http_server.py
+++ b/packages/relay/src/knapweedspring_relay/_http_server.py
@@ -234,7 +234,6 @@
         self._listener = listener
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
-        self._peer_host = ""
         self._requests: deque[Request] = deque()
         self._task: asyncio.Task[None] | None = None
         self._writable: asyncio.Future[None] | None = None
@@ -271,8 +270,6 @@
         transport = cast(asyncio.Transport, transport)
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
-        peer = transport.get_extra_info("peername")
-        self._peer_host = peer[0] if peer else ""
         self._listener.join(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -370,7 +367,6 @@
             body=b"".join(self._body),
             arrived_at=self._arrived_at,
             keep_alive=self._parser.should_keep_alive(),
-            peer_host=self._peer_host,
         )
         self._reset_message()
         self._requests.append(request)
--- a/packages/relay/src/knapweedspring_relay/_messages.py
+++ b/packages/relay/src/knapweedspring_relay/_messages.py
@@ -52,8 +52,6 @@
     arrived_at: float
     #: Whether the connection stays open after the answer.
     keep_alive: bool
-    #: Address that the caller connected from.
-    peer_host: str
 
     def header(self, name: bytes) -> bytes | None:
         """Return the value of a header; None when it is absent.
--- a/packages/relay/src/knapweedspring_relay/_relay.py
+++ b/packages/relay/src/knapweedspring_relay/_relay.py
@@ -525,4 +525,4 @@
 
 
 def _entry_policy(settings: RelaySettings) -> EntryPolicy:
-    return EntryPolicy(settings.service, settings.node, settings.host)
+    return EntryPolicy(settings.service, settings.node)
--- a/packages/relay/src/knapweedspring_relay/_settings.py
+++ b/packages/relay/src/knapweedspring_relay/_settings.py
@@ -47,8 +47,6 @@
     node: str
     #: Data centre of the VM.
     data_centre: str
-    #: Address of the VM; the upstream's own calls come from it.
-    host: str
     #: Service of the upstream beside the node.
     service: str
     #: Address of the upstream, as ``ip:port``.
--- a/packages/relay/tests/_deployment.py
+++ b/packages/relay/tests/_deployment.py
@@ -254,7 +254,6 @@
         settings = RelaySettings(
             node=f"n{index}",
             data_centre="dc",
-            host="127.0.0.9",
             service=self.services[index],
             upstream_address=self.upstreams[index].address,
             entry_address=free_address(),
--- a/packages/relay/tests/test_calls.py
+++ b/packages/relay/tests/test_calls.py
@@ -340,7 +340,7 @@
         async with Deployment([fail, fail]) as deployment:
             for relay in deployment.relays:
                 for _ in range(5):
-                    relay._gate.count_child_call(failed=True)
+                    relay._gate.count_entry_call(failed=True)
             assert (await deployment.call())[0] == 500
             assert sum(len(u.requests) for u in deployment.upstreams) == 1
 
