--- a/packages/relay/src/knapweedspring_relay/__init__.py
+++ b/packages/relay/src/knapweedspring_relay/__init__.py
@@ -5,6 +5,8 @@
 follow the store. What a deployment speaks is met by an adapter.
 """
 
+from knapweedspring_relay._adapter import DeploymentAdapter, HeartbeatReceiver
+from knapweedspring_relay._answer import Answer
 from knapweedspring_relay._configuration import (
     CallKind,
     CallLimits,
@@ -16,11 +18,7 @@
 from knapweedspring_relay._directory import DirectorySnapshot, GateEntry, UpstreamState
 from knapweedspring_relay._errors import CallError
 from knapweedspring_relay._headers import CallHeaders
-from knapweedspring_relay._http_client import (
-    Answer,
-    ConnectionPool,
-    ConnectionSettings,
-)
+from knapweedspring_relay._http_client import ConnectionPool, ConnectionSettings
 from knapweedspring_relay._http_server import Exchange, RequestHandler
 from knapweedspring_relay._local_upstream import Heartbeat, HeartbeatVerdict
 from knapweedspring_relay._logs import LineBuffer
@@ -35,7 +33,7 @@
     StoreHistoryGone,
     StoreUnavailable,
 )
-from knapweedspring_relay._relay import DeploymentAdapter, HeartbeatReceiver, Relay
+from knapweedspring_relay._relay import Relay
 from knapweedspring_relay._settings import (
     RelaySettings,
     RetrySettings,
--- /dev/null
+++ b/packages/relay/src/knapweedspring_relay/_answer.py
@@ -0,0 +1,132 @@
+"""An answer to an outgoing call, whose body may still be arriving."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+
+from knapweedspring_relay._errors import ConnectionBroke
+from knapweedspring_relay._messages import Header, header_value
+
+__all__ = ["Answer"]
+
+
+class Answer:
+    """An answer whose head has arrived; its body may still be arriving.
+
+    :param status: status code.
+    :param headers: all headers; names in lower case.
+    :param loop: the event loop.
+    """
+
+    def __init__(
+        self, status: int, headers: list[Header], loop: asyncio.AbstractEventLoop
+    ) -> None:
+        self._status = status
+        self._headers = headers
+        self._pieces: deque[bytes] = deque()
+        self._n_bytes = 0
+        self._complete = False
+        self._error: Exception | None = None
+        self._waiter: asyncio.Future[None] | None = None
+        self._on_read: Callable[[], None] = lambda: None
+        self._on_abandon: Callable[[], None] = lambda: None
+        self._on_end: Callable[[], None] = lambda: None
+        self._loop = loop
+
+    @property
+    def status(self) -> int:
+        """Status code."""
+        return self._status
+
+    @property
+    def headers(self) -> list[Header]:
+        """All headers; names in lower case."""
+        return self._headers
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the whole body has arrived."""
+        return self._complete
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether nothing more of the body will arrive."""
+        return self._complete or self._error is not None
+
+    @property
+    def n_waiting_bytes(self) -> int:
+        """Bytes of the body that have arrived and were not read."""
+        return self._n_bytes
+
+    @property
+    def declared_length(self) -> int | None:
+        """Length of the body by its header; None when it has none."""
+        value = self.header(b"content-length")
+        return int(value) if value is not None and value.isdigit() else None
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the value of a header; None when it is absent."""
+        return header_value(self._headers, name)
+
+    def whole_body(self) -> bytes:
+        """Return the body of a complete answer."""
+        assert self._complete
+        return b"".join(self._pieces)
+
+    async def read(self) -> bytes:
+        """Return the next piece of the body; empty at its end.
+
+        :raises ConnectionBroke: when the body breaks off.
+        """
+        while not self._pieces:
+            if self._error is not None:
+                raise self._error
+            if self._complete:
+                return b""
+            self._waiter = self._loop.create_future()
+            await self._waiter
+        piece = self._pieces.popleft()
+        self._n_bytes -= len(piece)
+        self._on_read()
+        return piece
+
+    def on_read(self, callback: Callable[[], None]) -> None:
+        """Have a callback told when a piece was read."""
+        self._on_read = callback
+
+    def on_abandon(self, callback: Callable[[], None]) -> None:
+        """Have a callback told when the rest of the body is not wanted."""
+        self._on_abandon = callback
+
+    def on_end(self, callback: Callable[[], None]) -> None:
+        """Have a callback told when the body is whole or was given up."""
+        self._on_end = callback
+
+    def abandon(self) -> None:
+        """Give up a body that has not wholly arrived; its connection is broken."""
+        if not self._complete:
+            self._on_abandon()
+            self.fail(ConnectionBroke("the rest of the answer is not wanted"))
+
+    def add(self, piece: bytes) -> None:
+        """Take in a piece of the body."""
+        self._pieces.append(piece)
+        self._n_bytes += len(piece)
+        self._wake()
+
+    def complete(self) -> None:
+        """Mark the body as whole."""
+        self._complete = True
+        self._wake()
+        self._on_end()
+
+    def fail(self, error: Exception) -> None:
+        """Mark the body as broken off."""
+        if not self._complete and self._error is None:
+            self._error = error
+            self._wake()
+            self._on_end()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
--- a/packages/relay/src/knapweedspring_relay/_entry.py
+++ b/packages/relay/src/knapweedspring_relay/_entry.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from knapweedspring_core import Counters
+from knapweedspring_relay._answer import Answer
 from knapweedspring_relay._balancer import Balancer, CallResult
 from knapweedspring_relay._clock import now_s
 from knapweedspring_relay._configuration import (
@@ -20,7 +21,7 @@
 from knapweedspring_relay._histograms import LatencyHistograms
 from knapweedspring_relay._hop import GateReport, HopCall, HopOutcome
 from knapweedspring_relay._hop_link import RemoteGate
-from knapweedspring_relay._http_client import Answer, ConnectionPool
+from knapweedspring_relay._http_client import ConnectionPool
 from knapweedspring_relay._http_server import Exchange, RequestHandler
 from knapweedspring_relay._logs import DecisionLog
 from knapweedspring_relay._messages import Header, Request, without_headers
--- a/packages/relay/src/knapweedspring_relay/_gate.py
+++ b/packages/relay/src/knapweedspring_relay/_gate.py
@@ -9,12 +9,13 @@
 
 from knapweedspring_core import Counters
 from knapweedspring_relay._admission import AdmissionQueue, Demand, Place, PlaceState
+from knapweedspring_relay._answer import Answer
 from knapweedspring_relay._clock import now_s
 from knapweedspring_relay._errors import BadAnswer, CallError, ConnectFailed
 from knapweedspring_relay._headers import CallHeaders
 from knapweedspring_relay._histograms import LatencyHistograms
 from knapweedspring_relay._hop import GateReport, HopCall, HopOutcome
-from knapweedspring_relay._http_client import Answer, ConnectionPool
+from knapweedspring_relay._http_client import ConnectionPool
 from knapweedspring_relay._local_upstream import LocalUpstream, UpstreamTracker
 from knapweedspring_relay._logs import DecisionLog
 from knapweedspring_relay._messages import Header, Request, request_bytes
--- a/packages/relay/src/knapweedspring_relay/_relay.py
+++ b/packages/relay/src/knapweedspring_relay/_relay.py
@@ -6,13 +6,12 @@
 import signal
 import traceback
 import zlib
-from collections.abc import Callable
-from dataclasses import dataclass
 from pathlib import Path
 
-from result import Err, Result
+from result import Err
 
-from knapweedspring_core import Counters, MetricsPage, SettingsError
+from knapweedspring_core import Counters, MetricsPage
+from knapweedspring_relay._adapter import DeploymentAdapter, HeartbeatReceiver
 from knapweedspring_relay._balancer import Balancer
 from knapweedspring_relay._clock import now_s, suspensions
 from knapweedspring_relay._declared_state import DeclaredState
@@ -20,11 +19,10 @@
 from knapweedspring_relay._entry import Entry, EntryPolicy
 from knapweedspring_relay._entry_cleaner import EntryCleaner
 from knapweedspring_relay._gate import Gate
-from knapweedspring_relay._headers import CallHeaders
 from knapweedspring_relay._histograms import LatencyHistograms
 from knapweedspring_relay._hop_link import GateListenerHandler
 from knapweedspring_relay._http_client import ConnectionPool, ConnectionSettings
-from knapweedspring_relay._http_server import HttpListener, RequestHandler
+from knapweedspring_relay._http_server import HttpListener
 from knapweedspring_relay._local_upstream import (
     ASSUMED_SEQUENCE,
     Heartbeat,
@@ -34,7 +32,6 @@
 )
 from knapweedspring_relay._logs import DecisionLog, LineBuffer
 from knapweedspring_relay._messages import Request
-from knapweedspring_relay._object_store import DeploymentStore
 from knapweedspring_relay._own_entry import OwnEntryKeeper
 from knapweedspring_relay._peer_pages import ControlHandler, PeerPages
 from knapweedspring_relay._readiness import MetricsHandler, ReadinessHandler
@@ -50,7 +47,7 @@
 from knapweedspring_relay._task_supervisor import TaskSupervisor
 from knapweedspring_relay._timers import LoopTimers
 
-__all__ = ["DeploymentAdapter", "Relay"]
+__all__ = ["Relay"]
 
 #: Time for a connection to be established, in seconds: several round trips between
 #: data centres of a region.
@@ -81,47 +78,7 @@
 STOP_MARGIN_S = 0.4
 
 
-@dataclass(frozen=True, slots=True)
-class DeploymentAdapter:
-    """What a deployment's adapter supplies."""
-
-    #: Names of the callers' and upstreams' headers.
-    headers: CallHeaders
-    #: Path that readiness is asked at.
-    readiness_path: str
-    #: The deployment's store.
-    store: DeploymentStore
-    #: Makes the handler of the upstream's heartbeats.
-    heartbeat_handler: Callable[["HeartbeatReceiver"], RequestHandler]
-    #: Reads the settings file again.
-    read_settings: Callable[[], Result[RelaySettings, SettingsError]]
-    #: Path of the settings file.
-    settings_file: str
-
-
-class HeartbeatReceiver:
-    """Takes in what the upstream beside the node says of itself.
-
-    :param relay: the process.
-    """
-
-    def __init__(self, relay: "Relay") -> None:
-        self._relay = relay
-
-    def take_heartbeat(self, heartbeat: Heartbeat) -> HeartbeatVerdict:
-        """Take in a heartbeat; it is in force when this returns."""
-        return self._relay.take_heartbeat(heartbeat)
-
-    def take_departure(self, instance: str) -> HeartbeatVerdict:
-        """Take in that the upstream leaves; in force when this returns."""
-        return self._relay.take_departure(instance)
-
-    def reject(self, reason: str) -> None:
-        """Log a heartbeat that cannot be read."""
-        self._relay.log.state("upstream:rejected", reason=reason)
-
-
-class Relay:
+class Relay(HeartbeatReceiver):
     """The parts of one process.
 
     :param settings: checked settings.
@@ -157,11 +114,6 @@
         self._make_sync()
         self._make_listeners()
 
-    @property
-    def log(self) -> DecisionLog:
-        """Decision log."""
-        return self._log
-
     @property
     def is_ready(self) -> bool:
         """Whether callers may be sent here."""
@@ -260,7 +212,6 @@
         )
         self._metrics = MetricsPage(self._counters)
         self._register_gauges()
-        receiver = HeartbeatReceiver(self)
         self._entry_listener = HttpListener(settings.entry_address, self._entry)
         self._gate_listener = HttpListener(
             settings.gate_address, GateListenerHandler(self._gate, pages)
@@ -268,7 +219,7 @@
         self._other_listeners = (
             HttpListener(
                 settings.heartbeat_address,
-                ControlHandler(self._adapter.heartbeat_handler(receiver), pages),
+                ControlHandler(self._adapter.heartbeat_handler(self), pages),
             ),
             HttpListener(
                 settings.readiness_address,
@@ -368,6 +319,10 @@
         self._upstream_changed(verdict)
         return verdict
 
+    def reject(self, reason: str) -> None:
+        """Log a heartbeat that cannot be read."""
+        self._log.state("upstream:rejected", reason=reason)
+
     def _upstream_changed(self, verdict: HeartbeatVerdict) -> None:
         if verdict is HeartbeatVerdict.CHANGED:
             self._gate.refresh(now_s())
--- a/packages/relay/src/knapweedspring_relay/_relaying.py
+++ b/packages/relay/src/knapweedspring_relay/_relaying.py
@@ -3,8 +3,8 @@
 import asyncio
 from collections.abc import Iterable
 
+from knapweedspring_relay._answer import Answer
 from knapweedspring_relay._errors import CallError
-from knapweedspring_relay._http_client import Answer
 from knapweedspring_relay._http_server import Exchange
 from knapweedspring_relay._messages import Header, without_headers
 
