Give each waiting call a timer that looks at that call only

Change: the timer refuses its own call. Ruled out: shorter queues (another policy, to be measured by itself).

--- a/packages/relay/src/knapweedspring_relay/_admission.py
+++ b/packages/relay/src/knapweedspring_relay/_admission.py
@@ -174,6 +174,12 @@
             place.state = PlaceState.ENDED
             self._remove(place)
 
+    def give_up(self, place: Place) -> None:
+        """Refuse one call if it still waits: its longest wait is over."""
+        if place.state is PlaceState.WAITING:
+            self._remove(place)
+            place.decide(PlaceState.REFUSED, "no slot became free in time")
+
     def refuse_waiting(self, reason: str) -> None:
         """Refuse all that wait, as when the upstream is gone."""
         waiting, self._waiting = self._waiting, []
@@ -209,8 +215,7 @@
             or self._is_hopeless(place.demand, now)
         ]
         for place in overdue:
-            self._remove(place)
-            place.decide(PlaceState.REFUSED, "no slot became free in time")
+            self.give_up(place)
 
     def _run(self, place: Place, now: float) -> None:
         self._n_running += 1
--- a/packages/relay/src/knapweedspring_relay/_gate.py
+++ b/packages/relay/src/knapweedspring_relay/_gate.py
@@ -224,9 +224,10 @@
 
     async def _wait(self, waiting: "_WaitingPlace", now: float) -> None:
         loop = asyncio.get_running_loop()
-        timer = loop.call_later(
-            self._queue.longest_wait_s(waiting.place, now), self.expire
-        )
+        # Each call has a timer: a look at the whole queue for each would cost more the
+        # longer it is.
+        longest_s = self._queue.longest_wait_s(waiting.place, now)
+        timer = loop.call_later(longest_s, self._queue.give_up, waiting.place)
         try:
             await waiting.decided(loop)
         except asyncio.CancelledError:
--- a/packages/relay/tests/test_admission.py
+++ b/packages/relay/tests/test_admission.py
@@ -140,3 +140,45 @@
     queue.finish(first, 0.1, was_served=True)
     queue.finish(first, 0.2, was_served=True)
     assert queue.n_running == 1
+
+
+def test_call_whose_wait_is_over_is_refused_alone():
+    queue = make_queue()
+    running = fill(queue)
+    first, second = make_place(), make_place()
+    queue.offer(first, 0.0)
+    queue.offer(second, 0.0)
+    queue.give_up(first)
+    assert first.state is PlaceState.REFUSED
+    assert second.state is PlaceState.WAITING
+    queue.give_up(running[0])
+    assert running[0].state is PlaceState.RUNNING
+    assert queue.longest_wait_s(second, 0.4) == 1.0
+
+
+def test_long_queue_in_overload_costs_each_call_little():
+    """A surge at a slow upstream: the work for a call does not grow with the queue."""
+
+    def n_comparisons(n_waiting):
+        counted = [0]
+
+        class CountingPlace(Place):
+            @property
+            def demand(self):
+                counted[0] += 1
+                return super().demand
+
+        queue = make_queue()
+        fill(queue)
+        places = [
+            CountingPlace(Demand(2, "r", 1e6, 1e6), lambda: None)
+            for _ in range(n_waiting)
+        ]
+        for place in places:
+            queue.offer(place, 0.0)
+        counted[0] = 0
+        for place in places:
+            queue.give_up(place)
+        return counted[0] / n_waiting
+
+    assert n_comparisons(1_000) <= n_comparisons(10) + 1
