Take fewer steps for a call: header look-ups, clock, return of connections

A profile of a local pair is flat: 697 function calls for a request with client and upstream, of which 63 look up headers and 58 read the clock.

Change: headers of an answer by name, one frame for the clock, a connection returns to its pool when its segment is parsed, one clock reading less a message.

Ruled out: timers of calls (strace: 2,233 waits of the event loop with them, 2,238 without), another event loop.

--- a/packages/relay/src/knapweedspring_relay/_answer.py
+++ b/packages/relay/src/knapweedspring_relay/_answer.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from knapweedspring_relay._errors import ConnectionBroke
-from knapweedspring_relay._messages import Header, header_value
+from knapweedspring_relay._messages import Header
 
 __all__ = ["Answer"]
 
@@ -23,6 +23,7 @@
     ) -> None:
         self._status = status
         self._headers = headers
+        self._by_name = dict(headers)
         self._pieces: deque[bytes] = deque()
         self._n_bytes = 0
         self._complete = False
@@ -61,12 +62,12 @@
     @property
     def declared_length(self) -> int | None:
         """Length of the body by its header; None when it has none."""
-        value = self.header(b"content-length")
+        value = self._by_name.get(b"content-length")
         return int(value) if value is not None and value.isdigit() else None
 
     def header(self, name: bytes) -> bytes | None:
         """Return the value of a header; None when it is absent."""
-        return header_value(self._headers, name)
+        return self._by_name.get(name)
 
     def whole_body(self) -> bytes:
         """Return the body of a complete answer."""
--- a/packages/relay/src/knapweedspring_relay/_clock.py
+++ b/packages/relay/src/knapweedspring_relay/_clock.py
@@ -52,4 +52,5 @@
     It never jumps back. A request whose deadline passed while the VM was suspended is
     so not sent on.
     """
-    return time.monotonic() + suspensions.suspended_s
+    # The attribute and not its property: this is called at each step of a call.
+    return time.monotonic() + suspensions._suspended_s
--- a/packages/relay/src/knapweedspring_relay/_http_client.py
+++ b/packages/relay/src/knapweedspring_relay/_http_client.py
@@ -58,6 +58,7 @@
         self._is_head = False
         self._skipping = False
         self._spoiled = False
+        self._is_reusable = False
         self._reading_paused = False
         self._idle_s = pool.settings.idle_s
         self._idle_since = 0.0
@@ -146,6 +147,9 @@
             self._spoil()
             self._fail(BadAnswer(f"not an answer: {error}"))
             return
+        if self._is_reusable:
+            self._return_to_pool()
+            return
         if self._answer is None and self._in_answer:
             self._n_head_bytes += len(data)
             if self._n_head_bytes > MAX_ANSWER_HEAD_BYTES:
@@ -224,15 +228,18 @@
             # taken for the next request's bytes.
             self._spoil()
         else:
-            self._idle_since = now_s()
-            # Bytes after the answer may be in the same segment: only when all of
-            # it is parsed can the connection be used again.
-            self._loop.call_soon(self._return_to_pool)
+            self._is_reusable = True
 
     def _return_to_pool(self) -> None:
+        """Return to the pool once all that arrived is parsed.
+
+        Bytes after the answer may be in the same segment, and spoil the connection.
+        """
+        self._is_reusable = False
         if self._spoiled:
             self._spoil()
-        elif self.is_open and self._result is None:
+        elif self.is_open:
+            self._idle_since = now_s()
             self._pool.give_back(self)
 
     def _hand_over(self, answer: Answer) -> None:
--- a/packages/relay/src/knapweedspring_relay/_http_server.py
+++ b/packages/relay/src/knapweedspring_relay/_http_server.py
@@ -261,6 +261,8 @@
         self._n_head_bytes = 0
         self._in_message = False
         self._in_body = False
+        #: Whether the head did not arrive in one piece; its time counts from then on.
+        self._head_is_late = False
         self._arrived_at = 0.0
 
     # Protocol callbacks.
@@ -304,6 +306,9 @@
             self._fail(MessageError(400, f"not a request: {error}"))
         else:
             if not self._in_body and self._in_message:
+                if not self._head_is_late:
+                    self._head_is_late = True
+                    self._changed_at = now_s()
                 self._check_head_size()
 
     def pause_writing(self) -> None:
@@ -320,7 +325,6 @@
     def on_message_begin(self) -> None:
         """Begin a request."""
         self._in_message = True
-        self._changed_at = now_s()
 
     def on_url(self, url: bytes) -> None:
         """Collect the target; it may arrive in fragments."""
