Remove what nothing uses, and let deployments leave limits unset

The platform fills the template with null where an installation has no such bound, and the process would not start.

Change: the dead parts go; times and budgets that are unset take named defaults. Ruled out: leaving null to a start that fails.

--- a/packages/relay/src/knapweedspring_relay/_directory.py
+++ b/packages/relay/src/knapweedspring_relay/_directory.py
@@ -80,10 +80,6 @@
         """Number of nodes known, at least 1."""
         return max(1, len(self._entries))
 
-    def snapshot(self) -> DirectorySnapshot:
-        """Return the entries for another node."""
-        return DirectorySnapshot(self._revision, dict(self._entries))
-
     def providers(self, service: str) -> tuple[GateEntry, ...]:
         """Return the gates of a service whose upstreams take requests."""
         return self._by_service.get(service, ())
--- a/packages/relay/src/knapweedspring_relay/_entry.py
+++ b/packages/relay/src/knapweedspring_relay/_entry.py
@@ -399,7 +399,6 @@
             left_s=journey.deadline_at - now,
             priority=route.priority,
             kind=route.kind,
-            is_repeat=journey.n_sent > 0,
             route=route.name,
             caller=self._policy.caller_service,
             version=journey.version,
@@ -411,7 +410,7 @@
         return RemoteGate(entry, self._pool)
 
     def _lost(self, outcome: HopOutcome, reason: str) -> GateAnswer:
-        report = GateReport(outcome, reason, 0, 0, 0, 0.0, 0.0, 0, "", 0.0)
+        report = GateReport(outcome, reason, 0, 0, 0, 0.0, 0.0, 0, "")
         return GateAnswer(report, None)
 
     def _id_header(self, journey: _Journey) -> list[Header]:
--- a/packages/relay/src/knapweedspring_relay/_gate.py
+++ b/packages/relay/src/knapweedspring_relay/_gate.py
@@ -185,7 +185,6 @@
         outcome: HopOutcome,
         reason: str = "",
         waited_s: float = 0.0,
-        retry_after_s: float = 0.0,
     ) -> GateReport:
         """Return what the gate says of a call and of itself."""
         upstream = self._tracker.current
@@ -199,7 +198,6 @@
             entry_failure_ratio=self._entry_failure_ratio,
             version=self._version(),
             instance=upstream.instance if upstream is not None else "",
-            retry_after_s=retry_after_s,
         )
 
     def _refusal(self, call: HopCall, now: float) -> str:
--- a/packages/relay/src/knapweedspring_relay/_hop.py
+++ b/packages/relay/src/knapweedspring_relay/_hop.py
@@ -55,8 +55,6 @@
     priority: int
     #: What may be repeated.
     kind: CallKind
-    #: Whether an earlier send of the same request may have reached a server.
-    is_repeat: bool
     #: Name of the route.
     route: str
     #: Service on whose VM the request began.
@@ -87,8 +85,6 @@
     version: int
     #: Identity of the upstream beside the gate; empty when there is none.
     instance: str
-    #: When it is worth coming back after a refusal, in seconds.
-    retry_after_s: float
 
 
 _call_decoder = msgspec.json.Decoder(HopCall)
--- a/packages/relay/src/knapweedspring_relay/_http_client.py
+++ b/packages/relay/src/knapweedspring_relay/_http_client.py
@@ -344,13 +344,6 @@
             connection.discard()
             raise
 
-    async def open_ahead(self, address: str) -> None:
-        """Open a connection for later calls.
-
-        :raises ConnectFailed: when the server does not accept it.
-        """
-        self.give_back(await self._open(address))
-
     def give_back(self, connection: _ClientConnection) -> None:
         """Keep a connection for the next call."""
         self._idle.setdefault(connection.address, []).append(connection)
--- a/packages/relay/src/knapweedspring_relay/_http_server.py
+++ b/packages/relay/src/knapweedspring_relay/_http_server.py
@@ -152,11 +152,6 @@
         """What answers the requests."""
         return self._handler
 
-    @property
-    def n_connections(self) -> int:
-        """Open connections."""
-        return len(self._connections)
-
     @property
     def n_active(self) -> int:
         """Requests without an answer."""
--- a/packages/relay/src/knapweedspring_relay/_relay.py
+++ b/packages/relay/src/knapweedspring_relay/_relay.py
@@ -138,16 +138,16 @@
             address=settings.upstream_address,
             pool=self._upstream_pool,
             headers=headers,
-            drain_s=settings.shutdown.drain_s,
+            drain_s=settings.shutdown.drain_or_default_s,
             version=lambda: self._state.version,
             log=self._log,
             counters=self._counters,
             latencies=self._latencies,
         )
         self._budget = RetryBudget(
-            settings.retries.ratio,
-            settings.retries.slack,
-            settings.retries.window_s,
+            settings.retries.ratio_or_default,
+            settings.retries.slack_or_default,
+            settings.retries.window_or_default_s,
             self._counters,
         )
         self._balancer = Balancer(self._directory, settings.data_centre, self._rng)
@@ -202,7 +202,7 @@
             self._directory_changed,
             rng,
             self._log,
-            self._settings.seed_addresses,
+            self._settings.seed_addresses or (),
         )
 
     def _make_listeners(self) -> None:
@@ -429,13 +429,17 @@
         self._settings = settings = read.ok_value
         self._entry.set_policy(_entry_policy(settings))
         retries = settings.retries
-        self._budget.set_limits(retries.ratio, retries.slack, retries.window_s)
+        self._budget.set_limits(
+            retries.ratio_or_default,
+            retries.slack_or_default,
+            retries.window_or_default_s,
+        )
         self._log.state("process:reloaded", service=settings.service)
 
     async def _end(self) -> None:
         """Finish what is in flight, then end inside the grace."""
         assert self._stop_at is not None
-        grace_s = self._settings.shutdown.grace_s
+        grace_s = self._settings.shutdown.grace_or_default_s
         end_at = self._stop_at + max(STOP_MIN_S, grace_s - STOP_MARGIN_S)
         gate_closes_at = self._stop_at + STOP_GATE_S
         while now_s() < end_at:
--- a/packages/relay/tests/_deployment.py
+++ b/packages/relay/tests/_deployment.py
@@ -261,7 +261,7 @@
             heartbeat_address=free_address(),
             readiness_address=free_address(),
             metrics_address=free_address(),
-            store=StoreSettings("127.0.0.1:1", 1, 1),
+            store=StoreSettings("127.0.0.1:1"),
             shutdown=ShutdownSettings(3.0, 1.0),
             retries=RetrySettings(0.2, 480.0, 10.0),
         )
--- a/packages/relay/tests/test_balancer.py
+++ b/packages/relay/tests/test_balancer.py
@@ -33,7 +33,7 @@
 
 def make_report(running=0, waiting=0, limit=19):
     return GateReport(
-        HopOutcome.ANSWERED, "", running, waiting, limit, 0.0, 0.0, 1, "i", 0.0
+        HopOutcome.ANSWERED, "", running, waiting, limit, 0.0, 0.0, 1, "i"
     )
 
 
