Let requests and answers do what two callers each wrote themselves

Change: Request.without, Answer.read_all, one function for the severity, LOW_RANK. Behaviour is unchanged.

--- a/packages/relay/src/knapweedspring_relay/_answer.py
+++ b/packages/relay/src/knapweedspring_relay/_answer.py
@@ -91,6 +91,16 @@
         self._on_read()
         return piece
 
+    async def read_all(self) -> bytes:
+        """Return the whole body.
+
+        :raises ConnectionBroke: when the body breaks off.
+        """
+        pieces = []
+        while piece := await self.read():
+            pieces.append(piece)
+        return b"".join(pieces)
+
     def on_read(self, callback: Callable[[], None]) -> None:
         """Have a callback told when a piece was read."""
         self._on_read = callback
--- a/packages/relay/src/knapweedspring_relay/_entry.py
+++ b/packages/relay/src/knapweedspring_relay/_entry.py
@@ -24,7 +24,7 @@
 from knapweedspring_relay._http_client import ConnectionPool
 from knapweedspring_relay._http_server import Exchange, RequestHandler
 from knapweedspring_relay._logs import DecisionLog
-from knapweedspring_relay._messages import Header, Request, without_headers
+from knapweedspring_relay._messages import Header, Request
 from knapweedspring_relay._relaying import relay_answer
 from knapweedspring_relay._retry_budget import RetryBudget
 from knapweedspring_relay._splitter import Splitter
@@ -43,6 +43,9 @@
 #: whose failure its failures are taken for those of a deeper service: another run would
 #: only load that one more.
 DEEPER_FAILURE_RATIO = 0.05
+#: Priority from which on requests leave a part of the retry budget to the others; 0 is
+#: the highest.
+LOW_RANK = 2
 #: Bounds of Retry-After as shares of the goal: callers come back spread out, and
 #: early enough for their answer to be of use.
 RETRY_AFTER_MIN_SHARE = 0.15
@@ -182,7 +185,7 @@
 
     async def _travel(self, journey: _Journey, exchange: Exchange) -> None:
         """Offer the request to gates until one gives its final outcome."""
-        request = self._forwarded(exchange.request)
+        request = exchange.request.without(self._headers.set_by_system)
         self._budget.count_request(journey.service, now_s())
         while True:
             entry = self._next_gate(journey)
@@ -287,7 +290,7 @@
             is None
         ):
             return False
-        is_low_rank = route.priority > 1
+        is_low_rank = route.priority >= LOW_RANK
         return self._budget.take(
             journey.service, is_low_rank, journey.may_have_run, now
         )
@@ -379,17 +382,6 @@
             configuration=table.configuration.version if table is not None else 0,
         )
 
-    def _forwarded(self, request: Request) -> Request:
-        """Return the request without what this node sets itself."""
-        return Request(
-            method=request.method,
-            target=request.target,
-            headers=without_headers(request.headers, self._headers.set_by_system),
-            body=request.body,
-            arrived_at=request.arrived_at,
-            keep_alive=request.keep_alive,
-        )
-
     def _hop_call(self, journey: _Journey, entry: GateEntry, now: float) -> HopCall:
         route = journey.route
         return HopCall(
--- a/packages/relay/src/knapweedspring_relay/_hop_link.py
+++ b/packages/relay/src/knapweedspring_relay/_hop_link.py
@@ -16,7 +16,7 @@
 )
 from knapweedspring_relay._http_client import ConnectionPool
 from knapweedspring_relay._http_server import Exchange, RequestHandler
-from knapweedspring_relay._messages import Request, request_bytes, without_headers
+from knapweedspring_relay._messages import Request, request_bytes
 from knapweedspring_relay._peer_pages import PeerPages
 from knapweedspring_relay._relaying import relay_answer
 
@@ -89,7 +89,7 @@
             exchange.answer(400, [], b"the call cannot be read")
             return
         self._pages.note_version(call.version)
-        answered = await self._gate.run(call, _without_hop(request))
+        answered = await self._gate.run(call, request.without(_HOP_HEADERS))
         report = self._report_header(answered.report)
         if answered.answer is None:
             exchange.answer(NO_ANSWER_STATUS, [report])
@@ -98,14 +98,3 @@
 
     def _report_header(self, report: GateReport) -> tuple[bytes, bytes]:
         return (REPORT_HEADER, _encoder.encode(report))
-
-
-def _without_hop(request: Request) -> Request:
-    return Request(
-        method=request.method,
-        target=request.target,
-        headers=without_headers(request.headers, _HOP_HEADERS),
-        body=request.body,
-        arrived_at=request.arrived_at,
-        keep_alive=request.keep_alive,
-    )
--- a/packages/relay/src/knapweedspring_relay/_logs.py
+++ b/packages/relay/src/knapweedspring_relay/_logs.py
@@ -119,7 +119,7 @@
 
         :param failed: whether the call was refused or failed.
         """
-        severity = Severity.FAILURE if failed else Severity.ROUTINE
+        severity = _severity_of_call(failed)
         if self._n_lines[severity] < _LINES_PER_S[severity]:
             return True
         if int(now_s()) != self._second:
@@ -134,7 +134,7 @@
         :param event: what was decided.
         :param fields: request id, inputs with their age or version, outcome.
         """
-        severity = Severity.FAILURE if failed else Severity.ROUTINE
+        severity = _severity_of_call(failed)
         self.write(severity, event, **fields)
 
     def _suppress(self, severity: Severity) -> None:
@@ -159,3 +159,7 @@
 
 
 _LINES_PER_S = (ROUTINE_LINES_PER_S, FAILURE_LINES_PER_S, STATE_LINES_PER_S)
+
+
+def _severity_of_call(failed: bool) -> Severity:
+    return Severity.FAILURE if failed else Severity.ROUTINE
--- a/packages/relay/src/knapweedspring_relay/_messages.py
+++ b/packages/relay/src/knapweedspring_relay/_messages.py
@@ -60,6 +60,15 @@
         """
         return header_value(self.headers, name)
 
+    def without(self, dropped: frozenset[bytes]) -> "Request":
+        """Return the request as it is passed on.
+
+        :param dropped: names in lower case that are left out besides those of the
+            connection.
+        """
+        kept = without_headers(self.headers, dropped)
+        return msgspec.structs.replace(self, headers=kept)
+
 
 def header_value(headers: Iterable[Header], name: bytes) -> bytes | None:
     """Return the first value of a header, None when it is absent."""
--- a/packages/relay/src/knapweedspring_relay/_store_sync.py
+++ b/packages/relay/src/knapweedspring_relay/_store_sync.py
@@ -331,9 +331,7 @@
         try:
             async with asyncio.timeout(PEER_TIMEOUT_S):
                 answer = await self._pool.call(address, data)
-                body = b""
-                while piece := await answer.read():
-                    body += piece
+                body = await answer.read_all()
         except (CallError, TimeoutError):
             # Peers come and go; the next period asks another one.
             return
