Hand calls to gates over shared connections, and compile the call path

A call between nodes went over HTTP: a parser, a header table and a connection of the pool on each side, beside the two messages that callers and upstreams need anyway.

Change: calls between nodes are frames (msgspec, length in front) on one connection a pair, with cancellation, credit for long bodies, a sign of life after silence and a farewell when a node drains; header lines are written once, at the entry and at the gate. The build compiles the modules on the call path with mypyc where there is a C compiler; the tests of the call path run against both forms.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,9 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
+# Tests of the call path that run against the modules that the build compiles, too.
+COMPILED_TESTS := $(addprefix packages/relay/tests/,test_admission.py test_balancer.py \
+	test_calls.py test_deployment_changes.py test_hop.py test_retry_budget.py)
 PACKAGES := packages/core packages/node packages/ctl packages/standins packages/relay platform
 
 .PHONY: install demo test lint format
@@ -25,6 +28,8 @@
 test: lint
 	$(BIN)/pytest
 	$(BIN)/pytest -c platform/pyproject.toml platform
+	sh deploy/build.sh
+	PYTHONPATH=target/deps $(BIN)/pytest -m "not interpreted" $(COMPILED_TESTS)
 
 demo: install
 	$(BIN)/python -m knapweedspring_standins demo
--- a/packages/relay/src/knapweedspring_relay/_admission.py
+++ b/packages/relay/src/knapweedspring_relay/_admission.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable
 from enum import StrEnum
 
-import msgspec
+from knapweedspring_relay._demand import Demand
 
-__all__ = ["AdmissionQueue", "Demand", "Place", "PlaceState"]
+__all__ = ["AdmissionQueue", "Place", "PlaceState"]
 
 #: Share of the declared slots that calls get; health checks and new connections
 #: hold slots too, and some upstreams slow down when the last ones are taken.
@@ -19,6 +19,8 @@
 MIN_LEFT_SHARE = 0.7
 #: Precision of the event loop's timers, in seconds.
 TIMER_SLACK_S = 0.002
+#: Binary digits of the number of arrivals in a place's key; more than a process sees.
+ARRIVAL_BITS = 48
 #: Routes whose service times are kept.
 MAX_ROUTES = 1_024
 
@@ -36,19 +38,6 @@
     ENDED = "ended"
 
 
-class Demand(msgspec.Struct, frozen=True, gc=False):
-    """What a call asks of a gate."""
-
-    #: Rank; 0 is the highest.
-    priority: int
-    #: Name of the route.
-    route: str
-    #: End of the call, on the monotonic clock, in seconds.
-    deadline_at: float
-    #: Longest time that it may wait for a slot, in seconds.
-    max_wait_s: float
-
-
 class Place:
     """One call at a gate.
 
@@ -63,7 +52,8 @@
         self.reason = ""
         self.entered_at = 0.0
         self.started_at = 0.0
-        self.key = _Key(0, 0)
+        #: Order in the queue: by rank, then by arrival.
+        self.key = 0
 
     @property
     def demand(self) -> Demand:
@@ -77,15 +67,6 @@
         self._on_decided()
 
 
-class _Key(msgspec.Struct, frozen=True, order=True, gc=False):
-    """Order of the queue."""
-
-    #: Rank; 0 is the highest.
-    priority: int
-    #: Order of arrival.
-    sequence: int
-
-
 class AdmissionQueue:
     """Lets as many calls run as the upstream has slots; the others wait by rank.
 
@@ -144,7 +125,7 @@
             place.reason = "too little time is left"
             return
         self._n_arrived += 1
-        place.key = _Key(demand.priority, self._n_arrived)
+        place.key = (demand.priority << ARRIVAL_BITS) + self._n_arrived
         if self._n_running < self.limit(now) and not self._is_outranked(demand):
             self._run(place, now)
         elif self._expected_wait_s(place, now) > demand.max_wait_s:
@@ -255,5 +236,5 @@
         self._mean_service_s += SERVICE_TIME_STEP * difference_s
 
 
-def _key_of(place: Place) -> _Key:
+def _key_of(place: Place) -> int:
     return place.key
--- a/packages/relay/src/knapweedspring_relay/_answer.py
+++ b/packages/relay/src/knapweedspring_relay/_answer.py
@@ -5,10 +5,13 @@
 from collections.abc import Callable
 
 from knapweedspring_relay._errors import ConnectionBroke
-from knapweedspring_relay._messages import Header
+from knapweedspring_relay._messages import header_lines, without_headers
+from knapweedspring_relay._requests import Header
 
 __all__ = ["Answer"]
 
+_NO_NAMES: frozenset[bytes] = frozenset()
+
 
 class Answer:
     """An answer whose head has arrived; its body may still be arriving.
@@ -16,20 +19,29 @@
     :param status: status code.
     :param headers: all headers; names in lower case.
     :param loop: the event loop.
+    :param lines: header lines that are passed on, when another node has written them.
+    :param length: length of the body, when another node has read it.
     """
 
     def __init__(
-        self, status: int, headers: list[Header], loop: asyncio.AbstractEventLoop
+        self,
+        status: int,
+        headers: list[Header],
+        loop: asyncio.AbstractEventLoop,
+        lines: bytes | None = None,
+        length: int | None = None,
     ) -> None:
         self._status = status
         self._headers = headers
         self._by_name = dict(headers)
+        self._lines = lines
+        self._length = length
         self._pieces: deque[bytes] = deque()
         self._n_bytes = 0
         self._complete = False
         self._error: Exception | None = None
         self._waiter: asyncio.Future[None] | None = None
-        self._on_read: Callable[[], None] = lambda: None
+        self._on_read: Callable[[int], None] = lambda _: None
         self._on_abandon: Callable[[], None] = lambda: None
         self._on_end: Callable[[], None] = lambda: None
         self._loop = loop
@@ -40,9 +52,11 @@
         return self._status
 
     @property
-    def headers(self) -> list[Header]:
-        """All headers; names in lower case."""
-        return self._headers
+    def lines(self) -> bytes:
+        """Header lines that are passed on, without those of the connection."""
+        if self._lines is None:
+            self._lines = header_lines(without_headers(self._headers, _NO_NAMES))
+        return self._lines
 
     @property
     def is_complete(self) -> bool:
@@ -62,6 +76,8 @@
     @property
     def declared_length(self) -> int | None:
         """Length of the body by its header; None when it has none."""
+        if self._length is not None:
+            return self._length
         value = self._by_name.get(b"content-length")
         return int(value) if value is not None and value.isdigit() else None
 
@@ -88,7 +104,7 @@
             await self._waiter
         piece = self._pieces.popleft()
         self._n_bytes -= len(piece)
-        self._on_read()
+        self._on_read(len(piece))
         return piece
 
     async def read_all(self) -> bytes:
@@ -101,8 +117,8 @@
             pieces.append(piece)
         return b"".join(pieces)
 
-    def on_read(self, callback: Callable[[], None]) -> None:
-        """Have a callback told when a piece was read."""
+    def on_read(self, callback: Callable[[int], None]) -> None:
+        """Have a callback told how many bytes of the body were read."""
         self._on_read = callback
 
     def on_abandon(self, callback: Callable[[], None]) -> None:
--- a/packages/relay/src/knapweedspring_relay/_directory.py
+++ b/packages/relay/src/knapweedspring_relay/_directory.py
@@ -28,6 +28,8 @@
     node: str
     #: Where other nodes send calls for the upstream, as ``ip:port``.
     gate_address: str
+    #: Where other nodes ask what this one knows, as ``ip:port``.
+    knowledge_address: str
     #: Data centre of the node.
     data_centre: str
     #: Service of the upstream; empty when the node knows of none.
--- a/packages/relay/src/knapweedspring_relay/_entry.py
+++ b/packages/relay/src/knapweedspring_relay/_entry.py
@@ -16,16 +16,17 @@
 )
 from knapweedspring_relay._directory import GateEntry
 from knapweedspring_relay._errors import CallError, ConnectFailed
-from knapweedspring_relay._gate import Gate, GateAnswer, GateLink
+from knapweedspring_relay._gate import Gate, GateLink
+from knapweedspring_relay._gate_answer import GateAnswer
 from knapweedspring_relay._headers import CallHeaders
 from knapweedspring_relay._histograms import LatencyHistograms
 from knapweedspring_relay._hop import GateReport, HopCall, HopOutcome
-from knapweedspring_relay._hop_link import RemoteGate
-from knapweedspring_relay._http_client import ConnectionPool
+from knapweedspring_relay._hop_client import HopPool, RemoteGate
 from knapweedspring_relay._http_server import Exchange, RequestHandler
 from knapweedspring_relay._logs import DecisionLog
-from knapweedspring_relay._messages import Header, Request
+from knapweedspring_relay._messages import forward
 from knapweedspring_relay._relaying import relay_answer
+from knapweedspring_relay._requests import ForwardedRequest, Header, Request
 from knapweedspring_relay._retry_budget import RetryBudget
 from knapweedspring_relay._splitter import Splitter
 
@@ -117,7 +118,7 @@
         table: Callable[[], RouteTable | None],
         balancer: Balancer,
         gate: Gate,
-        pool: ConnectionPool,
+        pool: HopPool,
         budget: RetryBudget,
         splitter: Splitter,
         on_version: Callable[[int], None],
@@ -185,7 +186,7 @@
 
     async def _travel(self, journey: _Journey, exchange: Exchange) -> None:
         """Offer the request to gates until one gives its final outcome."""
-        request = exchange.request.without(self._headers.set_by_system)
+        request = forward(exchange.request, self._headers.set_by_system)
         self._budget.count_request(journey.service, now_s())
         while True:
             entry = self._next_gate(journey)
@@ -212,7 +213,7 @@
         return entry
 
     async def _offer(
-        self, journey: _Journey, entry: GateEntry, request: Request
+        self, journey: _Journey, entry: GateEntry, request: ForwardedRequest
     ) -> GateAnswer | None:
         """Offer the request to a gate.
 
--- a/packages/relay/src/knapweedspring_relay/_gate.py
+++ b/packages/relay/src/knapweedspring_relay/_gate.py
@@ -5,22 +5,25 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import msgspec
+from mypy_extensions import mypyc_attr
 
 from knapweedspring_core import Counters
-from knapweedspring_relay._admission import AdmissionQueue, Demand, Place, PlaceState
+from knapweedspring_relay._admission import AdmissionQueue, Place, PlaceState
 from knapweedspring_relay._answer import Answer
 from knapweedspring_relay._clock import now_s
+from knapweedspring_relay._demand import Demand
 from knapweedspring_relay._errors import BadAnswer, CallError, ConnectFailed
+from knapweedspring_relay._gate_answer import GateAnswer
 from knapweedspring_relay._headers import CallHeaders
 from knapweedspring_relay._histograms import LatencyHistograms
 from knapweedspring_relay._hop import GateReport, HopCall, HopOutcome
 from knapweedspring_relay._http_client import ConnectionPool
 from knapweedspring_relay._local_upstream import LocalUpstream, UpstreamTracker
 from knapweedspring_relay._logs import DecisionLog
-from knapweedspring_relay._messages import Header, Request, request_bytes
+from knapweedspring_relay._messages import forwarded_bytes
+from knapweedspring_relay._requests import ForwardedRequest
 
-__all__ = ["Gate", "GateAnswer", "GateLink", "GatePolicy"]
+__all__ = ["Gate", "GateLink", "GatePolicy", "LocalGate"]
 
 #: Idle time of a connection on which a request that must not run twice is sent: the
 #: upstream may be closing one that has been idle for long.
@@ -45,20 +48,12 @@
     drain_share: float = 0.4
 
 
-class GateAnswer(msgspec.Struct, frozen=True, gc=False):
-    """What a gate gives back for a call."""
-
-    #: What became of the call, and the state of the gate.
-    report: GateReport
-    #: The upstream's answer; None when there is none to pass on.
-    answer: Answer | None
-
-
+@mypyc_attr(allow_interpreted_subclasses=True)
 class GateLink(ABC):
     """A way to a gate: in this process or on another VM."""
 
     @abstractmethod
-    async def run(self, call: HopCall, request: Request) -> GateAnswer:
+    async def run(self, call: HopCall, request: ForwardedRequest) -> GateAnswer:
         """Hand over a call and wait for its outcome.
 
         :raises ConnectFailed: when the gate could not be reached.
@@ -66,7 +61,18 @@
         """
 
 
-class Gate(GateLink):
+@mypyc_attr(allow_interpreted_subclasses=True)
+class LocalGate(GateLink):
+    """The gate of this process."""
+
+    @abstractmethod
+    def report(
+        self, outcome: HopOutcome, reason: str = "", waited_s: float = 0.0
+    ) -> GateReport:
+        """Return what the gate says of a call and of itself."""
+
+
+class Gate(LocalGate):
     """Admits calls and sends them to the upstream.
 
     :param tracker: the upstream.
@@ -147,7 +153,7 @@
         difference = target - self._entry_failure_ratio
         self._entry_failure_ratio += ENTRY_FAILURE_STEP * difference
 
-    async def run(self, call: HopCall, request: Request) -> GateAnswer:
+    async def run(self, call: HopCall, request: ForwardedRequest) -> GateAnswer:
         """Admit a call and send it to the upstream.
 
         When the caller leaves, a call that may be repeated is broken off; any other
@@ -237,7 +243,11 @@
             timer.cancel()
 
     async def _send(
-        self, call: HopCall, request: Request, place: Place, upstream: LocalUpstream
+        self,
+        call: HopCall,
+        request: ForwardedRequest,
+        place: Place,
+        upstream: LocalUpstream,
     ) -> GateAnswer:
         """Send an admitted call; frees its slot in any case."""
         answer: Answer | None = None
@@ -269,20 +279,25 @@
             answer.on_end(finish)
 
     async def _exchange(
-        self, call: HopCall, request: Request, upstream: LocalUpstream, left_s: float
+        self,
+        call: HopCall,
+        request: ForwardedRequest,
+        upstream: LocalUpstream,
+        left_s: float,
     ) -> Answer:
         names = self._headers
-        headers: list[Header] = [
-            *request.headers,
-            (names.deadline_ms, str(max(1, int(left_s * 1_000))).encode()),
-            (names.expected_instance, upstream.instance.encode()),
-            (names.caller_service, call.caller.encode()),
-        ]
-        data = request_bytes(request.method, request.target, headers, request.body)
+        lines = b"%b: %d\r\n%b: %b\r\n%b: %b\r\n" % (
+            names.deadline_ms,
+            max(1, int(left_s * 1_000)),
+            names.expected_instance,
+            upstream.instance.encode(),
+            names.caller_service,
+            call.caller.encode(),
+        )
         repeatable = call.kind.is_repeatable
         answer = await self._pool.call(
             self._address,
-            data,
+            forwarded_bytes(request, lines),
             call.request_id.encode(),
             is_head=request.method == b"HEAD",
             max_idle_s=float("inf") if repeatable else UNREPEATABLE_IDLE_S,
--- a/packages/relay/src/knapweedspring_relay/_hop.py
+++ b/packages/relay/src/knapweedspring_relay/_hop.py
@@ -1,26 +1,12 @@
 """What two nodes tell each other about a call, beside the call's own message."""
 
-import math
 from enum import StrEnum
 
 import msgspec
 
 from knapweedspring_relay._configuration import CallKind
 
-__all__ = [
-    "HOP_HEADER",
-    "REPORT_HEADER",
-    "GateReport",
-    "HopCall",
-    "HopOutcome",
-    "decode_call",
-    "decode_report",
-]
-
-#: Carries a :class:`HopCall` on a request between nodes.
-HOP_HEADER = b"kws-hop"
-#: Carries a :class:`GateReport` on its answer.
-REPORT_HEADER = b"kws-gate"
+__all__ = ["GateReport", "HopCall", "HopOutcome"]
 
 
 class HopOutcome(StrEnum):
@@ -40,7 +26,7 @@
     LATE = "late"
 
 
-class HopCall(msgspec.Struct, frozen=True, array_like=True):
+class HopCall(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """A call as one node hands it to another."""
 
     #: Id of the request, unique for each attempt of a caller.
@@ -63,7 +49,7 @@
     version: int
 
 
-class GateReport(msgspec.Struct, frozen=True, array_like=True):
+class GateReport(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """What a gate says of a call and of itself."""
 
     #: What became of the call.
@@ -85,26 +71,3 @@
     version: int
     #: Identity of the upstream beside the gate; empty when there is none.
     instance: str
-
-
-_call_decoder = msgspec.json.Decoder(HopCall)
-_report_decoder = msgspec.json.Decoder(GateReport)
-
-
-def decode_call(value: bytes) -> HopCall | None:
-    """Return the call in a header; None when it cannot be read."""
-    try:
-        call = _call_decoder.decode(value)
-    except msgspec.DecodeError:
-        return None
-    return call if math.isfinite(call.left_s) else None
-
-
-def decode_report(value: bytes | None) -> GateReport | None:
-    """Return the report in a header; None when there is none that can be read."""
-    if value is None:
-        return None
-    try:
-        return _report_decoder.decode(value)
-    except msgspec.DecodeError:
-        return None
--- a/packages/relay/src/knapweedspring_relay/_http_client.py
+++ b/packages/relay/src/knapweedspring_relay/_http_client.py
@@ -1,7 +1,6 @@
 """HTTP/1.1 client on the event loop: one call at a time on a connection, and pools."""
 
 import asyncio
-import socket
 from dataclasses import dataclass
 from typing import cast
 
@@ -10,7 +9,8 @@
 from knapweedspring_relay._answer import Answer
 from knapweedspring_relay._clock import now_s
 from knapweedspring_relay._errors import BadAnswer, ConnectFailed, ConnectionBroke
-from knapweedspring_relay._messages import Header
+from knapweedspring_relay._requests import Header
+from knapweedspring_relay._sockets import set_time_outs
 
 __all__ = ["ConnectionPool", "ConnectionSettings"]
 
@@ -119,9 +119,7 @@
         """Set the time-outs of the kernel."""
         transport = cast(asyncio.Transport, transport)
         self._transport = transport
-        sock = transport.get_extra_info("socket")
-        if sock is not None:
-            _set_time_outs(sock, self._pool.settings.unacknowledged_s)
+        set_time_outs(transport, self._pool.settings.unacknowledged_s)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the call at hand."""
@@ -283,7 +281,7 @@
             self._reading_paused = True
             self._transport.pause_reading()
 
-    def _resume_reading(self) -> None:
+    def _resume_reading(self, n_read_bytes: int) -> None:
         if self._reading_paused and self.is_open:
             assert self._transport is not None
             self._reading_paused = False
@@ -402,16 +400,3 @@
 
 def _is_chunked(answer: Answer) -> bool:
     return answer.header(b"transfer-encoding") is not None
-
-
-def _set_time_outs(sock: socket.socket, unacknowledged_s: float) -> None:
-    """Have the kernel end the connection when the peer falls silent."""
-    seconds = max(1, round(unacknowledged_s))
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, round(unacknowledged_s * 1_000)
-    )
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, seconds)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, seconds)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
--- a/packages/relay/src/knapweedspring_relay/_http_server.py
+++ b/packages/relay/src/knapweedspring_relay/_http_server.py
@@ -7,11 +7,13 @@
 from typing import cast
 
 import httptools
+from mypy_extensions import mypyc_attr
 
 from knapweedspring_relay._clock import now_s
 from knapweedspring_relay._configuration import CallLimits
 from knapweedspring_relay._errors import MessageError
-from knapweedspring_relay._messages import Header, Request, answer_head
+from knapweedspring_relay._messages import answer_head, header_lines
+from knapweedspring_relay._requests import Header, Request
 
 __all__ = ["Exchange", "HttpListener", "RequestHandler"]
 
@@ -61,25 +63,34 @@
         :param headers: headers without those of the connection.
         :param body: the body.
         """
+        self.relay(status, header_lines(headers), body)
+
+    def relay(self, status: int, lines: bytes, body: bytes) -> None:
+        """Send a whole answer whose header lines are written already.
+
+        :param status: status code.
+        :param lines: header lines without those of the connection.
+        :param body: the body.
+        """
         self._head_sent = True
         keep_alive = self._keep_alive()
-        head = answer_head(status, headers, len(body), keep_alive)
+        head = answer_head(status, lines, len(body), keep_alive)
         if self._request.method == b"HEAD":
             body = b""
         self._connection.write(head + body)
         if not keep_alive:
             self._connection.close_when_written()
 
-    def start(self, status: int, headers: Iterable[Header], length: int | None) -> None:
+    def start(self, status: int, lines: bytes, length: int | None) -> None:
         """Send the head of an answer whose body follows in pieces.
 
         :param status: status code.
-        :param headers: headers without those of the connection.
+        :param lines: header lines without those of the connection.
         :param length: length of the body; None when it is unknown.
         """
         self._head_sent = True
         self._chunked = length is None
-        head = answer_head(status, headers, length, self._keep_alive())
+        head = answer_head(status, lines, length, self._keep_alive())
         self._connection.write(head)
 
     async def send(self, piece: bytes) -> None:
@@ -106,6 +117,7 @@
         return self._request.keep_alive and not self._connection.is_closing_soon
 
 
+@mypyc_attr(allow_interpreted_subclasses=True)
 class RequestHandler(ABC):
     """What a listener does with its requests."""
 
@@ -453,9 +465,9 @@
             self._answer_failure(error)
 
     def _answer_failure(self, error: MessageError) -> None:
-        headers = [(b"retry-after", b"1")] if error.status == 503 else []
+        lines = b"retry-after: 1\r\n" if error.status == 503 else b""
         body = str(error).encode()
-        self.write(answer_head(error.status, headers, len(body), False) + body)
+        self.write(answer_head(error.status, lines, len(body), False) + body)
         self._closing = True
         if self._transport is not None:
             self._transport.close()
--- a/packages/relay/src/knapweedspring_relay/_messages.py
+++ b/packages/relay/src/knapweedspring_relay/_messages.py
@@ -1,15 +1,17 @@
-"""Requests and answers as the relay handles them, and their bytes."""
+"""The bytes of requests and answers."""
 
 from collections.abc import Iterable, Sequence
 from http import HTTPStatus
 
-import msgspec
+from knapweedspring_relay._requests import ForwardedRequest, Header, Request
 
 __all__ = [
     "CONNECTION_HEADERS",
     "Header",
-    "Request",
     "answer_head",
+    "forward",
+    "forwarded_bytes",
+    "header_lines",
     "header_value",
     "request_bytes",
     "without_headers",
@@ -31,44 +33,10 @@
 )
 #: Values of ``Connection`` that name no header.
 _COMMON_TOKENS = frozenset({b"keep-alive", b"close"})
+#: Methods whose requests have no length when they have no body.
+_METHODS_WITHOUT_BODY = frozenset({b"GET", b"HEAD", b"DELETE", b"OPTIONS"})
 _REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
-#: Name in lower case and value of one header.
-Header = tuple[bytes, bytes]
-
-
-class Request(msgspec.Struct, frozen=True, gc=False):
-    """One whole request."""
-
-    #: Method.
-    method: bytes
-    #: Path and query, as sent.
-    target: bytes
-    #: All headers; names in lower case.
-    headers: Sequence[Header]
-    #: The body.
-    body: bytes
-    #: When its head was read, on the monotonic clock, in seconds.
-    arrived_at: float
-    #: Whether the connection stays open after the answer.
-    keep_alive: bool
-
-    def header(self, name: bytes) -> bytes | None:
-        """Return the value of a header; None when it is absent.
-
-        :param name: name in lower case.
-        """
-        return header_value(self.headers, name)
-
-    def without(self, dropped: frozenset[bytes]) -> "Request":
-        """Return the request as it is passed on.
-
-        :param dropped: names in lower case that are left out besides those of the
-            connection.
-        """
-        kept = without_headers(self.headers, dropped)
-        return msgspec.structs.replace(self, headers=kept)
-
 
 def header_value(headers: Iterable[Header], name: bytes) -> bytes | None:
     """Return the first value of a header, None when it is absent."""
@@ -103,39 +71,69 @@
     return kept
 
 
+def header_lines(headers: Iterable[Header]) -> bytes:
+    """Return headers as they are written, each line with its end."""
+    return b"".join([b"%b: %b\r\n" % header for header in headers])
+
+
 def request_bytes(
     method: bytes, target: bytes, headers: Iterable[Header], body: bytes
 ) -> bytes:
     """Return a request's bytes; the body goes with its length."""
-    parts = [method, b" ", target, b" HTTP/1.1\r\n"]
-    for key, value in headers:
-        parts += (key, b": ", value, b"\r\n")
-    if body or method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
-        parts += (b"content-length: ", str(len(body)).encode(), b"\r\n")
-    parts += (b"\r\n", body)
-    return b"".join(parts)
+    forwarded = ForwardedRequest(method, target, header_lines(headers), body)
+    return forwarded_bytes(forwarded)
+
+
+def forward(request: Request, dropped: frozenset[bytes]) -> ForwardedRequest:
+    """Return a request as it is passed on.
+
+    :param request: the request.
+    :param dropped: names in lower case that are left out besides those of the
+        connection.
+    """
+    lines = header_lines(without_headers(request.headers, dropped))
+    return ForwardedRequest(request.method, request.target, lines, request.body)
+
+
+def forwarded_bytes(request: ForwardedRequest, added_lines: bytes = b"") -> bytes:
+    """Return a request's bytes; the body goes with its length.
+
+    :param request: the request.
+    :param added_lines: further header lines, each with its line end.
+    """
+    length = b""
+    if request.body or request.method not in _METHODS_WITHOUT_BODY:
+        length = b"content-length: %d\r\n" % len(request.body)
+    return b"%b %b HTTP/1.1\r\n%b%b%b\r\n%b" % (
+        request.method,
+        request.target,
+        request.lines,
+        added_lines,
+        length,
+        request.body,
+    )
 
 
 def answer_head(
-    status: int, headers: Iterable[Header], length: int | None, keep_alive: bool
+    status: int, lines: bytes, length: int | None, keep_alive: bool
 ) -> bytes:
     """Return the head of an answer.
 
     :param status: status code.
-    :param headers: headers without those of the connection.
+    :param lines: header lines without those of the connection.
     :param length: length of the body; None for a body in chunks.
     :param keep_alive: whether the connection stays open.
     """
-    reason = _REASONS.get(status, b"Unknown")
-    parts = [b"HTTP/1.1 ", str(status).encode(), b" ", reason, b"\r\n"]
-    for key, value in headers:
-        parts += (key, b": ", value, b"\r\n")
+    framing = b""
     if status >= 200 and status != 204:
         if length is None:
-            parts.append(b"transfer-encoding: chunked\r\n")
+            framing = b"transfer-encoding: chunked\r\n"
         else:
-            parts += (b"content-length: ", str(length).encode(), b"\r\n")
-    if not keep_alive:
-        parts.append(b"connection: close\r\n")
-    parts.append(b"\r\n")
-    return b"".join(parts)
+            framing = b"content-length: %d\r\n" % length
+    return b"HTTP/1.1 %d %b\r\n%b%b%b\r\n" % (
+        status,
+        _REASONS.get(status, b"Unknown"),
+        lines,
+        framing,
+        b"" if keep_alive else b"connection: close\r\n",
+    )
--- a/packages/relay/src/knapweedspring_relay/_peer_pages.py
+++ b/packages/relay/src/knapweedspring_relay/_peer_pages.py
@@ -13,10 +13,11 @@
     "PEER_PAGE_PATH",
     "PeerKnowledge",
     "PeerPages",
+    "KnowledgeHandler",
     "decode_knowledge",
 ]
 
-#: Path of the page on the gate's address.
+#: Path of the page on the knowledge address.
 PEER_PAGE_PATH = b"/knowledge"
 
 
@@ -92,6 +93,20 @@
     return int(text) if text.isdigit() else 0
 
 
+class KnowledgeHandler(RequestHandler):
+    """Serves other nodes only.
+
+    :param pages: answers them.
+    """
+
+    def __init__(self, pages: PeerPages) -> None:
+        self._pages = pages
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer another node."""
+        self._pages.answer(exchange)
+
+
 class ControlHandler(RequestHandler):
     """Serves heartbeats, and nodes that know no other address than this one.
 
--- a/packages/relay/src/knapweedspring_relay/_relay.py
+++ b/packages/relay/src/knapweedspring_relay/_relay.py
@@ -20,7 +20,9 @@
 from knapweedspring_relay._entry_cleaner import EntryCleaner
 from knapweedspring_relay._gate import Gate
 from knapweedspring_relay._histograms import LatencyHistograms
-from knapweedspring_relay._hop_link import GateListenerHandler
+from knapweedspring_relay._hop import HopCall
+from knapweedspring_relay._hop_client import HopPool, HopSettings
+from knapweedspring_relay._hop_listener import HopListener
 from knapweedspring_relay._http_client import ConnectionPool, ConnectionSettings
 from knapweedspring_relay._http_server import HttpListener
 from knapweedspring_relay._local_upstream import (
@@ -31,10 +33,14 @@
     UpstreamTracker,
 )
 from knapweedspring_relay._logs import DecisionLog, LineBuffer
-from knapweedspring_relay._messages import Request
 from knapweedspring_relay._own_entry import OwnEntryKeeper
-from knapweedspring_relay._peer_pages import ControlHandler, PeerPages
+from knapweedspring_relay._peer_pages import (
+    ControlHandler,
+    KnowledgeHandler,
+    PeerPages,
+)
 from knapweedspring_relay._readiness import MetricsHandler, ReadinessHandler
+from knapweedspring_relay._requests import Request
 from knapweedspring_relay._retry_budget import RetryBudget
 from knapweedspring_relay._settings import RelaySettings
 from knapweedspring_relay._splitter import Splitter
@@ -62,6 +68,7 @@
 DRAIN_CHECK_PERIOD_S = 0.2
 FLUSH_PERIOD_S = 0.25
 SUSPENSION_PERIOD_S = 0.2
+HOP_CHECK_PERIOD_S = 0.1
 SWEEP_PERIOD_S = 1.0
 #: Time in which a heartbeat must confirm what was published before a restart, in
 #: seconds: more than one period of heartbeats, less than what an upstream that left
@@ -133,6 +140,7 @@
         self._peer_pool = ConnectionPool(
             ConnectionSettings(PEER_CONNECT_S, PEER_IDLE_S, UNACKNOWLEDGED_S)
         )
+        self._hop_pool = HopPool(HopSettings(PEER_CONNECT_S, UNACKNOWLEDGED_S))
         self._gate = Gate(
             tracker=self._tracker,
             address=settings.upstream_address,
@@ -157,7 +165,7 @@
             table=lambda: self._state.table,
             balancer=self._balancer,
             gate=self._gate,
-            pool=self._peer_pool,
+            pool=self._hop_pool,
             budget=self._budget,
             splitter=Splitter(zlib.crc32(settings.node.encode())),
             on_version=self._state.hear_of,
@@ -213,10 +221,11 @@
         self._metrics = MetricsPage(self._counters)
         self._register_gauges()
         self._entry_listener = HttpListener(settings.entry_address, self._entry)
-        self._gate_listener = HttpListener(
-            settings.gate_address, GateListenerHandler(self._gate, pages)
+        self._gate_listener = HopListener(
+            settings.gate_address, self._gate, pages.note_version, self._note_hop_error
         )
         self._other_listeners = (
+            HttpListener(settings.knowledge_address, KnowledgeHandler(pages)),
             HttpListener(
                 settings.heartbeat_address,
                 ControlHandler(self._adapter.heartbeat_handler(self), pages),
@@ -236,12 +245,18 @@
         page.add_gauge("configuration_version", lambda: float(self._state.version))
         page.add_gauge("directory_revision", lambda: float(self._directory.revision))
         page.add_gauge("directory_nodes", lambda: float(len(self._directory.entries)))
+        page.add_gauge("hop_connections", lambda: float(self._hop_pool.n_connections))
+        page.add_gauge("hop_bad_frames", lambda: float(self._hop_pool.n_bad_frames))
         page.add_gauge("store_failing", lambda: float(self._health.is_failing))
         self._latencies.register(page)
 
     @property
-    def _listeners(self) -> tuple[HttpListener, ...]:
-        return (self._entry_listener, self._gate_listener, *self._other_listeners)
+    def _listeners(self) -> tuple[HttpListener | HopListener, ...]:
+        return (self._gate_listener, *self._http_listeners)
+
+    @property
+    def _http_listeners(self) -> tuple[HttpListener, ...]:
+        return (self._entry_listener, *self._other_listeners)
 
     async def run(self) -> None:
         """Serve until a signal to stop, and end gracefully.
@@ -253,8 +268,9 @@
         loop.add_signal_handler(signal.SIGINT, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._settings_mtime = self._read_mtime()
+        for http_listener in self._http_listeners:
+            http_listener.on_error(self._note_handler_error)
         for listener in self._listeners:
-            listener.on_error(self._note_handler_error)
             await listener.start()
         self._subscribe()
         self._log.state(
@@ -338,6 +354,7 @@
         return GateEntry(
             node=self._settings.node,
             gate_address=self._settings.gate_address,
+            knowledge_address=self._settings.knowledge_address,
             data_centre=self._settings.data_centre,
             service=upstream.service,
             instance=upstream.instance,
@@ -393,6 +410,7 @@
         self._timers.every(DRAIN_CHECK_PERIOD_S, self._gate.expire)
         self._timers.every(FLUSH_PERIOD_S, self._lines.flush)
         self._timers.every(SUSPENSION_PERIOD_S, self._check_suspension)
+        self._timers.every(HOP_CHECK_PERIOD_S, self._hop_pool.check)
         self._timers.every(SWEEP_PERIOD_S, self._sweep)
 
     def _check_suspension(self) -> None:
@@ -401,7 +419,7 @@
             self._log.state("process:suspended", length_s=round(length_s, 3))
 
     def _sweep(self) -> None:
-        for listener in self._listeners:
+        for listener in self._http_listeners:
             listener.sweep()
         self._upstream_pool.sweep()
         self._peer_pool.sweep()
@@ -478,6 +496,16 @@
             traceback="".join(traceback.format_exception(error, limit=-6)),
         )
 
+    def _note_hop_error(self, call: HopCall, error: Exception) -> None:
+        self._counters.add("handler_failures", type(error).__name__)
+        self._log.state(
+            "handler:failed",
+            request_id=call.request_id,
+            route=call.route,
+            error=repr(error),
+            traceback="".join(traceback.format_exception(error, limit=-6)),
+        )
+
     def _note_timer_error(self, error: BaseException) -> None:
         self._counters.add("timer_failures")
         self._log.state("timer:failed", error=repr(error))
--- a/packages/relay/src/knapweedspring_relay/_relaying.py
+++ b/packages/relay/src/knapweedspring_relay/_relaying.py
@@ -1,22 +1,15 @@
 """Passing an upstream's answer on to whoever asked."""
 
 import asyncio
-from collections.abc import Iterable
 
 from knapweedspring_relay._answer import Answer
 from knapweedspring_relay._errors import CallError
 from knapweedspring_relay._http_server import Exchange
-from knapweedspring_relay._messages import Header, without_headers
 
 __all__ = ["relay_answer"]
 
 
-async def relay_answer(
-    exchange: Exchange,
-    answer: Answer,
-    added: Iterable[Header] = (),
-    dropped: frozenset[bytes] = frozenset(),
-) -> bool:
+async def relay_answer(exchange: Exchange, answer: Answer) -> bool:
     """Pass an answer on; its body streams when it has not wholly arrived.
 
     An answer that breaks off ends with a broken connection, so that it does not
@@ -24,15 +17,12 @@
 
     :param exchange: where it goes.
     :param answer: the answer.
-    :param added: headers to add.
-    :param dropped: names of headers to leave out, in lower case.
     :return: whether all of it was passed on.
     """
-    headers = [*without_headers(answer.headers, dropped), *added]
     if answer.is_complete:
-        exchange.answer(answer.status, headers, answer.whole_body())
+        exchange.relay(answer.status, answer.lines, answer.whole_body())
         return True
-    exchange.start(answer.status, headers, answer.declared_length)
+    exchange.start(answer.status, answer.lines, answer.declared_length)
     try:
         while piece := await answer.read():
             await exchange.send(piece)
--- a/packages/relay/src/knapweedspring_relay/_settings.py
+++ b/packages/relay/src/knapweedspring_relay/_settings.py
@@ -84,6 +84,8 @@
     entry_address: str
     #: Where other nodes send calls for the upstream.
     gate_address: str
+    #: Where other nodes ask what this one knows.
+    knowledge_address: str
     #: Where the upstream sends its heartbeats.
     heartbeat_address: str
     #: Where readiness is asked for.
--- a/packages/relay/src/knapweedspring_relay/_store_sync.py
+++ b/packages/relay/src/knapweedspring_relay/_store_sync.py
@@ -316,7 +316,7 @@
 
     async def _ask(self) -> None:
         peers = self._directory.entries.values()
-        addresses = [peer.gate_address for peer in peers if peer.node != self._node]
+        addresses = [p.knowledge_address for p in peers if p.node != self._node]
         if not addresses:
             addresses = list(self._seed_addresses)
         if not addresses:
--- a/packages/relay/tests/_deployment.py
+++ b/packages/relay/tests/_deployment.py
@@ -258,6 +258,7 @@
             upstream_address=self.upstreams[index].address,
             entry_address=free_address(),
             gate_address=free_address(),
+            knowledge_address=free_address(),
             heartbeat_address=free_address(),
             readiness_address=free_address(),
             metrics_address=free_address(),
--- a/packages/relay/tests/test_admission.py
+++ b/packages/relay/tests/test_admission.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from knapweedspring_relay._admission import AdmissionQueue, Demand, Place, PlaceState
+from knapweedspring_relay._admission import AdmissionQueue, Place, PlaceState
+from knapweedspring_relay._demand import Demand
 
 
 def make_place(priority=2, route="r", deadline_at=100.0, max_wait_s=1.0):
@@ -156,6 +157,7 @@
     assert queue.longest_wait_s(second, 0.4) == 1.0
 
 
+@pytest.mark.interpreted
 def test_long_queue_in_overload_costs_each_call_little():
     """A surge at a slow upstream: the work for a call does not grow with the queue."""
 
--- a/packages/relay/tests/test_balancer.py
+++ b/packages/relay/tests/test_balancer.py
@@ -22,6 +22,7 @@
     return GateEntry(
         node=node,
         gate_address=f"{node}:1",
+        knowledge_address=f"{node}:2",
         data_centre=data_centre,
         service="svc",
         instance=f"i-{node}",
--- a/packages/relay/tests/test_calls.py
+++ b/packages/relay/tests/test_calls.py
@@ -365,6 +365,7 @@
     run(scenario)
 
 
+@pytest.mark.interpreted
 def test_defect_in_a_handler_is_logged_and_denies_nothing(monkeypatch):
     async def scenario():
         async with Deployment([answer_well]) as deployment:
--- a/packages/relay/tests/test_directory.py
+++ b/packages/relay/tests/test_directory.py
@@ -10,7 +10,9 @@
     UpstreamState,
 )
 
-ENTRY = GateEntry("a", "10.0.0.1:1", "dc", "svc", "i-1", 100, 20, UpstreamState.READY)
+ENTRY = GateEntry(
+    "a", "10.0.0.1:1", "10.0.0.1:2", "dc", "svc", "i-1", 100, 20, UpstreamState.READY
+)
 OTHER = replace(ENTRY, node="b", gate_address="10.0.0.2:1", instance="i-2")
 
 
--- /dev/null
+++ b/packages/relay/tests/test_hop.py
@@ -0,0 +1,351 @@
+"""Calls between nodes on shared connections: order, ends, silence, slow readers."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from knapweedspring_relay import CallKind
+from knapweedspring_relay import _hop_client as hop_client
+from knapweedspring_relay import _hop_listener as hop_listener
+from knapweedspring_relay._answer import Answer
+from knapweedspring_relay._errors import ConnectFailed, ConnectionBroke
+from knapweedspring_relay._gate import LocalGate
+from knapweedspring_relay._gate_answer import GateAnswer
+from knapweedspring_relay._hop import GateReport, HopCall, HopOutcome
+from knapweedspring_relay._hop_client import HopPool, HopSettings
+from knapweedspring_relay._hop_frames import (
+    AnswerFrame,
+    BodyFrame,
+    CancelFrame,
+    FrameError,
+    FrameReader,
+    PingFrame,
+    encode_frame,
+)
+from knapweedspring_relay._hop_listener import HopListener
+from knapweedspring_relay._requests import ForwardedRequest
+
+
+def run(scenario):
+    asyncio.run(asyncio.wait_for(scenario(), 20))
+
+
+def make_call(request_id="r", left_s=2.0):
+    return HopCall(
+        request_id, "svc", "i", left_s, 1, CallKind.IDEMPOTENT, "route", "caller", 3
+    )
+
+
+def make_request(target=b"/", body=b""):
+    return ForwardedRequest(b"GET", target, b"host: h\r\n", body)
+
+
+def make_report(outcome=HopOutcome.ANSWERED, reason=""):
+    return GateReport(outcome, reason, 0, 0, 1, 0.0, 0.0, 3, "i")
+
+
+class ScriptedGate(LocalGate):
+    """Runs a script for each call instead of asking an upstream."""
+
+    def __init__(self, script):
+        self.script = script
+        self.n_cancelled = 0
+
+    async def run(self, call, request):
+        try:
+            return await self.script(call, request)
+        except asyncio.CancelledError:
+            self.n_cancelled += 1
+            raise
+
+    def report(self, outcome, reason="", waited_s=0.0):
+        return make_report(outcome, reason)
+
+
+def whole_answer(body):
+    answer = Answer(200, [(b"x-seal", b"s")], asyncio.get_running_loop())
+    answer.add(body)
+    answer.complete()
+    return GateAnswer(make_report(), answer)
+
+
+@contextlib.asynccontextmanager
+async def hop(script):
+    """A listener with a scripted gate, and a pool that calls it."""
+    errors = []
+    gate = ScriptedGate(script)
+    listener = HopListener(
+        "127.0.0.1:0", gate, lambda _: None, lambda *found: errors.append(found)
+    )
+    await listener.start()
+    port = listener._server.sockets[0].getsockname()[1]
+    pool = HopPool(HopSettings(connect_s=0.5, unacknowledged_s=1.0))
+    try:
+        yield pool, f"127.0.0.1:{port}", gate, listener, errors
+    finally:
+        pool.close()
+        listener.close()
+
+
+@pytest.mark.parametrize("step", [1, 3, 7, 1_000])
+def test_frames_are_cut_wherever_the_bytes_are_split(step):
+    frames = [BodyFrame(1, b"x" * 40), PingFrame(), CancelFrame(7)]
+    data = b"".join(encode_frame(frame) for frame in frames)
+    reader, found = FrameReader(), []
+    for begin in range(0, len(data), step):
+        found += reader.feed(data[begin : begin + step])
+    assert found == frames
+    assert reader.n_pending_bytes == 0
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"GET / HTTP/1.1\r\nhost: h\r\n\r\n",
+        b"\xff\xff\xff\xff",
+        b"\x00\x00\x00\x01\xc1",
+        b"\x00\x00\x00\x02\x91\x63",
+    ],
+)
+def test_bytes_that_are_no_frames_are_told_apart(data):
+    with pytest.raises(FrameError):
+        list(FrameReader().feed(data))
+
+
+def test_answers_in_any_order_reach_their_own_callers_on_one_connection():
+    async def script(call, request):
+        await asyncio.sleep(0.05 if call.request_id == "slow" else 0.0)
+        return whole_answer(request.target)
+
+    async def scenario():
+        async with hop(script) as (pool, address, _, _, _):
+            answers = await asyncio.gather(
+                *(
+                    pool.call(address, make_call(name), make_request(name.encode()))
+                    for name in ("slow", "b", "c")
+                )
+            )
+            bodies = [found.answer.whole_body() for found in answers]
+            assert bodies == [b"slow", b"b", b"c"]
+            assert answers[0].answer.lines == b"x-seal: s\r\n"
+            assert pool.n_connections == 1
+
+    run(scenario)
+
+
+def test_caller_that_leaves_ends_its_own_call_only():
+    async def script(call, request):
+        await asyncio.sleep(0.2)
+        return whole_answer(b"done")
+
+    async def scenario():
+        async with hop(script) as (pool, address, gate, listener, _):
+            leaving = asyncio.ensure_future(
+                pool.call(address, make_call("a"), make_request())
+            )
+            staying = asyncio.ensure_future(
+                pool.call(address, make_call("b"), make_request())
+            )
+            await asyncio.sleep(0.05)
+            leaving.cancel()
+            await asyncio.sleep(0.05)
+            assert gate.n_cancelled == 1
+            assert listener.n_active == 1
+            assert (await staying).answer.whole_body() == b"done"
+
+    run(scenario)
+
+
+def test_outcome_that_comes_too_late_is_given_up_and_cancelled():
+    async def script(call, request):
+        await asyncio.sleep(5.0)
+
+    async def scenario():
+        async with hop(script) as (pool, address, gate, _, _):
+            with pytest.raises(TimeoutError):
+                await pool.call(address, make_call(left_s=0.05), make_request())
+            await asyncio.sleep(0.05)
+            assert gate.n_cancelled == 1
+
+    run(scenario)
+
+
+def test_calls_fail_when_the_other_node_dies_and_when_nobody_listens():
+    async def script(call, request):
+        await asyncio.sleep(5.0)
+
+    async def scenario():
+        async with hop(script) as (pool, address, _, listener, _):
+            waiting = asyncio.ensure_future(
+                pool.call(address, make_call(), make_request())
+            )
+            await asyncio.sleep(0.05)
+            listener.close()
+            with pytest.raises(ConnectionBroke):
+                await waiting
+            with pytest.raises(ConnectFailed):
+                await pool.call(address, make_call(), make_request())
+
+    run(scenario)
+
+
+def test_silent_connection_gets_no_new_calls():
+    """A link goes silent without a reset while new connections work."""
+
+    async def scenario():
+        connections = []
+
+        async def serve(reader, writer):
+            connections.append(writer)
+            if len(connections) == 1:
+                return
+            frames = FrameReader()
+            while data := await reader.read(65_536):
+                for frame in frames.feed(data):
+                    answer = AnswerFrame(frame.stream, make_report(), 200)
+                    writer.write(encode_frame(answer))
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        pool = HopPool(HopSettings(connect_s=0.5, unacknowledged_s=1.0))
+        silent = asyncio.ensure_future(pool.call(address, make_call(), make_request()))
+        deadline = hop_client.PING_AFTER_S + hop_client.SUSPECT_AFTER_S + 0.2
+        for _ in range(int(deadline / 0.05)):
+            await asyncio.sleep(0.05)
+            pool.check()
+        assert not silent.done()
+        answered = await pool.call(address, make_call(), make_request())
+        assert answered.answer.status == 200
+        assert len(connections) == 2
+        silent.cancel()
+        pool.close()
+        server.close()
+
+    run(scenario)
+
+
+def test_connection_with_a_slow_call_that_answers_pings_is_kept():
+    async def script(call, request):
+        await asyncio.sleep(0.8)
+        return whole_answer(b"late")
+
+    async def scenario():
+        async with hop(script) as (pool, address, _, _, _):
+            first = asyncio.ensure_future(
+                pool.call(address, make_call(), make_request())
+            )
+            for _ in range(14):
+                await asyncio.sleep(0.05)
+                pool.check()
+            second = asyncio.ensure_future(
+                pool.call(address, make_call(), make_request())
+            )
+            await asyncio.gather(first, second)
+            assert pool.n_connections == 1
+
+    run(scenario)
+
+
+def test_draining_node_answers_what_it_has_and_its_connection_gets_no_more():
+    async def script(call, request):
+        await asyncio.sleep(0.1)
+        return whole_answer(b"done")
+
+    async def scenario():
+        async with hop(script) as (pool, address, _, listener, _):
+            waiting = asyncio.ensure_future(
+                pool.call(address, make_call(), make_request())
+            )
+            await asyncio.sleep(0.05)
+            listener.drain()
+            await asyncio.sleep(0.02)
+            assert pool._usable(address) is None
+            assert (await waiting).answer.whole_body() == b"done"
+
+    run(scenario)
+
+
+def test_long_body_waits_for_a_slow_reader_and_arrives_whole():
+    n_bytes = 1_000_000
+    fed = []
+
+    async def script(call, request):
+        answer = Answer(200, [], asyncio.get_running_loop())
+        for _ in range(n_bytes // 10_000):
+            answer.add(b"x" * 10_000)
+        answer.on_read(fed.append)
+        asyncio.get_running_loop().call_soon(answer.complete)
+        return GateAnswer(make_report(), answer)
+
+    async def scenario():
+        async with hop(script) as (pool, address, _, _, _):
+            answered = await pool.call(address, make_call(), make_request())
+            await asyncio.sleep(0.1)
+            assert sum(fed) <= hop_listener.WINDOW_BYTES + 20_000
+            assert len(await answered.answer.read_all()) == n_bytes
+
+    run(scenario)
+
+
+def test_body_that_breaks_off_does_not_look_whole():
+    async def script(call, request):
+        answer = Answer(200, [], asyncio.get_running_loop())
+        answer.add(b"part")
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.05, answer.fail, ConnectionBroke("reset"))
+        return GateAnswer(make_report(), answer)
+
+    async def scenario():
+        async with hop(script) as (pool, address, _, _, _):
+            answered = await pool.call(address, make_call(), make_request())
+            with pytest.raises(ConnectionBroke):
+                await answered.answer.read_all()
+
+    run(scenario)
+
+
+def test_defect_at_the_gate_is_told_as_lost_and_reported():
+    async def script(call, request):
+        raise ZeroDivisionError
+
+    async def scenario():
+        async with hop(script) as (pool, address, _, _, errors):
+            answered = await pool.call(address, make_call("bad"), make_request())
+            assert answered.report.outcome is HopOutcome.LOST
+            assert errors[0][0].request_id == "bad"
+
+    run(scenario)
+
+
+@pytest.mark.interpreted
+def test_bodies_beyond_the_bound_are_refused_as_not_run(monkeypatch):
+    monkeypatch.setattr(hop_listener, "MAX_BODIES_BYTES", 100)
+
+    async def script(call, request):
+        raise AssertionError("must not run")
+
+    async def scenario():
+        async with hop(script) as (pool, address, _, _, _):
+            request = make_request(body=b"x" * 101)
+            answered = await pool.call(address, make_call(), request)
+            assert answered.report.outcome is HopOutcome.REFUSED
+
+    run(scenario)
+
+
+def test_peer_that_sends_garbage_breaks_its_connection_only():
+    async def scenario():
+        async def serve(reader, writer):
+            await reader.read(1)
+            writer.write(b"HTTP/1.1 400 Bad Request\r\n\r\n")
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        pool = HopPool(HopSettings(connect_s=0.5, unacknowledged_s=1.0))
+        with pytest.raises(ConnectionBroke):
+            await pool.call(address, make_call(), make_request())
+        assert pool.n_bad_frames == 1
+        server.close()
+
+    run(scenario)
--- a/packages/relay/tests/test_settings.py
+++ b/packages/relay/tests/test_settings.py
@@ -14,6 +14,7 @@
     "upstream_address": "10.0.0.1:1",
     "entry_address": "10.0.0.1:2",
     "gate_address": "10.0.0.1:3",
+    "knowledge_address": "10.0.0.1:7",
     "heartbeat_address": "10.0.0.1:4",
     "readiness_address": "10.0.0.1:5",
     "metrics_address": "10.0.0.1:6",
