Favour whole chains of the highest rank while a deep service sheds

Repeats stopped at the route's two servers and at 8% of the calls that were still made, although a request that was shed has run nowhere and the budget counts the window before too.

Change: a shed request goes on among the servers that its route allows, four sends at most; the budget looks at the window before and lets requests that did not run use what repeated runs leave; calls of upstreams carry the rank of their chain's first request (from the id, as a hint), go before calls of lower chains, which leave 70% of the budget to them; while the highest rank fails at a deeper service, up to 90% of the lowest that fails there too is refused at the entry with a time to come back.

Found while writing: without a bound, gates that go on refusing were asked 23,364 times (test_request_that_gates_go_on_refusing_is_given_up_at_once).

--- a/packages/relay/src/knapweedspring_relay/_balancer.py
+++ b/packages/relay/src/knapweedspring_relay/_balancer.py
@@ -170,7 +170,8 @@
         :param now: monotonic time, in seconds.
         """
         providers = self._directory.providers(service)
-        home = self._sound_home_gate(providers, route, excluded, now)
+        home_providers = self._directory.providers_in(service, self._data_centre)
+        home = self._sound_home_gate(home_providers, route, excluded, now)
         if home is not None:
             return home
         known = [entry for entry in providers if entry.node not in excluded]
@@ -182,6 +183,23 @@
             return candidates[0]
         return self._cheapest(self._sample(candidates), route, now)
 
+    def pick_among(
+        self, service: str, route: Route, nodes: frozenset[str], now: float
+    ) -> GateEntry | None:
+        """Return the best gate of a few nodes; None when none of them serves.
+
+        :param service: service that is to run the call.
+        :param route: the route that it takes.
+        :param nodes: the nodes.
+        :param now: monotonic time, in seconds.
+        """
+        candidates = [
+            entry
+            for entry in self._directory.providers(service)
+            if entry.node in nodes and self._gate(entry).avoid_until <= now
+        ]
+        return self._cheapest(candidates, route, now) if candidates else None
+
     def started(self, entry: GateEntry) -> None:
         """Count a call that goes to a gate."""
         self._gate(entry).n_open += 1
@@ -254,7 +272,7 @@
         """
         best, best_occupancy = None, SPILL_OCCUPANCY
         for entry in providers:
-            if entry.data_centre != self._data_centre or entry.node in excluded:
+            if entry.node in excluded:
                 continue
             gate = self._gate(entry)
             if gate.avoid_until > now or gate.failure_ratio > SOUND_FAILURE_RATIO:
--- a/packages/relay/src/knapweedspring_relay/_directory.py
+++ b/packages/relay/src/knapweedspring_relay/_directory.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from enum import StrEnum
+from typing import NamedTuple
 
 __all__ = ["Directory", "DirectorySnapshot", "GateEntry", "UpstreamState"]
 
@@ -54,6 +55,15 @@
     entries: Mapping[str, GateEntry]
 
 
+class _Place(NamedTuple):
+    """A service in a data centre."""
+
+    #: Name of the service.
+    service: str
+    #: Name of the data centre.
+    data_centre: str
+
+
 class Directory:
     """The entries that this node believes, and look-up by service.
 
@@ -66,6 +76,7 @@
         self._entries: dict[str, GateEntry] = {}
         self._missing_at: dict[str, float] = {}
         self._by_service: dict[str, tuple[GateEntry, ...]] = {}
+        self._by_place: dict[_Place, tuple[GateEntry, ...]] = {}
 
     @property
     def revision(self) -> int:
@@ -86,6 +97,19 @@
         """Return the gates of a service whose upstreams take requests."""
         return self._by_service.get(service, ())
 
+    def providers_in(self, service: str, data_centre: str) -> tuple[GateEntry, ...]:
+        """Return those of them in one data centre."""
+        place = _Place(service, data_centre)
+        found = self._by_place.get(place)
+        if found is None:
+            found = tuple(
+                entry
+                for entry in self.providers(service)
+                if entry.data_centre == data_centre
+            )
+            self._by_place[place] = found
+        return found
+
     def replace_all(self, snapshot: DirectorySnapshot, now: float) -> bool:
         """Take over a whole listing unless a newer one is held.
 
@@ -157,3 +181,4 @@
             if entry.service and entry.state is UpstreamState.READY:
                 by_service.setdefault(entry.service, []).append(entry)
         self._by_service = {name: tuple(found) for name, found in by_service.items()}
+        self._by_place.clear()
--- a/packages/relay/src/knapweedspring_relay/_entry.py
+++ b/packages/relay/src/knapweedspring_relay/_entry.py
@@ -8,6 +8,7 @@
 from knapweedspring_core import Counters
 from knapweedspring_relay._answer import Answer
 from knapweedspring_relay._balancer import Balancer, CallResult
+from knapweedspring_relay._chain_health import LOW_RANK, ChainHealth
 from knapweedspring_relay._clock import now_s
 from knapweedspring_relay._configuration import (
     CallLimits,
@@ -34,6 +35,9 @@
 
 #: Gates that one request is offered to before it is refused.
 MAX_GATES = 3
+#: Sends of one request to servers that shed it. Some shed at random, and a whole chain
+#: needs each of its calls.
+MAX_SENDS = 4
 #: Wait for a deadline that no caller stated, in seconds.
 DEFAULT_DEADLINE_S = 30.0
 #: Time past the deadline in which an answer that is ready is still passed on.
@@ -44,13 +48,13 @@
 #: whose failure its failures are taken for those of a deeper service: another run would
 #: only load that one more.
 DEEPER_FAILURE_RATIO = 0.05
-#: Priority from which on requests leave a part of the retry budget to the others; 0 is
-#: the highest.
-LOW_RANK = 2
 #: Bounds of Retry-After as shares of the goal: callers come back spread out, and
 #: early enough for their answer to be of use.
 RETRY_AFTER_MIN_SHARE = 0.15
 RETRY_AFTER_MAX_SHARE = 0.4
+#: The same as shares of the time left, for requests refused while whole chains fail.
+RETRY_LATER_MIN_SHARE = 0.2
+RETRY_LATER_MAX_SHARE = 0.33
 #: Retry-After of a node that has no configuration yet, in seconds.
 RETRY_AFTER_START_S = 0.5
 
@@ -75,15 +79,19 @@
     service: str
     #: Id of the request.
     request_id: str
+    #: Rank of the request at the root of its chain.
+    root_priority: int
     #: Its end, on the monotonic clock.
     deadline_at: float
     #: Version of the configuration that it goes by.
     version: int
     #: Nodes whose gates were tried.
     excluded: frozenset[str] = frozenset()
+    #: Nodes whose servers it was sent to.
+    sent_to: frozenset[str] = frozenset()
     #: Gates that it was offered to.
     n_offers: int = 0
-    #: Servers that it was sent to.
+    #: Times that it was sent to a server.
     n_sent: int = 0
     #: Whether a server may have run it.
     may_have_run: bool = False
@@ -140,6 +148,7 @@
         self._counters = counters
         self._latencies = latencies
         self._rng = rng
+        self._chain_health = ChainHealth()
 
     @property
     def limits(self) -> CallLimits:
@@ -166,6 +175,10 @@
             self._refuse_unrouted(exchange, 404, "no route matches")
             return
         journey = self._begin(request, route, table.configuration.version)
+        share = self._chain_health.refused_share(route, request.arrived_at)
+        if share > 0.0 and self._rng.random() < share:
+            self._refuse_early(journey, exchange)
+            return
         try:
             await self._travel(journey, exchange)
         except asyncio.CancelledError:
@@ -175,15 +188,29 @@
     def _begin(self, request: Request, route: Route, version: int) -> _Journey:
         stated_s = _stated_deadline_s(request.header(self._headers.deadline_ms))
         left_s = min(stated_s, route.timeout_s)
-        request_id = request.header(self._headers.request_id) or b""
+        header = request.header(self._headers.request_id) or b""
+        request_id = header.decode("latin-1")
         return _Journey(
             route=route,
             service=self._splitter.choose(route),
-            request_id=request_id.decode("latin-1"),
+            request_id=request_id,
+            root_priority=self._root_priority(request_id, route),
             deadline_at=request.arrived_at + left_s,
             version=version,
         )
 
+    def _root_priority(self, request_id: str, route: Route) -> int:
+        """Return the rank of a request's chain: its own, unless it is a call of one.
+
+        A call of the upstream here belongs to the chain of the request that the
+        upstream is running.
+        """
+        parent_id = self._headers.parent_of(request_id)
+        if parent_id is None:
+            return route.priority
+        known = self._gate.root_priority(parent_id)
+        return route.priority if known is None else known
+
     async def _travel(self, journey: _Journey, exchange: Exchange) -> None:
         """Offer the request to gates until one gives its final outcome."""
         request = forward(exchange.request, self._headers.set_by_system)
@@ -201,17 +228,32 @@
 
     def _next_gate(self, journey: _Journey) -> GateEntry | None:
         now = now_s()
-        if journey.n_offers >= MAX_GATES or journey.deadline_at <= now:
+        if journey.deadline_at <= now:
             return None
-        entry = self._balancer.pick(
-            journey.service, journey.route, journey.excluded, now
-        )
+        entry = self._pick(journey, now)
         if entry is not None:
             journey.n_offers += 1
             journey.excluded |= {entry.node}
             journey.last_node = entry.node
         return entry
 
+    def _pick(self, journey: _Journey, now: float) -> GateEntry | None:
+        """Return the gate that comes next; None when none is left.
+
+        A request that as many servers have shed as its route allows goes to one of
+        these again, since it has run on none.
+        """
+        if journey.n_offers >= MAX_GATES + journey.n_sent:
+            return None
+        if len(journey.sent_to) < journey.route.max_attempts:
+            return self._balancer.pick(
+                journey.service, journey.route, journey.excluded, now
+            )
+        others = journey.sent_to - {journey.last_node}
+        return self._balancer.pick_among(
+            journey.service, journey.route, others or journey.sent_to, now
+        )
+
     async def _offer(
         self, journey: _Journey, entry: GateEntry, request: ForwardedRequest
     ) -> GateAnswer | None:
@@ -257,6 +299,7 @@
         if report.outcome in (HopOutcome.REFUSED, HopOutcome.CLOSED):
             return False
         journey.n_sent += 1
+        journey.sent_to |= {journey.last_node}
         if report.outcome is HopOutcome.SHED:
             if self._may_repeat(journey):
                 return False
@@ -266,6 +309,8 @@
         journey.may_have_run = True
         if report.outcome is HopOutcome.ANSWERED and answer is not None:
             is_own_failure = report.entry_failure_ratio < DEEPER_FAILURE_RATIO
+            failed_deeper = answer.status >= 500 and not is_own_failure
+            self._chain_health.note(journey.route, failed_deeper, now_s())
             if answer.status >= 500 and is_own_failure and self._may_repeat(journey):
                 answer.abandon()
                 return False
@@ -282,16 +327,15 @@
         now = now_s()
         if journey.may_have_run and not route.kind.is_repeatable:
             return False
-        if journey.n_sent >= route.max_attempts or journey.n_offers >= MAX_GATES:
+        if journey.n_sent >= MAX_SENDS:
+            return False
+        if journey.may_have_run and journey.n_sent >= route.max_attempts:
             return False
         if journey.deadline_at - now < MIN_RETRY_LEFT_SHARE * route.goal_s:
             return False
-        if (
-            self._balancer.pick(journey.service, journey.route, journey.excluded, now)
-            is None
-        ):
+        if self._pick(journey, now) is None:
             return False
-        is_low_rank = route.priority >= LOW_RANK
+        is_low_rank = max(route.priority, journey.root_priority) >= LOW_RANK
         return self._budget.take(
             journey.service, is_low_rank, journey.may_have_run, now
         )
@@ -325,11 +369,24 @@
             status = 504 if journey.last_reason == "deadline" else 502
             exchange.answer(status, self._id_header(journey))
         else:
-            retry_after = (b"retry-after", b"%.3f" % self._retry_after_s(journey))
-            exchange.answer(503, [*self._id_header(journey), retry_after])
+            self._answer_503(journey, exchange, self._retry_after_s(journey))
             status = 503
         self._note(journey, exchange, "failed", status)
 
+    def _refuse_early(self, journey: _Journey, exchange: Exchange) -> None:
+        """Refuse a request whose chain would most likely fail."""
+        journey.last_reason = "most requests of the route fail at a deeper service"
+        share = self._rng.uniform(RETRY_LATER_MIN_SHARE, RETRY_LATER_MAX_SHARE)
+        left_s = max(0.0, journey.deadline_at - now_s())
+        self._answer_503(journey, exchange, share * left_s)
+        self._note(journey, exchange, "refused-early", 503)
+
+    def _answer_503(
+        self, journey: _Journey, exchange: Exchange, retry_after_s: float
+    ) -> None:
+        retry_after = (b"retry-after", b"%.3f" % retry_after_s)
+        exchange.answer(503, [*self._id_header(journey), retry_after])
+
     def _retry_after_s(self, journey: _Journey) -> float:
         share = self._rng.uniform(RETRY_AFTER_MIN_SHARE, RETRY_AFTER_MAX_SHARE)
         return share * journey.route.goal_s
@@ -341,7 +398,7 @@
         now = now_s()
         latency_s = now - exchange.request.arrived_at
         failed = outcome != "answered" or status >= 500
-        if outcome != "caller-left":
+        if outcome not in ("caller-left", "refused-early"):
             self._gate.count_entry_call(failed)
         self._counters.add("calls", f"{outcome}-{status}")
         self._latencies.record(f"route:{journey.route.name}", latency_s)
@@ -357,6 +414,7 @@
                 n_offers=journey.n_offers,
                 n_sent=journey.n_sent,
                 outcome=outcome,
+                root_priority=journey.root_priority,
                 status=status,
                 reason=journey.last_reason if failed else "",
                 latency_ms=round(latency_s * 1_000, 1),
@@ -391,6 +449,7 @@
             instance=entry.instance,
             left_s=journey.deadline_at - now,
             priority=route.priority,
+            root_priority=journey.root_priority,
             kind=route.kind,
             route=route.name,
             caller=self._policy.caller_service,
--- a/packages/relay/src/knapweedspring_relay/_gate.py
+++ b/packages/relay/src/knapweedspring_relay/_gate.py
@@ -32,6 +32,8 @@
 LATE_ANSWER_S = 0.08
 #: Shortest time worth sending a request for, in seconds.
 MIN_LEFT_S = 0.005
+#: Ranks of chains that are told apart among calls of the same rank.
+N_ROOT_RANKS = 8
 #: Weight of one call through this node's entry in the moving failure ratio.
 ENTRY_FAILURE_STEP = 0.05
 
@@ -114,6 +116,7 @@
         self._stopping = False
         self._entry_failure_ratio = 0.0
         self._background: set[asyncio.Task[GateAnswer]] = set()
+        self._root_priorities: dict[str, int] = {}
 
     @property
     def queue(self) -> AdmissionQueue:
@@ -125,6 +128,13 @@
         """Calls that the upstream works on."""
         return self._queue.n_running
 
+    def root_priority(self, request_id: str) -> int | None:
+        """Return the rank of a running request's chain; None when it does not run.
+
+        :param request_id: id of the request.
+        """
+        return self._root_priorities.get(request_id)
+
     def refresh(self, now: float) -> None:
         """Take over a change of the upstream."""
         upstream = self._tracker.current
@@ -223,7 +233,9 @@
 
     def _place(self, call: HopCall, now: float) -> "_WaitingPlace":
         max_wait_s = self._policy.max_wait_share * call.left_s
-        demand = Demand(call.priority, call.route, now + call.left_s, max_wait_s)
+        root_priority = min(call.root_priority, N_ROOT_RANKS - 1)
+        rank = call.priority * N_ROOT_RANKS + root_priority
+        demand = Demand(rank, call.route, now + call.left_s, max_wait_s)
         return _WaitingPlace(demand)
 
     async def _wait(self, waiting: "_WaitingPlace", now: float) -> None:
@@ -251,6 +263,7 @@
     ) -> GateAnswer:
         """Send an admitted call; frees its slot in any case."""
         answer: Answer | None = None
+        self._root_priorities[call.request_id] = call.root_priority
         waited_s = place.started_at - place.entered_at
         try:
             left_s = place.demand.deadline_at - now_s()
@@ -264,6 +277,7 @@
         except CallError as error:
             return self._failed(call, HopOutcome.LOST, str(error), waited_s)
         finally:
+            self._root_priorities.pop(call.request_id, None)
             self._free_slot(place, answer)
 
     def _free_slot(self, place: Place, answer: Answer | None) -> None:
--- a/packages/relay/src/knapweedspring_relay/_headers.py
+++ b/packages/relay/src/knapweedspring_relay/_headers.py
@@ -1,10 +1,15 @@
 """Names of the headers that callers and upstreams of a deployment speak."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 __all__ = ["CallHeaders"]
 
 
+def _no_parent(request_id: str) -> str | None:
+    return None
+
+
 @dataclass(frozen=True, slots=True)
 class CallHeaders:
     """Header names, in lower case; each deployment's adapter says which."""
@@ -21,6 +26,9 @@
     not_executed: bytes
     #: Service on whose VM the request began.
     caller_service: bytes
+    #: Returns the id of the request that a call belongs to, by the id of the call;
+    #: None when the id names none.
+    parent_of: Callable[[str], str | None] = _no_parent
 
     @property
     def set_by_system(self) -> frozenset[bytes]:
--- a/packages/relay/src/knapweedspring_relay/_hop.py
+++ b/packages/relay/src/knapweedspring_relay/_hop.py
@@ -39,6 +39,8 @@
     left_s: float
     #: Rank; 0 is the highest.
     priority: int
+    #: Rank of the request at the root of its chain, as far as it is known.
+    root_priority: int
     #: What may be repeated.
     kind: CallKind
     #: Name of the route.
--- a/packages/relay/src/knapweedspring_relay/_retry_budget.py
+++ b/packages/relay/src/knapweedspring_relay/_retry_budget.py
@@ -11,12 +11,13 @@
 #: evenly over nodes and windows.
 NOT_RUN_RATIO_SHARE = 0.4
 NOT_RUN_SLACK_SHARE = 0.3
-#: The same for requests that may have run. Such a run makes its own calls again, and
-#: they count as second sends at each deeper service: over a chain these parts add up.
+#: The same for requests that may have run, which requests that did not run may use as
+#: well. Such a run makes its own calls again, and they count as second sends at each
+#: deeper service: over a chain these parts add up.
 RUN_RATIO_SHARE = 0.15
 RUN_SLACK_SHARE = 0.1
 #: Share of a service's allowance that only ranks above the lowest may use.
-RESERVED_SHARE = 0.5
+RESERVED_SHARE = 0.7
 
 
 class RetryBudget:
@@ -68,60 +69,81 @@
         :return: False when the share is used up.
         """
         window = self._window(service)
-        window.forget_before(now - self._window_s)
-        repeats = window.repeats_of_runs if may_have_run else window.repeats_of_others
-        allowed = self._allowed(window.n_requests, may_have_run)
-        if is_low_rank:
-            allowed *= 1.0 - RESERVED_SHARE
-        granted = len(repeats) + 1 <= allowed
+        window.forget_before(now, self._window_s)
+        n_requests = window.most_requests(now, self._window_s)
+        granted = self._is_allowed(window, n_requests, is_low_rank, may_have_run)
         if granted:
-            repeats.append(now)
+            window.count_repeat(now, may_have_run)
         self._counters.add("retries_granted" if granted else "retries_denied", service)
         return granted
 
-    def _allowed(self, n_requests: int, may_have_run: bool) -> float:
+    def _is_allowed(
+        self,
+        window: "_ServiceWindow",
+        n_requests: int,
+        is_low_rank: bool,
+        may_have_run: bool,
+    ) -> bool:
+        by_ratio = self._ratio * n_requests
         slack = self._slack / self._n_nodes
-        if may_have_run:
-            ratio = RUN_RATIO_SHARE * self._ratio
-            return ratio * n_requests + RUN_SLACK_SHARE * slack
-        ratio = NOT_RUN_RATIO_SHARE * self._ratio
-        return ratio * n_requests + NOT_RUN_SLACK_SHARE * slack
+        for_runs = RUN_RATIO_SHARE * by_ratio + RUN_SLACK_SHARE * slack
+        for_others = NOT_RUN_RATIO_SHARE * by_ratio + NOT_RUN_SLACK_SHARE * slack
+        rank_share = 1.0 - RESERVED_SHARE if is_low_rank else 1.0
+        n_runs, n_others = len(window.repeats_of_runs), len(window.repeats_of_others)
+        if may_have_run and n_runs + 1 > rank_share * for_runs:
+            return False
+        return n_runs + n_others + 1 <= rank_share * (for_runs + for_others)
 
     def _window(self, service: str) -> "_ServiceWindow":
         return self._services.setdefault(service, _ServiceWindow())
 
 
 class _ServiceWindow:
-    """Requests and second sends of one service within the window."""
+    """Requests of one service in two windows, and its second sends in the last one."""
 
     def __init__(self) -> None:
-        #: Requests in the current and the last completed fraction of the window.
         self._requests: deque[_Slice] = deque()
-        self._n_requests = 0
         #: When requests that may have run were sent again.
         self.repeats_of_runs: deque[float] = deque()
         #: When requests that did not run were sent again.
         self.repeats_of_others: deque[float] = deque()
 
-    @property
-    def n_requests(self) -> int:
-        """Requests within the window."""
-        return self._n_requests
-
     def count_request(self, now: float, window_s: float) -> None:
         """Count a request."""
         if not self._requests or now - self._requests[-1].begins_at > window_s / 20:
             self._requests.append(_Slice(now))
-            self.forget_before(now - window_s)
+            self.forget_before(now, window_s)
         self._requests[-1].n_requests += 1
-        self._n_requests += 1
 
-    def forget_before(self, begin: float) -> None:
-        """Forget what is older than the window."""
-        while self._requests and self._requests[0].begins_at < begin:
-            self._n_requests -= self._requests.popleft().n_requests
+    def count_repeat(self, now: float, may_have_run: bool) -> None:
+        """Count a second send."""
+        repeats = self.repeats_of_runs if may_have_run else self.repeats_of_others
+        repeats.append(now)
+
+    def most_requests(self, now: float, window_s: float) -> int:
+        """Return the requests of this window, the last one or the one between.
+
+        A service that sheds gets fewer calls, since chains end at the first one that
+        fails; what it got before still allows the repeats that help them.
+        """
+        most = 0
+        for age_s in (0.0, window_s / 2, window_s):
+            end = now - age_s
+            begin = end - window_s
+            n_requests = sum(
+                found.n_requests
+                for found in self._requests
+                if begin <= found.begins_at <= end
+            )
+            most = max(most, n_requests)
+        return most
+
+    def forget_before(self, now: float, window_s: float) -> None:
+        """Forget what no window needs any more."""
+        while self._requests and self._requests[0].begins_at < now - 2 * window_s:
+            self._requests.popleft()
         for repeats in (self.repeats_of_runs, self.repeats_of_others):
-            while repeats and repeats[0] < begin:
+            while repeats and repeats[0] < now - window_s:
                 repeats.popleft()
 
 
--- a/packages/relay/tests/test_calls.py
+++ b/packages/relay/tests/test_calls.py
@@ -1,6 +1,7 @@
 """The call path over sockets: outcomes told to callers, and what upstreams see."""
 
 import asyncio
+import itertools
 import time
 
 import pytest
@@ -13,7 +14,10 @@
 )
 
 from knapweedspring_relay import CallLimits, UpstreamState
+from knapweedspring_relay._clock import now_s
 from knapweedspring_relay._errors import CallError
+from knapweedspring_relay._gate_answer import GateAnswer
+from knapweedspring_relay._hop import HopOutcome
 
 
 def run(scenario):
@@ -377,3 +381,117 @@
             assert failures == 1
 
     run(scenario)
+
+
+def test_request_goes_again_to_servers_that_shed_it_at_random():
+    """Two servers shed two of three calls whatever their load; a route allows two."""
+
+    async def scenario():
+        n_calls = itertools.count()
+
+        async def shed_often(upstream, request, writer):
+            script = answer_well if next(n_calls) % 4 == 3 else shed
+            await script(upstream, request, writer)
+
+        async with Deployment([shed_often, shed_often]) as deployment:
+            for _ in range(3):
+                status, _, _ = await deployment.call("/write/1", b"POST", b"x")
+                assert status == 200
+            n_arrived = sum(len(u.requests) for u in deployment.upstreams)
+            assert n_arrived == 12
+
+    run(scenario)
+
+
+def test_request_never_goes_to_more_servers_than_its_route_allows():
+    async def scenario():
+        async with Deployment([shed] * 4) as deployment:
+            status, _, _ = await deployment.call("/write/1", b"POST", b"x")
+            assert status == 503
+            asked = [u for u in deployment.upstreams if u.requests]
+            assert len(asked) == 2
+
+    run(scenario)
+
+
+def test_lowest_rank_is_refused_early_while_chains_fail_deeper():
+    async def scenario():
+        async with Deployment([answer_well]) as deployment:
+            relay = deployment.relays[0]
+            health = relay._entry._chain_health
+            read, write = make_configuration().routes
+            for _ in range(50):
+                health.note(read, True, now_s())
+                health.note(write, True, now_s())
+            answers = [await deployment.call() for _ in range(30)]
+            refused = [answer for status, answer, _ in answers if status == 503]
+            assert len(refused) >= 15
+            assert all(0.1 < float(a.header(b"retry-after")) < 0.6 for a in refused)
+            assert (await deployment.call("/write/1", b"POST", b"x"))[0] == 200
+            n_served = len(deployment.upstreams[0].requests)
+            assert n_served == 31 - len(refused)
+
+    run(scenario)
+
+
+@pytest.mark.interpreted
+def test_calls_of_a_running_order_go_before_calls_of_a_running_view():
+    """Both make the same call of a short service; their ids name the chain."""
+
+    async def scenario():
+        ranks = []
+
+        async def nested(upstream, request, writer):
+            request_id = header_of(request, b"x-id")
+            if b"/" not in request_id:
+                child_id = request_id + b"/1"
+                await deployment.call("/read/child", request_id=child_id)
+            writer.write(answer_of(request))
+
+        async with Deployment([nested]) as deployment:
+            relay = deployment.relays[0]
+            place = relay._gate._place
+
+            def note(call, now):
+                ranks.append((call.request_id, call.root_priority))
+                return place(call, now)
+
+            relay._gate._place = note
+            await deployment.call("/write/1", b"POST", b"x", request_id=b"order")
+            await deployment.call("/read/1", request_id=b"view")
+            await deployment.call("/read/child", request_id=b"gone/1")
+            assert dict(ranks) == {
+                "order": 0,
+                "order/1": 0,
+                "view": 2,
+                "view/1": 2,
+                "gone/1": 2,
+            }
+            assert not relay._gate._root_priorities
+
+    run(scenario)
+
+
+@pytest.mark.interpreted
+def test_request_that_gates_go_on_refusing_is_given_up_at_once():
+    """Servers shed it, and then the gates' queues are too long for it."""
+
+    async def scenario():
+        async with Deployment([shed, shed]) as deployment:
+            n_offers = itertools.count()
+            for relay in deployment.relays:
+                gate, run_call = relay._gate, relay._gate.run
+
+                async def refuse(call, request, gate=gate, run_call=run_call):
+                    if next(n_offers) < 2:
+                        return await run_call(call, request)
+                    return GateAnswer(gate.report(HopOutcome.REFUSED, "full"), None)
+
+                gate.run = refuse
+            started = time.monotonic()
+            status, _, _ = await deployment.call("/write/1", b"POST", b"x")
+            assert status == 503
+            assert next(n_offers) <= 6
+            assert time.monotonic() - started < 0.5
+
+    run(scenario)
