--- a/packages/relay/src/knapweedspring_relay/_entry.py
+++ b/packages/relay/src/knapweedspring_relay/_entry.py
@@ -79,8 +79,8 @@
     service: str
     #: Id of the request.
     request_id: str
-    #: Rank of the request at the root of its chain.
-    root_priority: int
+    #: Rank of the request at the root of its chain; None when it begins one.
+    chain_priority: int | None
     #: Its end, on the monotonic clock.
     deadline_at: float
     #: Version of the configuration that it goes by.
@@ -100,6 +100,13 @@
     #: Node of the gate that was tried last.
     last_node: str = ""
 
+    @property
+    def root_priority(self) -> int:
+        """Rank of the request at the root of its chain."""
+        if self.chain_priority is None:
+            return self.route.priority
+        return self.chain_priority
+
 
 class Entry(RequestHandler):
     """Routes each request, chooses gates, repeats what may be repeated.
@@ -175,8 +182,7 @@
             self._refuse_unrouted(exchange, 404, "no route matches")
             return
         journey = self._begin(request, route, table.configuration.version)
-        share = self._chain_health.refused_share(route, request.arrived_at)
-        if share > 0.0 and self._rng.random() < share:
+        if self._is_refused_early(journey, request.arrived_at):
             self._refuse_early(journey, exchange)
             return
         try:
@@ -194,22 +200,26 @@
             route=route,
             service=self._splitter.choose(route),
             request_id=request_id,
-            root_priority=self._root_priority(request_id, route),
+            chain_priority=self._chain_priority(request_id),
             deadline_at=request.arrived_at + left_s,
             version=version,
         )
 
-    def _root_priority(self, request_id: str, route: Route) -> int:
-        """Return the rank of a request's chain: its own, unless it is a call of one.
+    def _chain_priority(self, request_id: str) -> int | None:
+        """Return the rank of the chain that a request is a call of, if it is one.
 
         A call of the upstream here belongs to the chain of the request that the
         upstream is running.
         """
         parent_id = self._headers.parent_of(request_id)
-        if parent_id is None:
-            return route.priority
-        known = self._gate.root_priority(parent_id)
-        return route.priority if known is None else known
+        return None if parent_id is None else self._gate.root_priority(parent_id)
+
+    def _is_refused_early(self, journey: _Journey, now: float) -> bool:
+        """Tell whether a request should not begin; calls of running ones always do."""
+        if journey.chain_priority is not None:
+            return False
+        share = self._chain_health.refused_share(journey.route, now)
+        return share > 0.0 and self._rng.random() < share
 
     async def _travel(self, journey: _Journey, exchange: Exchange) -> None:
         """Offer the request to gates until one gives its final outcome."""
--- a/packages/relay/tests/test_calls.py
+++ b/packages/relay/tests/test_calls.py
@@ -430,6 +430,11 @@
             assert (await deployment.call("/write/1", b"POST", b"x"))[0] == 200
             n_served = len(deployment.upstreams[0].requests)
             assert n_served == 31 - len(refused)
+            # The call of a request that the upstream is running is never refused.
+            relay._gate._root_priorities["running"] = 2
+            for index in range(20):
+                status, _, _ = await deployment.call(request_id=b"running/%d" % index)
+                assert status == 200
 
     run(scenario)
 
