--- a/packages/relay/src/knapweedspring_relay/_entry.py
+++ b/packages/relay/src/knapweedspring_relay/_entry.py
@@ -24,6 +24,7 @@
 from knapweedspring_relay._hop import GateReport, HopCall, HopOutcome
 from knapweedspring_relay._hop_client import HopPool, RemoteGate
 from knapweedspring_relay._http_server import Exchange, RequestHandler
+from knapweedspring_relay._journey import Journey
 from knapweedspring_relay._logs import DecisionLog
 from knapweedspring_relay._messages import forward
 from knapweedspring_relay._relaying import relay_answer
@@ -69,45 +70,6 @@
     node: str
 
 
-@dataclass(slots=True)
-class _Journey:
-    """One request on its way."""
-
-    #: The route that it takes.
-    route: Route
-    #: The service that it was distributed to.
-    service: str
-    #: Id of the request.
-    request_id: str
-    #: Rank of the request at the root of its chain; None when it begins one.
-    chain_priority: int | None
-    #: Its end, on the monotonic clock.
-    deadline_at: float
-    #: Version of the configuration that it goes by.
-    version: int
-    #: Nodes whose gates were tried.
-    excluded: frozenset[str] = frozenset()
-    #: Nodes whose servers it was sent to.
-    sent_to: frozenset[str] = frozenset()
-    #: Gates that it was offered to.
-    n_offers: int = 0
-    #: Times that it was sent to a server.
-    n_sent: int = 0
-    #: Whether a server may have run it.
-    may_have_run: bool = False
-    #: What was said last of it.
-    last_reason: str = "no upstream of the service is known"
-    #: Node of the gate that was tried last.
-    last_node: str = ""
-
-    @property
-    def root_priority(self) -> int:
-        """Rank of the request at the root of its chain."""
-        if self.chain_priority is None:
-            return self.route.priority
-        return self.chain_priority
-
-
 class Entry(RequestHandler):
     """Routes each request, chooses gates, repeats what may be repeated.
 
@@ -191,12 +153,12 @@
             self._note(journey, exchange, "caller-left", 0)
             raise
 
-    def _begin(self, request: Request, route: Route, version: int) -> _Journey:
+    def _begin(self, request: Request, route: Route, version: int) -> Journey:
         stated_s = _stated_deadline_s(request.header(self._headers.deadline_ms))
         left_s = min(stated_s, route.timeout_s)
         header = request.header(self._headers.request_id) or b""
         request_id = header.decode("latin-1")
-        return _Journey(
+        return Journey(
             route=route,
             service=self._splitter.choose(route),
             request_id=request_id,
@@ -214,14 +176,14 @@
         parent_id = self._headers.parent_of(request_id)
         return None if parent_id is None else self._gate.root_priority(parent_id)
 
-    def _is_refused_early(self, journey: _Journey, now: float) -> bool:
+    def _is_refused_early(self, journey: Journey, now: float) -> bool:
         """Tell whether a request should not begin; calls of running ones always do."""
         if journey.chain_priority is not None:
             return False
         share = self._chain_health.refused_share(journey.route, now)
         return share > 0.0 and self._rng.random() < share
 
-    async def _travel(self, journey: _Journey, exchange: Exchange) -> None:
+    async def _travel(self, journey: Journey, exchange: Exchange) -> None:
         """Offer the request to gates until one gives its final outcome."""
         request = forward(exchange.request, self._headers.set_by_system)
         self._budget.count_request(journey.service, now_s())
@@ -236,7 +198,7 @@
             if await self._conclude(journey, exchange, answered):
                 return
 
-    def _next_gate(self, journey: _Journey) -> GateEntry | None:
+    def _next_gate(self, journey: Journey) -> GateEntry | None:
         now = now_s()
         if journey.deadline_at <= now:
             return None
@@ -247,7 +209,7 @@
             journey.last_node = entry.node
         return entry
 
-    def _pick(self, journey: _Journey, now: float) -> GateEntry | None:
+    def _pick(self, journey: Journey, now: float) -> GateEntry | None:
         """Return the gate that comes next; None when none is left.
 
         A request that as many servers have shed as its route allows goes to one of
@@ -265,7 +227,7 @@
         )
 
     async def _offer(
-        self, journey: _Journey, entry: GateEntry, request: ForwardedRequest
+        self, journey: Journey, entry: GateEntry, request: ForwardedRequest
     ) -> GateAnswer | None:
         """Offer the request to a gate.
 
@@ -298,7 +260,7 @@
             self._balancer.finished(entry, result, report, now_s())
 
     async def _conclude(
-        self, journey: _Journey, exchange: Exchange, answered: GateAnswer
+        self, journey: Journey, exchange: Exchange, answered: GateAnswer
     ) -> bool:
         """Take in the outcome of an offer.
 
@@ -331,7 +293,7 @@
         self._give_up(journey, exchange)
         return True
 
-    def _may_repeat(self, journey: _Journey) -> bool:
+    def _may_repeat(self, journey: Journey) -> bool:
         """Tell whether the request may go to another server, and pay for it."""
         route = journey.route
         now = now_s()
@@ -351,7 +313,7 @@
         )
 
     async def _deliver(
-        self, journey: _Journey, exchange: Exchange, answer: Answer
+        self, journey: Journey, exchange: Exchange, answer: Answer
     ) -> None:
         if answer.is_complete:
             is_whole = await relay_answer(exchange, answer)
@@ -362,7 +324,7 @@
         )
 
     async def _stream(
-        self, journey: _Journey, exchange: Exchange, answer: Answer
+        self, journey: Journey, exchange: Exchange, answer: Answer
     ) -> bool:
         left_s = journey.deadline_at - now_s() + LATE_ANSWER_S
         try:
@@ -373,7 +335,7 @@
             exchange.abort()
             return False
 
-    def _give_up(self, journey: _Journey, exchange: Exchange) -> None:
+    def _give_up(self, journey: Journey, exchange: Exchange) -> None:
         """Answer a request that no upstream answered."""
         if journey.may_have_run:
             status = 504 if journey.last_reason == "deadline" else 502
@@ -383,7 +345,7 @@
             status = 503
         self._note(journey, exchange, "failed", status)
 
-    def _refuse_early(self, journey: _Journey, exchange: Exchange) -> None:
+    def _refuse_early(self, journey: Journey, exchange: Exchange) -> None:
         """Refuse a request whose chain would most likely fail."""
         journey.last_reason = "most requests of the route fail at a deeper service"
         share = self._rng.uniform(RETRY_LATER_MIN_SHARE, RETRY_LATER_MAX_SHARE)
@@ -392,17 +354,17 @@
         self._note(journey, exchange, "refused-early", 503)
 
     def _answer_503(
-        self, journey: _Journey, exchange: Exchange, retry_after_s: float
+        self, journey: Journey, exchange: Exchange, retry_after_s: float
     ) -> None:
         retry_after = (b"retry-after", b"%.3f" % retry_after_s)
         exchange.answer(503, [*self._id_header(journey), retry_after])
 
-    def _retry_after_s(self, journey: _Journey) -> float:
+    def _retry_after_s(self, journey: Journey) -> float:
         share = self._rng.uniform(RETRY_AFTER_MIN_SHARE, RETRY_AFTER_MAX_SHARE)
         return share * journey.route.goal_s
 
     def _note(
-        self, journey: _Journey, exchange: Exchange, outcome: str, status: int
+        self, journey: Journey, exchange: Exchange, outcome: str, status: int
     ) -> None:
         """Count, log and learn from the end of a request."""
         now = now_s()
@@ -451,7 +413,7 @@
             configuration=table.configuration.version if table is not None else 0,
         )
 
-    def _hop_call(self, journey: _Journey, entry: GateEntry, now: float) -> HopCall:
+    def _hop_call(self, journey: Journey, entry: GateEntry, now: float) -> HopCall:
         route = journey.route
         return HopCall(
             request_id=journey.request_id,
@@ -475,7 +437,7 @@
         report = GateReport(outcome, reason, 0, 0, 0, 0.0, 0.0, 0, "")
         return GateAnswer(report, None)
 
-    def _id_header(self, journey: _Journey) -> list[Header]:
+    def _id_header(self, journey: Journey) -> list[Header]:
         return [(self._headers.request_id, journey.request_id.encode("latin-1"))]
 
 
--- a/packages/relay/src/knapweedspring_relay/_hop_frames.py
+++ b/packages/relay/src/knapweedspring_relay/_hop_frames.py
@@ -137,6 +137,8 @@
 
     def __init__(self) -> None:
         self._pending = bytearray()
+        #: Bytes of the pending frame, its length included, as far as they are known.
+        self._n_wanted_bytes = LENGTH_BYTES
 
     @property
     def n_pending_bytes(self) -> int:
@@ -150,15 +152,20 @@
         """
         if self._pending:
             self._pending += data
+            if len(self._pending) < self._n_wanted_bytes:
+                # Copying a long frame for each piece of it would take quadratic time.
+                return
             data = bytes(self._pending)
             self._pending.clear()
         begin, n_bytes = 0, len(data)
+        self._n_wanted_bytes = LENGTH_BYTES
         while n_bytes - begin >= LENGTH_BYTES:
             body_at = begin + LENGTH_BYTES
             length = int.from_bytes(data[begin:body_at], "big")
             if length > MAX_FRAME_BYTES:
                 raise FrameError(f"a frame of {length} bytes")
             if body_at + length > n_bytes:
+                self._n_wanted_bytes = LENGTH_BYTES + length
                 break
             begin = body_at + length
             yield _decode(data[body_at:begin])
--- a/packages/relay/src/knapweedspring_relay/_messages.py
+++ b/packages/relay/src/knapweedspring_relay/_messages.py
@@ -7,12 +7,10 @@
 
 __all__ = [
     "CONNECTION_HEADERS",
-    "Header",
     "answer_head",
     "forward",
     "forwarded_bytes",
     "header_lines",
-    "header_value",
     "request_bytes",
     "without_headers",
 ]
@@ -38,14 +36,6 @@
 _REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
-def header_value(headers: Iterable[Header], name: bytes) -> bytes | None:
-    """Return the first value of a header, None when it is absent."""
-    for key, value in headers:
-        if key == name:
-            return value
-    return None
-
-
 def without_headers(
     headers: Sequence[Header], dropped: frozenset[bytes]
 ) -> list[Header]:
--- a/packages/relay/tests/test_hop.py
+++ b/packages/relay/tests/test_hop.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import time
 
 import pytest
 
@@ -349,3 +350,14 @@
         server.close()
 
     run(scenario)
+
+
+def test_long_frame_in_many_pieces_is_put_together_in_linear_time():
+    """A body of 30 MB arrives in pieces of 64 KiB."""
+    data = encode_frame(BodyFrame(1, b"x" * 30_000_000)) + encode_frame(PingFrame())
+    reader, found = FrameReader(), []
+    began = time.process_time()
+    for begin in range(0, len(data), 65_536):
+        found += reader.feed(data[begin : begin + 65_536])
+    assert [type(frame) for frame in found] == [BodyFrame, PingFrame]
+    assert time.process_time() - began < 1.0
