--- a/packages/relay/src/knapweedspring_relay/__init__.py
+++ b/packages/relay/src/knapweedspring_relay/__init__.py
@@ -16,24 +16,28 @@
     Route,
     Service,
 )
-from knapweedspring_relay._directory import DirectorySnapshot, GateEntry, UpstreamState
 from knapweedspring_relay._errors import CallError
 from knapweedspring_relay._headers import CallHeaders
 from knapweedspring_relay._http_client import ConnectionPool, ConnectionSettings
 from knapweedspring_relay._http_server import Exchange, RequestHandler
-from knapweedspring_relay._local_upstream import Heartbeat, HeartbeatVerdict
-from knapweedspring_relay._logs import LineBuffer
-from knapweedspring_relay._messages import encode_request
-from knapweedspring_relay._object_store import (
+from knapweedspring_relay._knowledge import (
+    ORIGIN,
     ConfigurationRead,
     DeploymentStore,
     DirectoryChanges,
+    DirectorySnapshot,
     EntryRecord,
+    GateEntry,
     StoreConflict,
     StoreError,
     StoreHistoryGone,
+    StorePosition,
     StoreUnavailable,
+    UpstreamState,
 )
+from knapweedspring_relay._local_upstream import Heartbeat, HeartbeatVerdict
+from knapweedspring_relay._logs import LineBuffer
+from knapweedspring_relay._messages import encode_request
 from knapweedspring_relay._relay import Relay
 from knapweedspring_relay._settings import (
     RelaySettings,
@@ -64,6 +68,7 @@
     "HeartbeatReceiver",
     "HeartbeatVerdict",
     "LineBuffer",
+    "ORIGIN",
     "Relay",
     "RelaySettings",
     "RequestHandler",
@@ -74,6 +79,7 @@
     "StoreConflict",
     "StoreError",
     "StoreHistoryGone",
+    "StorePosition",
     "StoreSettings",
     "StoreUnavailable",
     "UpstreamState",
--- a/packages/relay/src/knapweedspring_relay/_adapter.py
+++ b/packages/relay/src/knapweedspring_relay/_adapter.py
@@ -9,8 +9,8 @@
 from knapweedspring_core import SettingsError
 from knapweedspring_relay._headers import CallHeaders
 from knapweedspring_relay._http_server import RequestHandler
+from knapweedspring_relay._knowledge import DeploymentStore
 from knapweedspring_relay._local_upstream import Heartbeat, HeartbeatVerdict
-from knapweedspring_relay._object_store import DeploymentStore
 from knapweedspring_relay._settings import RelaySettings
 
 __all__ = ["DeploymentAdapter", "HeartbeatReceiver"]
--- a/packages/relay/src/knapweedspring_relay/_answer.py
+++ b/packages/relay/src/knapweedspring_relay/_answer.py
@@ -4,7 +4,7 @@
 from collections import deque
 from collections.abc import Callable
 
-from knapweedspring_relay._errors import ConnectionBroke
+from knapweedspring_relay._errors import BadAnswer, ConnectionBroke
 from knapweedspring_relay._messages import end_to_end_headers, header_lines
 from knapweedspring_relay._requests import Header
 
@@ -116,13 +116,20 @@
         self._on_read(len(piece))
         return piece
 
-    async def read_all(self) -> bytes:
+    async def read_all(self, max_bytes: int) -> bytes:
         """Read the rest of the body until its end.
 
+        :param max_bytes: limit on the bytes read; a longer body is abandoned.
         :raises ConnectionBroke: when the body is truncated.
+        :raises BadAnswer: when the body exceeds the limit.
         """
-        pieces = []
+        pieces: list[bytes] = []
+        n_bytes = 0
         while piece := await self.read():
+            n_bytes += len(piece)
+            if n_bytes > max_bytes:
+                self.abandon()
+                raise BadAnswer(f"the body exceeds {max_bytes} bytes")
             pieces.append(piece)
         return b"".join(pieces)
 
--- a/packages/relay/src/knapweedspring_relay/_balancer.py
+++ b/packages/relay/src/knapweedspring_relay/_balancer.py
@@ -6,8 +6,8 @@
 from enum import StrEnum
 
 from knapweedspring_relay._configuration import Route
-from knapweedspring_relay._directory import Directory, GateEntry
 from knapweedspring_relay._hop import GateReport
+from knapweedspring_relay._knowledge import Directory, GateEntry
 
 __all__ = ["AttemptResult", "Balancer"]
 
--- a/packages/relay/src/knapweedspring_relay/_entry.py
+++ b/packages/relay/src/knapweedspring_relay/_entry.py
@@ -16,7 +16,6 @@
     RouteTable,
 )
 from knapweedspring_relay._destination_splitter import DestinationSplitter
-from knapweedspring_relay._directory import GateEntry
 from knapweedspring_relay._errors import CallError, ConnectFailed
 from knapweedspring_relay._gate import Gate, GateLink
 from knapweedspring_relay._gate_result import GateResult
@@ -25,6 +24,7 @@
 from knapweedspring_relay._hop import GateReport, HopCall, HopOutcome
 from knapweedspring_relay._hop_client import HopPool, RemoteGate
 from knapweedspring_relay._http_server import Exchange, RequestHandler
+from knapweedspring_relay._knowledge import GateEntry
 from knapweedspring_relay._logs import DecisionLog
 from knapweedspring_relay._messages import to_forwarded_request
 from knapweedspring_relay._relaying import relay_answer
--- a/packages/relay/src/knapweedspring_relay/_hop_client.py
+++ b/packages/relay/src/knapweedspring_relay/_hop_client.py
@@ -6,7 +6,6 @@
 
 from knapweedspring_relay._answer import Answer
 from knapweedspring_relay._clock import now_s
-from knapweedspring_relay._directory import GateEntry
 from knapweedspring_relay._errors import ConnectFailed, ConnectionBroke
 from knapweedspring_relay._gate import GateLink
 from knapweedspring_relay._gate_result import GateResult
@@ -26,6 +25,7 @@
     PongFrame,
     encode_frame,
 )
+from knapweedspring_relay._knowledge import GateEntry
 from knapweedspring_relay._requests import ForwardedRequest
 from knapweedspring_relay._sockets import set_timeouts
 
--- a/packages/relay/src/knapweedspring_relay/_hop_frames.py
+++ b/packages/relay/src/knapweedspring_relay/_hop_frames.py
@@ -18,7 +18,9 @@
     "Frame",
     "FrameError",
     "FrameReader",
+    "FollowFrame",
     "GoAwayFrame",
+    "KnowledgeFrame",
     "PingFrame",
     "PongFrame",
     "encode_frame",
@@ -111,6 +113,26 @@
     """Announces that the sender accepts no further calls on this connection."""
 
 
+class FollowFrame(msgspec.Struct, frozen=True, array_like=True, gc=False, tag=10):
+    """Asks the receiver to send its configuration and directory as they change."""
+
+    #: Version of the sender's configuration; 0 when it has none.
+    version: int
+    #: Era of the store at the sender's directory.
+    era: int
+    #: Revision of the store at the sender's directory.
+    revision: int
+    #: Longest time between two frames that the sender expects, in seconds.
+    period_s: float
+
+
+class KnowledgeFrame(msgspec.Struct, frozen=True, array_like=True, gc=False, tag=11):
+    """What the sender knows beyond what it has sent to this follower before."""
+
+    #: Encoded snapshot of the sender's knowledge.
+    content: bytes
+
+
 Frame = (
     CallFrame
     | AnswerFrame
@@ -121,6 +143,8 @@
     | PingFrame
     | PongFrame
     | GoAwayFrame
+    | FollowFrame
+    | KnowledgeFrame
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/relay/src/knapweedspring_relay/_hop_listener.py
+++ b/packages/relay/src/knapweedspring_relay/_hop_listener.py
@@ -17,6 +17,7 @@
     CancelFrame,
     CreditFrame,
     EndFrame,
+    FollowFrame,
     Frame,
     FrameError,
     FrameReader,
@@ -25,6 +26,7 @@
     PongFrame,
     encode_frame,
 )
+from knapweedspring_relay._knowledge import Follower, FollowHandler
 from knapweedspring_relay._sockets import set_timeouts
 
 __all__ = ["HopListener"]
@@ -46,6 +48,7 @@
 
     :param address: address to listen on, ``ip:port``.
     :param gate: the gate of this node.
+    :param follow_handler: receives the connections of nodes that follow this one.
     :param on_peer_version: called with the configuration version in force at a peer.
     :param on_error: called with a call whose handling failed and the exception.
     """
@@ -54,11 +57,13 @@
         self,
         address: str,
         gate: LocalGate,
+        follow_handler: FollowHandler,
         on_peer_version: Callable[[int], None],
         on_error: Callable[[HopCall, Exception], None],
     ) -> None:
         self._address = address
         self._gate = gate
+        self._follow_handler = follow_handler
         self._on_peer_version = on_peer_version
         self._on_error = on_error
         self._connections: set[_HopServerConnection] = set()
@@ -71,6 +76,11 @@
         """Address that the listener listens on, ``ip:port``."""
         return self._address
 
+    @property
+    def follow_handler(self) -> FollowHandler:
+        """Receives the connections of nodes that follow this one."""
+        return self._follow_handler
+
     @property
     def n_active(self) -> int:
         """Number of calls whose answers have not been sent completely."""
@@ -158,7 +168,7 @@
         self._n_bytes -= n_bytes
 
 
-class _HopServerConnection(asyncio.Protocol):
+class _HopServerConnection(asyncio.Protocol, Follower):
     """One connection from another node."""
 
     def __init__(self, listener: HopListener, loop: asyncio.AbstractEventLoop) -> None:
@@ -193,6 +203,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the calls, whose outcomes can no longer be sent."""
         self._listener.remove_connection(self)
+        self._listener.follow_handler.remove(self)
         for task in self._tasks.values():
             task.cancel()
 
@@ -222,6 +233,8 @@
                 window.add_credit(frame.n_bytes)
         elif isinstance(frame, PingFrame):
             self.send(PongFrame())
+        elif isinstance(frame, FollowFrame):
+            self._listener.follow_handler.add(self, frame)
 
     async def _serve_call(self, frame: CallFrame) -> None:
         stream_id = frame.stream
--- /dev/null
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_configuration_sync.py
@@ -0,0 +1,123 @@
+"""Updates this node's configuration from the store."""
+
+import asyncio
+import random
+
+from result import Err, Ok, Result
+
+from knapweedspring_core import Counters
+from knapweedspring_relay._knowledge._backoff import Backoff
+from knapweedspring_relay._knowledge._declared_state import DeclaredState
+from knapweedspring_relay._knowledge._object_store import (
+    ConfigurationRead,
+    DeploymentStore,
+    StoreError,
+    StoreHistoryGone,
+)
+from knapweedspring_relay._knowledge._position import ORIGIN
+from knapweedspring_relay._knowledge._store_health import StoreHealth
+from knapweedspring_relay._knowledge._sync_step import WATCH_WAIT_S, SyncStep
+from knapweedspring_relay._logs import DecisionLog
+
+__all__ = ["ConfigurationSync"]
+
+
+class ConfigurationSync:
+    """Reads the configuration from the store, then watches it for changes.
+
+    Reads it again after a failure and when a peer has a newer version. A configuration
+    that was received from a peer is not read again, but watched from its position.
+
+    :param store: store to read from.
+    :param state: puts the configuration in force.
+    :param health: records whether the store answers.
+    :param rng: source of the jitter.
+    :param log: decision log.
+    :param counters: counts failures.
+    """
+
+    def __init__(
+        self,
+        store: DeploymentStore,
+        state: DeclaredState,
+        health: StoreHealth,
+        rng: random.Random,
+        log: DecisionLog,
+        counters: Counters,
+    ) -> None:
+        self._store = store
+        self._state = state
+        self._health = health
+        self._backoff = Backoff(rng)
+        self._log = log
+        self._counters = counters
+        self._last_problem = ""
+        #: Watches in a row for which the store had no history.
+        self._n_lost_histories = 0
+
+    async def run(self) -> None:
+        """Apply the store's configuration to this node until the task is cancelled."""
+        is_known = self._state.position != ORIGIN
+        step = SyncStep.WATCH if is_known else SyncStep.READ
+        while True:
+            step = await self._run_step(step)
+
+    async def read_once(self) -> None:
+        """Read the configuration once, on a node that does not watch the store."""
+        read = await self._store.read_configuration()
+        if isinstance(read, Ok):
+            self._apply_read(read.ok_value)
+
+    async def _run_step(self, step: SyncStep) -> SyncStep:
+        if step is SyncStep.READ:
+            read = await self._store.read_configuration()
+        else:
+            read = await self._watch_or_reread()
+        if isinstance(read, Err):
+            error = read.err_value
+            if isinstance(error, StoreHistoryGone):
+                self._n_lost_histories += 1
+                if self._n_lost_histories > 1:
+                    await self._backoff.wait()
+                return SyncStep.READ
+            self._health.record_result("configuration", error)
+            self._counters.add("store_failures", "configuration")
+            await self._backoff.wait()
+            return SyncStep.READ
+        if step is SyncStep.WATCH:
+            self._n_lost_histories = 0
+        self._health.record_result("configuration", None)
+        self._backoff.reset()
+        self._apply_read(read.ok_value)
+        if self._state.newer_exists.is_set():
+            # A peer has a newer version than the store returned; reading the store
+            # again at once would return the same version.
+            await self._backoff.wait()
+            return SyncStep.READ
+        return SyncStep.WATCH
+
+    async def _watch_or_reread(self) -> Result[ConfigurationRead, StoreError]:
+        """Watch the configuration; read it at once when a peer has a newer version."""
+        watch = asyncio.ensure_future(
+            self._store.watch_configuration(self._state.position, WATCH_WAIT_S)
+        )
+        newer_known = asyncio.ensure_future(self._state.newer_exists.wait())
+        try:
+            await asyncio.wait(
+                {watch, newer_known}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if watch.done():
+                return watch.result()
+        finally:
+            watch.cancel()
+            newer_known.cancel()
+        return await self._store.read_configuration()
+
+    def _apply_read(self, read: ConfigurationRead) -> None:
+        self._health.observe_era(read.position.era)
+        self._state.advance(read.position)
+        if read.problem and read.problem != self._last_problem:
+            self._log.write_state("configuration:unusable", reason=read.problem)
+        self._last_problem = read.problem
+        if read.configuration is not None:
+            self._state.apply(read.configuration, "store")
--- a/packages/relay/src/knapweedspring_relay/_declared_state.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_declared_state.py
@@ -1,9 +1,11 @@
 """The configuration in force on this node; its version never decreases."""
 
 import asyncio
+from collections.abc import Callable
 
 from knapweedspring_core import Counters
 from knapweedspring_relay._configuration import Configuration, RouteTable
+from knapweedspring_relay._knowledge._position import ORIGIN, StorePosition
 from knapweedspring_relay._logs import DecisionLog
 
 __all__ = ["DeclaredState"]
@@ -20,8 +22,10 @@
         self._log = log
         self._counters = counters
         self._table: RouteTable | None = None
+        self._position = ORIGIN
         self._newest_known_version = 0
         self._newer_exists = asyncio.Event()
+        self._subscribers: list[Callable[[], None]] = []
 
     @property
     def table(self) -> RouteTable | None:
@@ -33,11 +37,23 @@
         """Version in force; 0 before the first configuration."""
         return self._table.configuration.version if self._table is not None else 0
 
+    @property
+    def position(self) -> StorePosition:
+        """Position of the store up to which the configuration was read."""
+        return self._position
+
     @property
     def newer_exists(self) -> asyncio.Event:
         """Event that is set while a peer is known to have a newer configuration."""
         return self._newer_exists
 
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call a function after each configuration that is put in force.
+
+        :param callback: function to call.
+        """
+        self._subscribers.append(callback)
+
     def observe_version(self, version: int) -> None:
         """Record that a peer has a version in force.
 
@@ -47,6 +63,13 @@
             self._newest_known_version = max(self._newest_known_version, version)
             self._newer_exists.set()
 
+    def advance(self, position: StorePosition) -> None:
+        """Record that the store has no newer configuration up to a position.
+
+        :param position: position of the store.
+        """
+        self._position = max(self._position, position)
+
     def apply(self, configuration: Configuration, source: str) -> bool:
         """Put a configuration in force if it is newer than the one in force.
 
@@ -68,4 +91,6 @@
             source=source,
             n_routes=len(configuration.routes),
         )
+        for callback in self._subscribers:
+            callback()
         return True
--- a/packages/relay/src/knapweedspring_relay/_directory.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_directory.py
@@ -5,11 +5,17 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from knapweedspring_relay._knowledge._change_log import ChangeLog
+from knapweedspring_relay._knowledge._position import ORIGIN, StorePosition
+
 __all__ = ["Directory", "DirectorySnapshot", "GateEntry", "UpstreamState"]
 
 #: Time for which an entry that disappeared from the store stays in use, in seconds. Its
 #: node writes it again within two seconds of the end of an outage of the store.
 MISSING_GRACE_S = 2.5
+#: Number of processes that are remembered as departed. They are needed only when the
+#: store is restored from an older copy, which lists the entries of the last seconds.
+MAX_DEPARTED = 4_096
 
 
 class UpstreamState(StrEnum):
@@ -47,10 +53,10 @@
 
 @dataclass(frozen=True, slots=True)
 class DirectorySnapshot:
-    """All entries as of one revision of the store."""
+    """All entries as of one position of the store."""
 
-    #: Revision of the store; a greater one is newer.
-    revision: int
+    #: Position of the store; a greater one is newer.
+    position: StorePosition
     #: Entries by node.
     entries: Mapping[str, GateEntry]
 
@@ -64,6 +70,21 @@
     data_centre: str
 
 
+class _UpstreamProcess(NamedTuple):
+    """Identity of one run of an upstream beside a node."""
+
+    #: Name of the node.
+    node: str
+    #: Identity of the upstream's process.
+    instance: str
+    #: Start of the process, in milliseconds since the epoch.
+    born_ms: int
+
+
+def _process_of(entry: GateEntry) -> _UpstreamProcess:
+    return _UpstreamProcess(entry.node, entry.instance, entry.born_ms)
+
+
 class Directory:
     """Entries of the directory on this node, with look-up by service.
 
@@ -72,20 +93,22 @@
     """
 
     def __init__(self) -> None:
-        self._revision = 0
+        self._position = ORIGIN
         self._entries: dict[str, GateEntry] = {}
         self._missing_at: dict[str, float] = {}
+        self._departed: dict[_UpstreamProcess, None] = {}
+        self._changes = ChangeLog()
         self._by_service: dict[str, tuple[GateEntry, ...]] = {}
         self._by_location: dict[_ServiceLocation, tuple[GateEntry, ...]] = {}
 
     @property
-    def revision(self) -> int:
-        """Revision of the store that the entries correspond to; 0 at first."""
-        return self._revision
+    def position(self) -> StorePosition:
+        """Position of the store that the entries correspond to; ``ORIGIN`` at first."""
+        return self._position
 
     @property
     def entries(self) -> Mapping[str, GateEntry]:
-        """Entries by node."""
+        """Entries by node, with those that disappeared within the grace period."""
         return self._entries
 
     @property
@@ -93,6 +116,29 @@
         """Number of nodes known, at least 1."""
         return max(1, len(self._entries))
 
+    def listed_entry(self, node: str) -> GateEntry | None:
+        """Return the entry of a node; None when the store has none.
+
+        :param node: name of the node.
+        """
+        return None if node in self._missing_at else self._entries.get(node)
+
+    def listed_entries(self) -> tuple[GateEntry, ...]:
+        """Return the entries that the store has."""
+        return tuple(
+            entry
+            for node, entry in self._entries.items()
+            if node not in self._missing_at
+        )
+
+    def nodes_changed_since(self, position: StorePosition) -> frozenset[str] | None:
+        """Return the nodes whose entries changed after a position.
+
+        :param position: position of the reader.
+        :return: the nodes; None when the reader needs all entries.
+        """
+        return self._changes.nodes_changed_since(position)
+
     def ready_gates(self, service: str) -> tuple[GateEntry, ...]:
         """Return the gates of a service whose upstreams are ready."""
         return self._by_service.get(service, ())
@@ -111,48 +157,79 @@
         return found
 
     def apply_listing(self, snapshot: DirectorySnapshot, now: float) -> bool:
-        """Apply a complete listing, if no newer revision has been applied.
+        """Apply a complete listing, if no newer position has been applied.
 
         Entries that the listing lacks are marked as missing and stay in use until
-        :meth:`expire_missing` removes them.
+        :meth:`expire_missing` removes them. A listing of a newer era comes from an
+        older copy of the store: entries of processes that have departed since are
+        ignored, and a process that drains stays draining.
 
         :param snapshot: the listing.
         :param now: monotonic time, in seconds.
         :return: whether the listing was applied.
         """
-        if snapshot.revision < self._revision:
+        if snapshot.position < self._position:
             return False
-        for node in self._entries.keys() - snapshot.entries.keys():
-            self._missing_at.setdefault(node, now)
-        self._revision = snapshot.revision
-        self._entries.update(snapshot.entries)
-        for node in snapshot.entries:
+        is_restored = snapshot.position.era > self._position.era
+        listed = dict(snapshot.entries)
+        if is_restored:
+            listed = self._without_departed(listed)
+        changed = {
+            node
+            for node, entry in listed.items()
+            if node in self._missing_at or self._entries.get(node) != entry
+        }
+        for node in self._entries.keys() - listed.keys():
+            if node not in self._missing_at:
+                self._missing_at[node] = now
+                changed.add(node)
+            if not is_restored:
+                self._record_departure(node)
+        if is_restored or self._position == ORIGIN:
+            self._changes.restart(snapshot.position)
+        else:
+            self._changes.add(snapshot.position, frozenset(changed))
+        self._position = snapshot.position
+        self._entries.update(listed)
+        for node in listed:
             self._missing_at.pop(node, None)
         self._rebuild_index()
         return True
 
     def apply_changes(
         self,
-        revision: int,
+        position: StorePosition,
         updated: Iterable[GateEntry],
         removed: Iterable[str],
         now: float,
-    ) -> None:
+    ) -> bool:
         """Apply changes of entries that the store reports.
 
-        :param revision: revision of the store after the changes.
+        :param position: position of the store after the changes.
         :param updated: entries that were written.
         :param removed: nodes whose entries were deleted.
         :param now: monotonic time, in seconds.
+        :return: whether the changes were applied; False when they belong to another era
+            or are older than the directory.
         """
+        if position.era != self._position.era or position < self._position:
+            return False
+        changed = set()
         for entry in updated:
+            changed.add(entry.node)
             self._entries[entry.node] = entry
             self._missing_at.pop(entry.node, None)
+            self._departed.pop(_process_of(entry), None)
         for node in removed:
             if node in self._entries:
+                changed.add(node)
                 self._missing_at.setdefault(node, now)
-        self._revision = max(self._revision, revision)
-        self._rebuild_index()
+                self._record_departure(node)
+        self._changes.add(position, frozenset(changed))
+        self._position = position
+        if changed:
+            self._rebuild_index()
+        return True
 
     def expire_missing(self, now: float) -> tuple[str, ...]:
         """Remove the entries that have been missing for the grace period.
@@ -172,6 +249,26 @@
             self._rebuild_index()
         return dropped
 
+    def _record_departure(self, node: str) -> None:
+        self._departed[_process_of(self._entries[node])] = None
+        if len(self._departed) > MAX_DEPARTED:
+            del self._departed[next(iter(self._departed))]
+
+    def _without_departed(
+        self, listed: Mapping[str, GateEntry]
+    ) -> dict[str, GateEntry]:
+        """Correct a listing of an older copy by what is known of its processes."""
+        corrected = {}
+        for node, entry in listed.items():
+            process, known = _process_of(entry), self._entries.get(node)
+            if process in self._departed:
+                continue
+            drains = known is not None and known.state is UpstreamState.DRAINING
+            if drains and known is not None and _process_of(known) == process:
+                entry = known
+            corrected[node] = entry
+        return corrected
+
     def _rebuild_index(self) -> None:
         entry_by_address: dict[str, GateEntry] = {}
         for entry in self._entries.values():
--- /dev/null
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_directory_sync.py
@@ -0,0 +1,121 @@
+"""Updates this node's directory from the store."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from result import Err
+
+from knapweedspring_core import Counters
+from knapweedspring_relay._clock import now_s
+from knapweedspring_relay._knowledge._backoff import Backoff
+from knapweedspring_relay._knowledge._directory import Directory
+from knapweedspring_relay._knowledge._object_store import (
+    DeploymentStore,
+    StoreError,
+    StoreHistoryGone,
+)
+from knapweedspring_relay._knowledge._position import ORIGIN
+from knapweedspring_relay._knowledge._store_health import StoreHealth
+from knapweedspring_relay._knowledge._sync_step import WATCH_WAIT_S, SyncStep
+from knapweedspring_relay._logs import DecisionLog
+
+__all__ = ["DirectorySync"]
+
+#: Pause between a change of the directory and the next watch, in seconds. The next
+#: watch then returns several changes at once; until then peers refuse calls that were
+#: routed by an outdated entry.
+DIRECTORY_WATCH_PAUSE_S = 1.0
+
+
+class DirectorySync:
+    """Lists the entries in the store, then watches them; after a failure, relists.
+
+    A directory that was received from a peer is not listed again, but watched from its
+    position.
+
+    :param store: store to read from.
+    :param directory: directory to which listings and changes are applied.
+    :param health: records whether the store answers.
+    :param on_change: called after each change of the directory.
+    :param rng: source of the jitter.
+    :param log: decision log.
+    :param counters: counts failures.
+    """
+
+    def __init__(
+        self,
+        store: DeploymentStore,
+        directory: Directory,
+        health: StoreHealth,
+        on_change: Callable[[], None],
+        rng: random.Random,
+        log: DecisionLog,
+        counters: Counters,
+    ) -> None:
+        self._store = store
+        self._directory = directory
+        self._health = health
+        self._on_change = on_change
+        self._backoff = Backoff(rng)
+        self._log = log
+        self._counters = counters
+
+    async def run(self) -> None:
+        """Apply the store's entries to the directory until the task is cancelled."""
+        is_known = self._directory.position != ORIGIN
+        step = SyncStep.WATCH if is_known else SyncStep.READ
+        while True:
+            error = (
+                await self._list_directory()
+                if step is SyncStep.READ
+                else await self._watch_directory()
+            )
+            if error is None:
+                self._health.record_result("directory", None)
+                self._backoff.reset()
+                step = SyncStep.WATCH
+                await asyncio.sleep(DIRECTORY_WATCH_PAUSE_S)
+                continue
+            step = SyncStep.READ
+            if not isinstance(error, StoreHistoryGone):
+                self._health.record_result("directory", error)
+                self._counters.add("store_failures", "directory")
+                await self._backoff.wait()
+
+    async def _list_directory(self) -> StoreError | None:
+        listed = await self._store.read_directory()
+        if isinstance(listed, Err):
+            return listed.err_value
+        self._health.observe_era(listed.ok_value.position.era)
+        applied = self._directory.apply_listing(listed.ok_value, now_s())
+        self._log.write_state(
+            "directory:listed",
+            era=listed.ok_value.position.era,
+            revision=listed.ok_value.position.revision,
+            n_entries=len(listed.ok_value.entries),
+            taken=applied,
+        )
+        self._on_change()
+        return None
+
+    async def _watch_directory(self) -> StoreError | None:
+        watched = await self._store.watch_directory(
+            self._directory.position, WATCH_WAIT_S
+        )
+        if isinstance(watched, Err):
+            return watched.err_value
+        changes = watched.ok_value
+        self._health.observe_era(changes.position.era)
+        self._directory.apply_changes(
+            changes.position, changes.updated, changes.removed, now_s()
+        )
+        if changes.updated or changes.removed:
+            self._log.write_state(
+                "directory:changed",
+                revision=changes.position.revision,
+                updated=[entry.node for entry in changes.updated],
+                removed=changes.removed,
+            )
+            self._on_change()
+        return None
--- a/packages/relay/src/knapweedspring_relay/_entry_cleaner.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_entry_cleaner.py
@@ -2,15 +2,15 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from result import Err
 
-from knapweedspring_relay._balancer import Balancer
 from knapweedspring_relay._clock import now_s
-from knapweedspring_relay._directory import Directory
+from knapweedspring_relay._knowledge._directory import Directory
+from knapweedspring_relay._knowledge._object_store import DeploymentStore
+from knapweedspring_relay._knowledge._store_health import StoreHealth
 from knapweedspring_relay._logs import DecisionLog
-from knapweedspring_relay._object_store import DeploymentStore
-from knapweedspring_relay._store_sync import StoreHealth
 
 __all__ = ["EntryCleaner"]
 
@@ -29,7 +29,8 @@
 
     :param store: store that holds the entries.
     :param directory: the gates.
-    :param balancer: returns for how long each node has been unreachable.
+    :param unreachable_duration_s: returns for how long a node has been unreachable at a
+        time, in seconds.
     :param health: state of the store; nothing is deleted while it fails.
     :param rng: decides whether this node deletes in a period.
     :param log: decision log.
@@ -39,14 +40,14 @@
         self,
         store: DeploymentStore,
         directory: Directory,
-        balancer: Balancer,
+        unreachable_duration_s: Callable[[str, float], float],
         health: StoreHealth,
         rng: random.Random,
         log: DecisionLog,
     ) -> None:
         self._store = store
         self._directory = directory
-        self._balancer = balancer
+        self._unreachable_duration_s = unreachable_duration_s
         self._health = health
         self._rng = rng
         self._log = log
@@ -66,16 +67,16 @@
         """
         now = now_s()
         for node, entry in dict(self._directory.entries).items():
-            if self._balancer.unreachable_duration_s(node, now) < MIN_UNREACHABLE_S:
+            if self._unreachable_duration_s(node, now) < MIN_UNREACHABLE_S:
                 continue
             read = await self._store.read_entry(node)
             if isinstance(read, Err) or read.ok_value.entry != entry:
                 continue
-            deleted = await self._store.delete_entry(node, read.ok_value.revision)
+            deleted = await self._store.delete_entry(node, read.ok_value.position)
             self._log.write_state(
                 "directory:cleaned",
                 entry=node,
                 instance=entry.instance,
-                revision=read.ok_value.revision,
+                revision=read.ok_value.position.revision,
                 deleted=deleted.is_ok(),
             )
--- /dev/null
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_followers.py
@@ -0,0 +1,141 @@
+"""Passes configuration and directory on to the nodes that follow this one."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import NamedTuple
+
+import msgspec
+
+from knapweedspring_relay._clock import now_s
+from knapweedspring_relay._hop_frames import FollowFrame, Frame, KnowledgeFrame
+from knapweedspring_relay._knowledge._peer_snapshot import PeerSnapshot
+from knapweedspring_relay._knowledge._position import StorePosition
+
+__all__ = ["FollowHandler", "Follower", "Followers"]
+
+#: Time by which a timer may fire before a frame is due, in seconds.
+TIMER_TOLERANCE_S = 0.05
+
+_encoder = msgspec.msgpack.Encoder()
+
+
+class Follower(ABC):
+    """A connection from a node that follows this one."""
+
+    @abstractmethod
+    def send(self, frame: Frame) -> None:
+        """Send a frame unless the connection is closed."""
+
+
+class FollowHandler(ABC):
+    """Receives the connections of nodes that follow this one."""
+
+    @abstractmethod
+    def add(self, follower: Follower, request: FollowFrame) -> None:
+        """Send a follower what it lacks, now and after each change.
+
+        :param follower: the connection.
+        :param request: what the follower has.
+        """
+
+    @abstractmethod
+    def remove(self, follower: Follower) -> None:
+        """Remove a follower, if it is one, whose connection has ended."""
+
+
+class _Known(NamedTuple):
+    """What a follower has received."""
+
+    #: Version of the configuration.
+    version: int
+    #: Position of the directory.
+    position: StorePosition
+    #: Whether this node watches the store.
+    is_watching: bool
+
+
+class _Encoded(NamedTuple):
+    """A frame, and what a follower knows after it."""
+
+    #: The frame.
+    frame: KnowledgeFrame
+    #: What the follower knows then.
+    known: _Known
+
+
+@dataclass(slots=True)
+class _Progress:
+    """Progress of a follower."""
+
+    #: What it has received.
+    known: _Known
+    #: Longest time between two frames that it expects, in seconds.
+    period_s: float
+    #: Time of the last frame, on the monotonic clock, in seconds.
+    sent_at: float
+
+
+class Followers(FollowHandler):
+    """The followers of this node, with what each of them has received.
+
+    :param snapshot: returns what this node knows beyond a version of the configuration
+        and a position of the directory.
+    """
+
+    def __init__(self, snapshot: Callable[[int, StorePosition], PeerSnapshot]) -> None:
+        self._snapshot = snapshot
+        self._progress: dict[Follower, _Progress] = {}
+
+    @property
+    def n_followers(self) -> int:
+        """Number of followers."""
+        return len(self._progress)
+
+    def add(self, follower: Follower, request: FollowFrame) -> None:
+        """Send a follower what it lacks, now and after each change."""
+        position = StorePosition(request.era, request.revision)
+        known = _Known(request.version, position, False)
+        progress = _Progress(known, request.period_s, float("-inf"))
+        self._progress[follower] = progress
+        self._send_due(follower, progress, {}, now_s())
+
+    def remove(self, follower: Follower) -> None:
+        """Remove a follower whose connection has ended."""
+        self._progress.pop(follower, None)
+
+    def publish(self) -> None:
+        """Send each follower what it lacks, or a sign of life when one is due."""
+        now = now_s()
+        # Most followers have received the same, so each content is encoded once.
+        encoded: dict[_Known, _Encoded] = {}
+        for follower, progress in tuple(self._progress.items()):
+            self._send_due(follower, progress, encoded, now)
+
+    def _send_due(
+        self,
+        follower: Follower,
+        progress: _Progress,
+        encoded: dict[_Known, _Encoded],
+        now: float,
+    ) -> None:
+        known = progress.known
+        found = encoded.get(known)
+        if found is None:
+            snapshot = self._snapshot(known.version, known.position)
+            found = encoded[known] = _encode(snapshot, known)
+        is_due = now - progress.sent_at >= progress.period_s - TIMER_TOLERANCE_S
+        if found.known != known or is_due:
+            follower.send(found.frame)
+            progress.known, progress.sent_at = found.known, now
+
+
+def _encode(snapshot: PeerSnapshot, known: _Known) -> _Encoded:
+    return _Encoded(
+        KnowledgeFrame(_encoder.encode(snapshot)),
+        _Known(
+            max(known.version, snapshot.version),
+            max(known.position, snapshot.position),
+            snapshot.is_watching,
+        ),
+    )
--- /dev/null
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_knowledge.py
@@ -0,0 +1,229 @@
+"""What this node knows of the deployment, and how it stays up to date."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from knapweedspring_core import Counters
+from knapweedspring_relay._http_client import ConnectionPool
+from knapweedspring_relay._knowledge._configuration_sync import ConfigurationSync
+from knapweedspring_relay._knowledge._declared_state import DeclaredState
+from knapweedspring_relay._knowledge._directory import Directory, GateEntry
+from knapweedspring_relay._knowledge._directory_sync import DirectorySync
+from knapweedspring_relay._knowledge._entry_cleaner import EntryCleaner
+from knapweedspring_relay._knowledge._followers import Followers
+from knapweedspring_relay._knowledge._object_store import DeploymentStore
+from knapweedspring_relay._knowledge._own_entry import OwnEntryPublisher
+from knapweedspring_relay._knowledge._peer_pages import PeerPages
+from knapweedspring_relay._knowledge._peer_snapshot import (
+    PeerSnapshot,
+    make_peer_snapshot,
+)
+from knapweedspring_relay._knowledge._peer_sync import PeerSync
+from knapweedspring_relay._knowledge._position import ORIGIN, StorePosition
+from knapweedspring_relay._knowledge._source_sync import LOCAL_PERIOD_S, SourceSync
+from knapweedspring_relay._knowledge._store_health import StoreHealth
+from knapweedspring_relay._knowledge._store_watch import StoreWatch
+from knapweedspring_relay._logs import DecisionLog
+from knapweedspring_relay._settings import RelaySettings
+from knapweedspring_relay._task_supervisor import TaskSupervisor
+from knapweedspring_relay._timers import LoopTimers
+
+__all__ = ["Knowledge"]
+
+#: Period in which a node checks its source, in seconds.
+SOURCE_CHECK_PERIOD_S = 0.2
+#: Period in which followers get a sign of life if one is due, in seconds.
+PUBLISH_PERIOD_S = LOCAL_PERIOD_S
+
+
+class Knowledge:
+    """Configuration and directory of this node, and this node's entry in the store.
+
+    :param settings: settings of the node.
+    :param store: the deployment's store.
+    :param pool: connections to the pages of other nodes.
+    :param desired_entry: returns the entry that the store should have of this node.
+    :param on_directory_change: called after each change of the directory.
+    :param unreachable_duration_s: returns for how long a node has been unreachable at a
+        time, in seconds.
+    :param rng: source of the jitter.
+    :param log: decision log.
+    :param counters: counters of the process.
+    """
+
+    def __init__(
+        self,
+        settings: RelaySettings,
+        store: DeploymentStore,
+        pool: ConnectionPool,
+        desired_entry: Callable[[], GateEntry | None],
+        on_directory_change: Callable[[], None],
+        unreachable_duration_s: Callable[[str, float], float],
+        rng: random.Random,
+        log: DecisionLog,
+        counters: Counters,
+    ) -> None:
+        self._settings = settings
+        self._on_directory_change = on_directory_change
+        self._log = log
+        self._is_leaving = False
+        self._state = DeclaredState(log, counters)
+        self._directory = Directory()
+        self._health = StoreHealth(log, counters)
+        self._followers = Followers(self._snapshot_newer_than)
+        self._pages = PeerPages(self._snapshot_newer_than)
+        self._own_entry = OwnEntryPublisher(
+            store, settings.node, desired_entry, self._health, rng, log, counters
+        )
+        self._cleaner = EntryCleaner(
+            store, self._directory, unreachable_duration_s, self._health, rng, log
+        )
+        configuration_sync = ConfigurationSync(
+            store, self._state, self._health, rng, log, counters
+        )
+        directory_sync = DirectorySync(
+            store,
+            self._directory,
+            self._health,
+            self._handle_directory_change,
+            rng,
+            log,
+            counters,
+        )
+        self._peers = PeerSync(
+            self._state,
+            self._directory,
+            pool,
+            self._health,
+            settings.node,
+            self._handle_directory_change,
+            configuration_sync.read_once,
+            rng,
+            log,
+        )
+        store_watch = StoreWatch(
+            {
+                "configuration": configuration_sync.run,
+                "directory": directory_sync.run,
+            },
+            self._health,
+            log,
+            counters,
+        )
+        self._sources = SourceSync(
+            settings.node,
+            settings.data_centre,
+            self._state,
+            self._directory,
+            self._health,
+            store_watch,
+            self._peers,
+            _other_seeds(settings),
+            self._handle_directory_change,
+            rng,
+            log,
+        )
+        self._state.subscribe(self._followers.publish)
+
+    @property
+    def state(self) -> DeclaredState:
+        """The configuration in force."""
+        return self._state
+
+    @property
+    def directory(self) -> Directory:
+        """Directory of the gates."""
+        return self._directory
+
+    @property
+    def is_known(self) -> bool:
+        """Whether a configuration and the directory are known."""
+        return self._state.table is not None and self._directory.position != ORIGIN
+
+    @property
+    def own_entry(self) -> OwnEntryPublisher:
+        """Publishes this node's entry."""
+        return self._own_entry
+
+    @property
+    def cleaner(self) -> EntryCleaner:
+        """Deletes the entries of nodes that ended without deleting them."""
+        return self._cleaner
+
+    @property
+    def pages(self) -> PeerPages:
+        """Answers other nodes that read this node's page."""
+        return self._pages
+
+    @property
+    def followers(self) -> Followers:
+        """Nodes that follow this one."""
+        return self._followers
+
+    @property
+    def sources(self) -> SourceSync:
+        """Where this node's knowledge comes from."""
+        return self._sources
+
+    @property
+    def is_store_failing(self) -> bool:
+        """Whether the last call to the store failed for at least one purpose."""
+        return self._health.is_failing
+
+    def start(self, supervisor: TaskSupervisor, timers: LoopTimers) -> None:
+        """Start the tasks and timers.
+
+        :param supervisor: runs the tasks.
+        :param timers: calls the periodic checks.
+        """
+        supervisor.start("peers", self._peers.run)
+        supervisor.start("cleaner", self._cleaner.run)
+        timers.call_every(SOURCE_CHECK_PERIOD_S, self._sources.check)
+        timers.call_every(PUBLISH_PERIOD_S, self._followers.publish)
+        self._sources.check()
+
+    def leave(self) -> None:
+        """Let the followers find another source, since this node stops soon."""
+        self._is_leaving = True
+        self._followers.publish()
+
+    def stop(self) -> None:
+        """Stop to follow other nodes and to watch the store."""
+        self._sources.stop()
+
+    def expire_missing(self, now: float) -> tuple[str, ...]:
+        """Remove entries from the directory that have been missing for long enough.
+
+        :param now: monotonic time, in seconds.
+        :return: the nodes whose entries were removed.
+        """
+        return self._directory.expire_missing(now)
+
+    def _snapshot_newer_than(
+        self, version: int, position: StorePosition
+    ) -> PeerSnapshot:
+        return make_peer_snapshot(
+            self._state,
+            self._directory,
+            version,
+            position,
+            self._sources.is_watching and not self._is_leaving,
+            self._settings.gate_address,
+        )
+
+    def _handle_directory_change(self) -> None:
+        self._sources.update_entries()
+        self._own_entry.compare_stored(
+            self._directory.listed_entry(self._settings.node), self._directory.position
+        )
+        self._on_directory_change()
+        self._followers.publish()
+        # Called later, since a source that is being replaced may be the caller.
+        asyncio.get_running_loop().call_soon(self._sources.check)
+
+
+def _other_seeds(settings: RelaySettings) -> tuple[str, ...]:
+    """Return the seeds to ask; none when this node is a seed itself."""
+    seeds = settings.seed_addresses or ()
+    return () if settings.heartbeat_address in seeds else seeds
--- a/packages/relay/src/knapweedspring_relay/_object_store.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_object_store.py
@@ -6,7 +6,8 @@
 from result import Result
 
 from knapweedspring_relay._configuration import Configuration
-from knapweedspring_relay._directory import DirectorySnapshot, GateEntry
+from knapweedspring_relay._knowledge._directory import DirectorySnapshot, GateEntry
+from knapweedspring_relay._knowledge._position import StorePosition
 
 __all__ = [
     "ConfigurationRead",
@@ -38,20 +39,23 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreHistoryGone(StoreError):
-    """The store no longer has the changes after the revision named in a watch."""
+    """The store cannot report the changes after the position named in a watch.
+
+    It has discarded them, or it was restored from an older copy.
+    """
 
 
 @dataclass(frozen=True, slots=True)
 class StoreConflict(StoreError):
-    """A write or deletion named an outdated revision of the entry."""
+    """A write or deletion named an outdated position of the entry."""
 
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationRead:
     """Result of reading or watching the configuration."""
 
-    #: Revision of the store from which the next watch continues.
-    revision: int
+    #: Position of the store from which the next watch continues.
+    position: StorePosition
     #: The newest valid configuration; None when the store returned none, as after a
     #: watch without a change.
     configuration: Configuration | None
@@ -61,20 +65,21 @@
 
 @dataclass(frozen=True, slots=True)
 class EntryRecord:
-    """A directory entry and its revision in the store."""
+    """A directory entry and its position in the store."""
 
-    #: Revision of the entry's last write; 0 when the entry does not exist.
-    revision: int
+    #: Position of the entry's last write; its revision is 0 when the entry does not
+    #: exist.
+    position: StorePosition
     #: The entry; None when it does not exist or cannot be decoded.
     entry: GateEntry | None
 
 
 @dataclass(frozen=True, slots=True)
 class DirectoryChanges:
-    """Changes of the directory up to a revision."""
+    """Changes of the directory up to a position."""
 
-    #: Revision of the store from which the next watch continues.
-    revision: int
+    #: Position of the store from which the next watch continues.
+    position: StorePosition
     #: Entries that were written.
     updated: tuple[GateEntry, ...]
     #: Nodes whose entries were deleted or can no longer be decoded.
@@ -90,33 +95,33 @@
 
     @abstractmethod
     async def watch_configuration(
-        self, revision: int, wait_s: float
+        self, position: StorePosition, wait_s: float
     ) -> Result[ConfigurationRead, StoreError]:
         """Wait until the configuration in the store changes, or until the time limit.
 
-        :param revision: revision of the store after which to watch.
+        :param position: position of the store after which to watch.
         :param wait_s: longest wait for a change, in seconds.
         :return: what the store reports, or why it failed: :class:`StoreHistoryGone`
-            when it no longer has the changes after ``revision``.
+            when it cannot report the changes after ``position``.
         """
 
     @abstractmethod
     async def read_directory(self) -> Result[DirectorySnapshot, StoreError]:
         """List the directory entries of all nodes.
 
-        :return: the entries, and the revision after which to watch for changes.
+        :return: the entries, and the position after which to watch for changes.
         """
 
     @abstractmethod
     async def watch_directory(
-        self, revision: int, wait_s: float
+        self, position: StorePosition, wait_s: float
     ) -> Result[DirectoryChanges, StoreError]:
         """Wait until directory entries in the store change, or until the time limit.
 
-        :param revision: revision of the store after which to watch.
+        :param position: position of the store after which to watch.
         :param wait_s: longest wait for a change, in seconds.
         :return: what the store reports, or why it failed: :class:`StoreHistoryGone`
-            when it no longer has the changes after ``revision``.
+            when it cannot report the changes after ``position``.
         """
 
     @abstractmethod
@@ -125,19 +130,20 @@
 
     @abstractmethod
     async def write_entry(
-        self, entry: GateEntry, revision: int
+        self, entry: GateEntry, position: StorePosition
     ) -> Result[EntryRecord, StoreError]:
-        """Write an entry if its revision in the store is still the given one.
+        """Write an entry if its position in the store is still the given one.
 
         :param entry: entry to write.
-        :param revision: revision of the stored entry to replace; 0 to create an entry.
+        :param position: position of the stored entry to replace; with revision 0, the
+            entry is created.
         """
 
     @abstractmethod
     async def delete_entry(
-        self, node: str, revision: int
+        self, node: str, position: StorePosition
     ) -> Result[EntryRecord, StoreError]:
-        """Delete an entry if its revision in the store is still the given one."""
+        """Delete an entry if its position in the store is still the given one."""
 
     @abstractmethod
     def close(self) -> None:
--- a/packages/relay/src/knapweedspring_relay/_own_entry.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_own_entry.py
@@ -7,14 +7,15 @@
 from result import Err
 
 from knapweedspring_core import Counters
-from knapweedspring_relay._directory import GateEntry
-from knapweedspring_relay._logs import DecisionLog
-from knapweedspring_relay._object_store import (
+from knapweedspring_relay._knowledge._directory import GateEntry
+from knapweedspring_relay._knowledge._object_store import (
     DeploymentStore,
     EntryRecord,
     StoreConflict,
 )
-from knapweedspring_relay._store_sync import StoreHealth
+from knapweedspring_relay._knowledge._position import StorePosition
+from knapweedspring_relay._knowledge._store_health import StoreHealth
+from knapweedspring_relay._logs import DecisionLog
 
 __all__ = ["OwnEntryPublisher"]
 
@@ -27,7 +28,7 @@
 class OwnEntryPublisher:
     """Writes or deletes this node's entry when the stored one is not the desired one.
 
-    Each write names the revision that it replaces, so a delayed write cannot overwrite
+    Each write names the position that it replaces, so a delayed write cannot overwrite
     a newer entry.
 
     :param store: store that holds the entry.
@@ -64,15 +65,27 @@
         """Request a check of the stored entry, as the desired one may have changed."""
         self._check_needed.set()
 
-    def compare_stored(self, entry: GateEntry | None) -> None:
+    def compare_stored(self, entry: GateEntry | None, position: StorePosition) -> None:
         """Request a new read of the stored entry if a listing has a different entry.
 
         :param entry: this node's entry in the listing; None when it has none.
+        :param position: position of the listing; one before this node's last write
+            shows nothing.
         """
-        if self._stored is not None and entry != self._stored.entry:
+        stored = self._stored
+        if stored is None or position < stored.position:
+            return
+        if entry != stored.entry:
             self._stored = None
             self._check_needed.set()
 
+    def assume_absent(self) -> None:
+        """Take the stored entry as absent until a write shows that one exists.
+
+        Saves a read when the deployment starts for the first time.
+        """
+        self._stored = EntryRecord(StorePosition(self._health.era, 0), None)
+
     async def read_previous(self) -> GateEntry | None:
         """Read this node's stored entry.
 
@@ -84,8 +97,7 @@
         if isinstance(read, Err):
             self._health.record_result("own entry", read.err_value)
             return None
-        self._health.record_result("own entry", None)
-        self._stored = read.ok_value
+        self._record_success(read.ok_value)
         return read.ok_value.entry
 
     async def run(self) -> None:
@@ -109,9 +121,9 @@
         if desired == self._stored.entry:
             return True
         if desired is None:
-            result = await self._store.delete_entry(self._node, self._stored.revision)
+            result = await self._store.delete_entry(self._node, self._stored.position)
         else:
-            result = await self._store.write_entry(desired, self._stored.revision)
+            result = await self._store.write_entry(desired, self._stored.position)
         if isinstance(result, Err):
             # The stored entry is unknown now: the write may have taken effect.
             self._stored = None
@@ -120,16 +132,21 @@
                 return await self._reconcile_after_conflict()
             self._health.record_result("own entry", result.err_value)
             return False
-        self._health.record_result("own entry", None)
-        self._stored = result.ok_value
+        self._record_success(result.ok_value)
+        assert self._stored is not None
         self._log.write_state(
             "directory:published",
-            revision=self._stored.revision,
+            revision=self._stored.position.revision,
             state=desired.state.value if desired is not None else "none",
             instance=desired.instance if desired is not None else "",
         )
         return self._desired() == self._stored.entry
 
+    def _record_success(self, record: EntryRecord) -> None:
+        self._health.record_result("own entry", None)
+        self._health.observe_era(record.position.era)
+        self._stored = record
+
     async def _reconcile_after_conflict(self) -> bool:
         await self.read_previous()
         self._check_needed.set()
--- /dev/null
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_peer_snapshot.py
@@ -0,0 +1,109 @@
+"""Configuration and directory as one node passes them on to another."""
+
+import msgspec
+
+from knapweedspring_relay._configuration import Configuration
+from knapweedspring_relay._knowledge._declared_state import DeclaredState
+from knapweedspring_relay._knowledge._directory import (
+    Directory,
+    DirectorySnapshot,
+    GateEntry,
+)
+from knapweedspring_relay._knowledge._position import StorePosition
+
+__all__ = ["PeerSnapshot", "apply_peer_snapshot", "make_peer_snapshot"]
+
+
+class PeerSnapshot(msgspec.Struct, frozen=True, array_like=True):
+    """What a node knows, limited to the parts that are newer than the reader's."""
+
+    #: Configuration in force at the node; None when it is not newer than the reader's
+    #: configuration, or when there is none.
+    configuration: Configuration | None
+    #: Version of the configuration in force at the node; 0 when there is none.
+    version: int
+    #: Position of the store up to which the node's configuration was read.
+    configuration_position: StorePosition
+    #: Position of the node's directory.
+    position: StorePosition
+    #: All entries, or the changed ones; None when the directory is not newer than the
+    #: reader's.
+    entries: tuple[GateEntry, ...] | None = None
+    #: Whether ``entries`` are all entries.
+    is_listing: bool = False
+    #: Nodes whose entries were removed; empty in a listing.
+    removed: tuple[str, ...] = ()
+    #: Whether the node watches the store, and the store answers it.
+    is_watching: bool = False
+    #: Address of the node's gate, as ``ip:port``.
+    gate_address: str = ""
+
+
+def make_peer_snapshot(
+    state: DeclaredState,
+    directory: Directory,
+    version: int,
+    position: StorePosition,
+    is_watching: bool,
+    gate_address: str,
+) -> PeerSnapshot:
+    """Return what a node knows beyond what a reader knows.
+
+    :param state: the node's configuration.
+    :param directory: the node's directory.
+    :param version: version of the reader's configuration.
+    :param position: position of the reader's directory.
+    :param is_watching: whether the node watches the store.
+    :param gate_address: address of the node's gate.
+    """
+    table = state.table
+    configuration = table.configuration if table is not None else None
+    if configuration is not None and configuration.version <= version:
+        configuration = None
+    entries, removed, is_listing = None, [], False
+    if directory.position > position:
+        changed = directory.nodes_changed_since(position)
+        if changed is None:
+            entries, is_listing = directory.listed_entries(), True
+        else:
+            found = {node: directory.listed_entry(node) for node in sorted(changed)}
+            entries = tuple(entry for entry in found.values() if entry is not None)
+            removed = [node for node, entry in found.items() if entry is None]
+    return PeerSnapshot(
+        configuration=configuration,
+        version=state.version,
+        configuration_position=state.position,
+        position=directory.position,
+        entries=entries,
+        is_listing=is_listing,
+        removed=tuple(removed),
+        is_watching=is_watching,
+        gate_address=gate_address,
+    )
+
+
+def apply_peer_snapshot(
+    snapshot: PeerSnapshot, state: DeclaredState, directory: Directory, now: float
+) -> bool:
+    """Apply what a peer knows.
+
+    :param snapshot: received from the peer.
+    :param state: this node's configuration.
+    :param directory: this node's directory.
+    :param now: monotonic time, in seconds.
+    :return: whether the directory was updated.
+    """
+    if snapshot.configuration is not None:
+        state.apply(snapshot.configuration, "peer")
+    if snapshot.version == state.version:
+        state.advance(snapshot.configuration_position)
+    if snapshot.entries is None:
+        return False
+    if snapshot.is_listing:
+        entries = {entry.node: entry for entry in snapshot.entries}
+        return directory.apply_listing(
+            DirectorySnapshot(snapshot.position, entries), now
+        )
+    return directory.apply_changes(
+        snapshot.position, snapshot.entries, snapshot.removed, now
+    )
--- a/packages/relay/src/knapweedspring_relay/_local_upstream.py
+++ b/packages/relay/src/knapweedspring_relay/_local_upstream.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, replace
 from enum import StrEnum
 
-from knapweedspring_relay._directory import UpstreamState
+from knapweedspring_relay._knowledge import UpstreamState
 
 __all__ = [
     "ASSUMED_SEQUENCE",
--- a/packages/relay/src/knapweedspring_relay/_relay.py
+++ b/packages/relay/src/knapweedspring_relay/_relay.py
@@ -14,11 +14,8 @@
 from knapweedspring_relay._adapter import DeploymentAdapter, HeartbeatReceiver
 from knapweedspring_relay._balancer import Balancer
 from knapweedspring_relay._clock import now_s, suspension_meter
-from knapweedspring_relay._declared_state import DeclaredState
 from knapweedspring_relay._destination_splitter import DestinationSplitter
-from knapweedspring_relay._directory import Directory, GateEntry
 from knapweedspring_relay._entry import Entry, NodeIdentity
-from knapweedspring_relay._entry_cleaner import EntryCleaner
 from knapweedspring_relay._gate import Gate
 from knapweedspring_relay._histograms import LatencyHistograms
 from knapweedspring_relay._hop import HopCall
@@ -26,6 +23,12 @@
 from knapweedspring_relay._hop_listener import HopListener
 from knapweedspring_relay._http_client import ConnectionPool, ConnectionSettings
 from knapweedspring_relay._http_server import HttpListener
+from knapweedspring_relay._knowledge import (
+    ControlHandler,
+    GateEntry,
+    Knowledge,
+    PeerPageHandler,
+)
 from knapweedspring_relay._local_upstream import (
     ASSUMED_SEQUENCE,
     Heartbeat,
@@ -34,22 +37,10 @@
     UpstreamTracker,
 )
 from knapweedspring_relay._logs import DecisionLog, LineBuffer
-from knapweedspring_relay._own_entry import OwnEntryPublisher
-from knapweedspring_relay._peer_pages import (
-    ControlHandler,
-    PeerPageHandler,
-    PeerPages,
-)
 from knapweedspring_relay._readiness import MetricsHandler, ReadinessHandler
 from knapweedspring_relay._requests import Request
 from knapweedspring_relay._retry_budget import RetryBudget
 from knapweedspring_relay._settings import RelaySettings
-from knapweedspring_relay._store_sync import (
-    ConfigurationSync,
-    DirectorySync,
-    PeerSync,
-    StoreHealth,
-)
 from knapweedspring_relay._task_supervisor import TaskSupervisor
 from knapweedspring_relay._timers import LoopTimers
 
@@ -113,24 +104,35 @@
         self._rng = random.Random()
         self._log = DecisionLog(settings.node, counters)
         self._latencies = LatencyHistograms()
-        self._declared_state = DeclaredState(self._log, counters)
-        self._directory = Directory()
-        self._store_health = StoreHealth(self._log)
         self._tracker = UpstreamTracker(settings.upstream_address)
         self._supervisor = TaskSupervisor(self._log, counters)
         self._timers = LoopTimers(self._report_timer_error)
         self._stopping = asyncio.Event()
         self._stop_at: float | None = None
         self._settings_mtime = 0.0
+        self._peer_pool = ConnectionPool(
+            ConnectionSettings(PEER_CONNECT_TIMEOUT_S, PEER_IDLE_S, UNACKNOWLEDGED_S)
+        )
+        self._knowledge = Knowledge(
+            settings=settings,
+            store=adapter.store,
+            pool=self._peer_pool,
+            desired_entry=self._desired_entry,
+            on_directory_change=self._handle_directory_change,
+            unreachable_duration_s=self._unreachable_duration_s,
+            rng=self._rng,
+            log=self._log,
+            counters=counters,
+        )
+        self._declared_state = self._knowledge.state
+        self._directory = self._knowledge.directory
         self._make_call_path()
-        self._make_sync_tasks()
         self._make_listeners()
 
     @property
     def is_ready(self) -> bool:
         """Whether the node accepts calls from callers."""
-        has_routes = self._declared_state.table is not None
-        return has_routes and self._directory.revision > 0 and self._stop_at is None
+        return self._knowledge.is_known and self._stop_at is None
 
     def _make_call_path(self) -> None:
         settings, headers = self._settings, self._adapter.headers
@@ -142,9 +144,6 @@
                 request_id_header=headers.request_id,
             )
         )
-        self._peer_pool = ConnectionPool(
-            ConnectionSettings(PEER_CONNECT_TIMEOUT_S, PEER_IDLE_S, UNACKNOWLEDGED_S)
-        )
         self._hop_pool = HopPool(HopSettings(PEER_CONNECT_TIMEOUT_S, UNACKNOWLEDGED_S))
         self._gate = Gate(
             tracker=self._tracker,
@@ -180,63 +179,16 @@
             rng=self._rng,
         )
 
-    def _make_sync_tasks(self) -> None:
-        store, rng = self._adapter.store, self._rng
-        self._own_entry = OwnEntryPublisher(
-            store=store,
-            node=self._settings.node,
-            desired=self._desired_entry,
-            health=self._store_health,
-            rng=rng,
-            log=self._log,
-            counters=self._counters,
-        )
-        self._configuration_sync = ConfigurationSync(
-            store,
-            self._declared_state,
-            self._store_health,
-            rng,
-            self._log,
-            self._counters,
-        )
-        self._directory_sync = DirectorySync(
-            store,
-            self._directory,
-            self._store_health,
-            self._handle_directory_change,
-            rng,
-            self._log,
-            self._counters,
-        )
-        self._cleaner = EntryCleaner(
-            store, self._directory, self._balancer, self._store_health, rng, self._log
-        )
-        self._peer_sync = PeerSync(
-            self._declared_state,
-            self._directory,
-            self._peer_pool,
-            self._store_health,
-            self._settings.node,
-            self._handle_directory_change,
-            rng,
-            self._log,
-            self._settings.seed_addresses or (),
-        )
-
     def _make_listeners(self) -> None:
-        settings = self._settings
-        pages = PeerPages(
-            lambda: self._declared_state.table,
-            self._directory,
-            self._declared_state.observe_version,
-        )
+        settings, pages = self._settings, self._knowledge.pages
         self._metrics = MetricsPage(self._counters)
         self._register_gauges()
         self._entry_listener = HttpListener(settings.entry_address, self._entry)
         self._gate_listener = HopListener(
             settings.gate_address,
             self._gate,
-            pages.report_version,
+            self._knowledge.followers,
+            self._declared_state.observe_version,
             self._report_hop_error,
         )
         self._other_listeners = (
@@ -260,11 +212,18 @@
         page.add_gauge(
             "configuration_version", lambda: float(self._declared_state.version)
         )
-        page.add_gauge("directory_revision", lambda: float(self._directory.revision))
+        directory, sources = self._directory, self._knowledge.sources
+        page.add_gauge("store_era", lambda: float(directory.position.era))
+        page.add_gauge("directory_revision", lambda: float(directory.position.revision))
+        page.add_gauge("store_watching", lambda: float(sources.is_watching))
+        page.add_gauge("knowledge_age_s", lambda: sources.age_s(now_s()))
+        page.add_gauge(
+            "followers", lambda: float(self._knowledge.followers.n_followers)
+        )
         page.add_gauge("directory_nodes", lambda: float(len(self._directory.entries)))
         page.add_gauge("hop_connections", lambda: float(self._hop_pool.n_connections))
         page.add_gauge("hop_bad_frames", lambda: float(self._hop_pool.n_bad_frames))
-        page.add_gauge("store_failing", lambda: float(self._store_health.is_failing))
+        page.add_gauge("store_failing", lambda: float(self._knowledge.is_store_failing))
         self._latencies.register(page)
 
     @property
@@ -297,11 +256,8 @@
             entry=self._settings.entry_address,
             gate=self._settings.gate_address,
         )
-        self._supervisor.start("configuration", self._configuration_sync.run)
-        self._supervisor.start("directory", self._directory_sync.run)
         self._supervisor.start("own entry", self._run_own_entry)
-        self._supervisor.start("peers", self._peer_sync.run)
-        self._supervisor.start("cleaner", self._cleaner.run)
+        self._knowledge.start(self._supervisor, self._timers)
         # Objects created so far live as long as the process, so the collector need
         # not traverse them again; calls create few reference cycles.
         gc.collect()
@@ -321,7 +277,8 @@
         self._stop_at = now_s()
         self._log.write_state("process:stopping", n_running=self._gate.n_running)
         self._entry_listener.drain()
-        self._own_entry.request_check()
+        self._knowledge.own_entry.request_check()
+        self._knowledge.leave()
         self._stopping.set()
 
     def apply_heartbeat(self, heartbeat: Heartbeat) -> HeartbeatVerdict:
@@ -366,7 +323,7 @@
         if verdict is HeartbeatVerdict.CHANGED:
             self._gate.apply_upstream_state(now_s())
             self._upstream_pool.close_idle(self._settings.upstream_address)
-            self._own_entry.request_check()
+            self._knowledge.own_entry.request_check()
         elif verdict is HeartbeatVerdict.UNCHANGED:
             self._gate.apply_upstream_state(now_s())
 
@@ -391,10 +348,14 @@
         return self._stop_at is not None and not upstream.is_ready
 
     async def _run_own_entry(self) -> None:
-        previous = await self._own_entry.read_previous()
-        if previous is not None and self._tracker.current is None:
-            self._assume_published(previous)
-        await self._own_entry.run()
+        own_entry = self._knowledge.own_entry
+        if self._settings.is_first_start:
+            own_entry.assume_absent()
+        else:
+            previous = await own_entry.read_previous()
+            if previous is not None and self._tracker.current is None:
+                self._assume_published(previous)
+        await own_entry.run()
 
     def _assume_published(self, previous: GateEntry) -> None:
         """Restore the upstream published before a restart until the next heartbeat."""
@@ -427,7 +388,9 @@
 
     def _handle_directory_change(self) -> None:
         self._budget.set_n_nodes(self._directory.n_nodes)
-        self._own_entry.compare_stored(self._directory.entries.get(self._settings.node))
+
+    def _unreachable_duration_s(self, node: str, now: float) -> float:
+        return self._balancer.unreachable_duration_s(node, now)
 
     def _start_timers(self) -> None:
         self._timers.call_every(DRAIN_CHECK_PERIOD_S, self._gate.expire_queued_calls)
@@ -446,7 +409,7 @@
             listener.close_expired()
         self._upstream_pool.close_expired()
         self._peer_pool.close_expired()
-        for node in self._directory.expire_missing(now_s()):
+        for node in self._knowledge.expire_missing(now_s()):
             self._balancer.remove_node(node)
             self._log.write_state("directory:dropped", entry=node)
         mtime = self._read_mtime()
@@ -500,6 +463,7 @@
             after_s=round(now_s() - self._stop_at, 2),
         )
         self._supervisor.stop()
+        self._knowledge.stop()
         self._adapter.store.close()
         for listener in self._listeners:
             listener.close()
--- a/packages/relay/src/knapweedspring_relay/_settings.py
+++ b/packages/relay/src/knapweedspring_relay/_settings.py
@@ -97,8 +97,11 @@
     store: StoreSettings
     #: Time limits of a shutdown.
     shutdown: ShutdownSettings
-    #: Heartbeat addresses of a few other nodes, queried while the store is unavailable
-    #: and the directory has no other node.
+    #: Heartbeat addresses of a few nodes, of which a node that starts asks the others
+    #: for the directory before it reads the store.
     seed_addresses: tuple[str, ...] | None = None
+    #: Whether the whole deployment starts for the first time, so the store holds no
+    #: entry of this node; None (null in the file) counts as no.
+    is_first_start: bool | None = None
     #: Limits on the retries of all nodes together.
     retries: RetrySettings = field(default_factory=RetrySettings)
--- a/packages/relay/tests/_deployment.py
+++ b/packages/relay/tests/_deployment.py
@@ -1,6 +1,7 @@
 """Test deployment: relays in one process, an in-memory store, scripted upstreams."""
 
 import asyncio
+import collections
 import contextlib
 import itertools
 import os
@@ -37,6 +38,8 @@
     Service,
     ShutdownSettings,
     StoreConflict,
+    StoreHistoryGone,
+    StorePosition,
     StoreSettings,
     StoreUnavailable,
     UpstreamState,
@@ -90,70 +93,142 @@
 
 
 class MemoryStore(DeploymentStore):
-    """An in-memory store that can be made unavailable."""
+    """An in-memory store that can be unavailable, or return from an older copy.
+
+    It counts its calls by the method's name.
+    """
 
     def __init__(self, configuration=None):
         self.configuration = configuration
         self.entries = {}
         self.revisions = {}
         self.revision = 1
+        self.era = 0
+        self.history = []
+        self.history_begins = 0
         self.is_down = False
+        self.calls = collections.Counter()
         self.changed = asyncio.Event()
 
+    @property
+    def position(self):
+        return StorePosition(self.era, self.revision)
+
     def put_configuration(self, configuration):
         self.configuration = configuration
-        self._bump_revision()
+        self._record_change("config")
+
+    def take_copy(self):
+        return (
+            self.configuration,
+            dict(self.entries),
+            dict(self.revisions),
+            self.revision,
+            list(self.history),
+        )
+
+    def restore(self, copy):
+        """Return to a copy, in a new era; pending watches end without an answer."""
+        self.configuration, entries, revisions, self.revision, history = copy
+        self.entries, self.revisions = dict(entries), dict(revisions)
+        self.history = list(history)
+        self.era += 1
+        self._wake()
 
-    def _bump_revision(self):
+    def _record_change(self, name):
         self.revision += 1
+        self.history.append((self.revision, name))
+        self._wake()
+
+    def _wake(self):
         self.changed.set()
         self.changed = asyncio.Event()
 
-    async def _wait(self, revision, wait_s):
-        if revision >= self.revision and not self.is_down:
+    async def _watch(self, position, wait_s):
+        """Return the names changed after a position, or the failure of the watch."""
+        if self.is_down:
+            return Err(StoreUnavailable("down"))
+        if position.era != self.era:
+            return Err(StoreHistoryGone("restored"))
+        if not self.history_begins <= position.revision <= self.revision:
+            return Err(StoreHistoryGone("gone"))
+        era, end = self.era, asyncio.get_running_loop().time() + wait_s
+        while True:
+            names = [n for rev, n in self.history if rev > position.revision]
+            left_s = end - asyncio.get_running_loop().time()
+            if names or left_s <= 0:
+                return Ok(names)
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self.changed.wait(), wait_s)
+                await asyncio.wait_for(self.changed.wait(), left_s)
+            if self.is_down or self.era != era:
+                return Err(StoreUnavailable("cut off"))
 
     async def read_configuration(self):
+        self.calls["read_configuration"] += 1
         if self.is_down:
             return Err(StoreUnavailable("down"))
-        return Ok(ConfigurationRead(self.revision, self.configuration))
-
-    async def watch_configuration(self, revision, wait_s):
-        await self._wait(revision, wait_s)
-        return await self.read_configuration()
+        return Ok(ConfigurationRead(self.position, self.configuration))
+
+    async def watch_configuration(self, position, wait_s):
+        self.calls["watch_configuration"] += 1
+        while True:
+            watched = await self._watch(position, wait_s)
+            if isinstance(watched, Err):
+                return watched
+            if "config" in watched.ok_value or not watched.ok_value:
+                return Ok(ConfigurationRead(self.position, self.configuration))
+            position = self.position
 
     async def read_directory(self):
+        self.calls["read_directory"] += 1
         if self.is_down:
             return Err(StoreUnavailable("down"))
-        return Ok(DirectorySnapshot(self.revision, dict(self.entries)))
+        return Ok(DirectorySnapshot(self.position, dict(self.entries)))
+
+    async def watch_directory(self, position, wait_s):
+        self.calls["watch_directory"] += 1
+        while True:
+            watched = await self._watch(position, wait_s)
+            if isinstance(watched, Err):
+                return watched
+            names = set(watched.ok_value) - {"config"}
+            if names or not watched.ok_value:
+                break
+            position = self.position
+        updated = tuple(e for n, e in self.entries.items() if n in names)
+        return Ok(
+            DirectoryChanges(self.position, updated, tuple(names - set(self.entries)))
+        )
 
-    async def watch_directory(self, revision, wait_s):
-        await self._wait(revision, wait_s)
-        if self.is_down:
-            return Err(StoreUnavailable("down"))
-        return Ok(DirectoryChanges(self.revision, tuple(self.entries.values()), ()))
+    def _record_of(self, node):
+        position = StorePosition(self.era, self.revisions.get(node, 0))
+        return EntryRecord(position, self.entries.get(node))
 
     async def read_entry(self, node):
+        self.calls["read_entry"] += 1
         if self.is_down:
             return Err(StoreUnavailable("down"))
-        return Ok(EntryRecord(self.revisions.get(node, 0), self.entries.get(node)))
+        return Ok(self._record_of(node))
 
-    async def write_entry(self, entry, revision):
+    async def write_entry(self, entry, position):
+        self.calls["write_entry"] += 1
         if self.is_down:
             return Err(StoreUnavailable("down"))
-        if self.revisions.get(entry.node, 0) != revision:
+        if self._record_of(entry.node).position.revision != position.revision:
             return Err(StoreConflict("newer"))
-        self._bump_revision()
         self.entries[entry.node] = entry
-        self.revisions[entry.node] = self.revision
-        return Ok(EntryRecord(self.revision, entry))
+        self.revisions[entry.node] = self.revision + 1
+        self._record_change(entry.node)
+        return Ok(self._record_of(entry.node))
 
-    async def delete_entry(self, node, revision):
+    async def delete_entry(self, node, position):
+        self.calls["delete_entry"] += 1
+        if self.is_down:
+            return Err(StoreUnavailable("down"))
         self.entries.pop(node, None)
         self.revisions.pop(node, None)
-        self._bump_revision()
-        return Ok(EntryRecord(0, None))
+        self._record_change(node)
+        return Ok(self._record_of(node))
 
     def close(self):
         pass
@@ -248,6 +323,7 @@
             task.cancel()
         for relay in self.relays:
             relay._supervisor.stop()
+            relay._knowledge.stop()
             for listener in relay._listeners:
                 listener.close()
 
--- a/packages/relay/tests/test_directory.py
+++ b/packages/relay/tests/knowledge/test_directory.py
@@ -6,23 +6,30 @@
 
 from dataclasses import replace
 
-from knapweedspring_relay._directory import (
+from knapweedspring_relay._knowledge._directory import (
     MISSING_GRACE_S,
     Directory,
     DirectorySnapshot,
     GateEntry,
     UpstreamState,
 )
+from knapweedspring_relay._knowledge._position import StorePosition
 
 ENTRY = GateEntry(
     "a", "10.0.0.1:1", "10.0.0.1:2", "dc", "svc", "i-1", 100, 20, UpstreamState.READY
 )
+
+
+def at(revision, era=0):
+    return StorePosition(era, revision)
+
+
 OTHER = replace(ENTRY, node="b", gate_address="10.0.0.2:1", instance="i-2")
 
 
 def make_directory(*entries, revision=5):
     directory = Directory()
-    listing = DirectorySnapshot(revision, {e.node: e for e in entries})
+    listing = DirectorySnapshot(at(revision), {e.node: e for e in entries})
     directory.apply_listing(listing, 0.0)
     return directory
 
@@ -36,13 +43,13 @@
 
 def test_older_listing_changes_nothing():
     directory = make_directory(ENTRY, OTHER)
-    assert not directory.apply_listing(DirectorySnapshot(4, {}), 0.0)
+    assert not directory.apply_listing(DirectorySnapshot(at(4), {}), 0.0)
     assert len(directory.ready_gates("svc")) == 2
 
 
 def test_missing_entry_is_used_until_the_grace_period_has_passed():
     directory = make_directory(ENTRY, OTHER)
-    directory.apply_listing(DirectorySnapshot(6, {"a": ENTRY}), 10.0)
+    directory.apply_listing(DirectorySnapshot(at(6), {"a": ENTRY}), 10.0)
     assert directory.expire_missing(10.0 + MISSING_GRACE_S - 0.1) == ()
     assert len(directory.ready_gates("svc")) == 2
     assert directory.expire_missing(10.0 + MISSING_GRACE_S) == ("b",)
@@ -51,8 +58,8 @@
 
 def test_entry_that_reappears_within_the_grace_period_stays():
     directory = make_directory(ENTRY, OTHER)
-    directory.apply_changes(6, (), ("b",), 10.0)
-    directory.apply_changes(7, (OTHER,), (), 11.0)
+    directory.apply_changes(at(6), (), ("b",), 10.0)
+    directory.apply_changes(at(7), (OTHER,), (), 11.0)
     assert directory.expire_missing(20.0) == ()
     assert len(directory.ready_gates("svc")) == 2
 
--- a/packages/relay/tests/test_balancer.py
+++ b/packages/relay/tests/test_balancer.py
@@ -13,13 +13,14 @@
 
 from knapweedspring_relay._balancer import AttemptResult, Balancer
 from knapweedspring_relay._configuration import CallKind, Destination, Route
-from knapweedspring_relay._directory import (
+from knapweedspring_relay._hop import GateReport, HopOutcome
+from knapweedspring_relay._knowledge import (
     Directory,
     DirectorySnapshot,
     GateEntry,
+    StorePosition,
     UpstreamState,
 )
-from knapweedspring_relay._hop import GateReport, HopOutcome
 
 ROUTE = Route("r", "h", "/", CallKind.IDEMPOTENT, (Destination("svc"),), 1, 5, 2, 2)
 
@@ -51,7 +52,7 @@
         for e in (make_entry("near"), make_entry("far", "away"), make_entry("x", "x"))
     }
     directory = Directory()
-    directory.apply_listing(DirectorySnapshot(1, entries), 0.0)
+    directory.apply_listing(DirectorySnapshot(StorePosition(0, 1), entries), 0.0)
     return Balancer(directory, "home", random.Random(1)), entries
 
 
--- a/packages/relay/tests/test_deployment_changes.py
+++ b/packages/relay/tests/test_deployment_changes.py
@@ -18,7 +18,7 @@
 from knapweedspring_relay import Destination
 from knapweedspring_relay._balancer import AttemptResult
 from knapweedspring_relay._clock import now_s
-from knapweedspring_relay._entry_cleaner import MIN_UNREACHABLE_S
+from knapweedspring_relay._knowledge._entry_cleaner import MIN_UNREACHABLE_S
 
 
 def run(scenario):
@@ -88,15 +88,10 @@
 def test_entry_that_the_store_lost_is_written_again():
     async def scenario():
         async with Deployment([answer_ok, answer_ok]) as deployment:
-            deployment.store.entries.clear()
-            deployment.store.revisions.clear()
-            deployment.store._bump_revision()
-            # After an outage the store's listing lacks the entries, but a watch does
-            # not report their deletion.
-            for relay in deployment.relays:
-                relay._own_entry.compare_stored(None)
+            store = deployment.store
+            store.restore((store.configuration, {}, {}, 1, []))
             await deployment.wait_until(
-                lambda: set(deployment.store.entries) == {"n0", "n1"}, limit_s=2.0
+                lambda: set(store.entries) == {"n0", "n1"}, limit_s=2.0
             )
 
     run(scenario)
@@ -131,6 +126,7 @@
             deployment.tasks[0].cancel()
             relay = deployment.relays[0]
             relay._supervisor.stop()
+            relay._knowledge.stop()
             for listener in relay._listeners:
                 listener.close()
             await asyncio.sleep(0.05)
@@ -166,10 +162,9 @@
             relay._balancer.record_attempt_end(
                 entry, AttemptResult.UNREACHABLE, None, long_ago
             )
-            await relay._cleaner.delete_stale_entries()
+            await relay._knowledge.cleaner.delete_stale_entries()
             assert set(deployment.store.entries) == {"n0"}
             # The node still runs, so it writes its deleted entry again.
-            deployment.relays[1]._own_entry.compare_stored(None)
             await deployment.wait_until(lambda: "n1" in deployment.store.entries)
 
     run(scenario)
--- a/packages/relay/tests/test_hop.py
+++ b/packages/relay/tests/test_hop.py
@@ -30,6 +30,7 @@
     encode_frame,
 )
 from knapweedspring_relay._hop_listener import HopListener
+from knapweedspring_relay._knowledge import FollowHandler
 from knapweedspring_relay._requests import ForwardedRequest
 
 
@@ -76,13 +77,25 @@
     return GateResult(make_report(), answer)
 
 
+class IgnoredFollowers(FollowHandler):
+    def add(self, follower, request):
+        raise AssertionError("no test follows the listener")
+
+    def remove(self, follower):
+        pass
+
+
 @contextlib.asynccontextmanager
 async def hop(script):
     """Starts a listener with a scripted gate, and creates a pool that calls it."""
     errors = []
     gate = ScriptedGate(script)
     listener = HopListener(
-        "127.0.0.1:0", gate, lambda _: None, lambda *error: errors.append(error)
+        "127.0.0.1:0",
+        gate,
+        IgnoredFollowers(),
+        lambda _: None,
+        lambda *error: errors.append(error),
     )
     await listener.start()
     port = listener._server.sockets[0].getsockname()[1]
@@ -289,7 +302,7 @@
             gate_result = await pool.call(address, make_call(), make_request())
             await asyncio.sleep(0.1)
             assert sum(read_sizes) <= hop_listener.WINDOW_BYTES + 20_000
-            assert len(await gate_result.answer.read_all()) == n_bytes
+            assert len(await gate_result.answer.read_all(10_000_000)) == n_bytes
 
     run(scenario)
 
@@ -306,7 +319,7 @@
         async with hop(script) as (pool, address, _, _, _):
             gate_result = await pool.call(address, make_call(), make_request())
             with pytest.raises(ConnectionBroke):
-                await gate_result.answer.read_all()
+                await gate_result.answer.read_all(10_000_000)
 
     run(scenario)
 
--- a/packages/relay/tests/test_local_upstream.py
+++ b/packages/relay/tests/test_local_upstream.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from knapweedspring_relay._directory import UpstreamState
+from knapweedspring_relay._knowledge._directory import UpstreamState
 from knapweedspring_relay._local_upstream import (
     Heartbeat,
     HeartbeatVerdict,
