Keep calls in the data centre while a whole service sheds

Cause: the failure ratio up to which a local gate is used was absolute (0.05). While all upstreams of a service shed, no local gate was below it, so each call was compared with gates of other data centres, and the noise of the moving ratios decided: 57% of the calls left the data centre (simulation with 6 data centres of 7 gates that all shed 55%).

Change: a local gate counts as healthy if it fails no more often than the gates of other data centres did recently, by more than the noise. Without recent results of other data centres they are compared as before, which is the probe.

Ruled out: a higher absolute bound, which would keep calls at a local gate that alone fails.

--- a/packages/relay/src/knapweedspring_relay/_balancer.py
+++ b/packages/relay/src/knapweedspring_relay/_balancer.py
@@ -31,6 +31,9 @@
 HEALTHY_FAILURE_RATIO = 0.05
 #: Half-life of a failure ratio that no new attempt result updates, in seconds.
 FAILURE_HALF_LIFE_S = 3.0
+#: Difference of two failure ratios that counts as equal: about twice the standard
+#: deviation of a moving ratio near one half.
+FAILURE_RATIO_NOISE = 0.2
 #: First and longest ejection of an unreachable gate, in seconds. Each further ejection
 #: lasts twice as long as the one before it, up to the longest.
 EJECTION_MIN_S = 0.25
@@ -85,6 +88,34 @@
     changed_at: float
 
 
+@dataclass(slots=True)
+class _FailureRatio:
+    """Moving failure ratio, which decays while no attempt ends."""
+
+    #: The ratio after the last attempt, 0 to 1.
+    value: float = 0.0
+    #: Time of the last attempt, on the monotonic clock, in seconds.
+    changed_at: float = 0.0
+
+    def decayed(self, now: float) -> float:
+        """Return the ratio, decayed by the time since the last attempt.
+
+        :param now: monotonic time, in seconds.
+        """
+        age_s = max(0.0, now - self.changed_at)
+        return self.value * 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
+
+    def record(self, failed: bool, now: float) -> None:
+        """Record the result of an attempt.
+
+        :param failed: whether it failed.
+        :param now: monotonic time, in seconds.
+        """
+        ratio = self.decayed(now)
+        self.value = ratio + FAILURE_SMOOTHING * (float(failed) - ratio)
+        self.changed_at = now
+
+
 @dataclass(slots=True)
 class _GateStats:
     """Load, failures, ejection and latencies of one gate, as observed by this node."""
@@ -99,10 +130,8 @@
     limit: int = 0
     #: Time of the last report, on the monotonic clock, in seconds.
     reported_at: float = float("-inf")
-    #: Moving ratio of failed attempts, 0 to 1.
-    failure_ratio: float = 0.0
-    #: Time of the ratio's last update, on the monotonic clock, in seconds.
-    failure_changed_at: float = 0.0
+    #: Moving ratio of failed attempts.
+    failures: _FailureRatio = field(default_factory=_FailureRatio)
     #: End of the last ejection, on the monotonic clock, in seconds.
     ejection_ends_at: float = 0.0
     #: Length of the next ejection for unreachability, in seconds.
@@ -125,14 +154,6 @@
         decay = 0.5 ** (age_s / LOAD_HALF_LIFE_S)
         return (self.n_open + n_others * decay) / limit
 
-    def decayed_failure_ratio(self, now: float) -> float:
-        """Return the failure ratio, decayed by the time since its last update.
-
-        :param now: monotonic time, in seconds.
-        """
-        age_s = max(0.0, now - self.failure_changed_at)
-        return self.failure_ratio * 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
-
     def record_latency(self, route: str, latency_s: float, now: float) -> None:
         """Add the latency of an answer to the route's average.
 
@@ -187,6 +208,8 @@
         self._data_centre = data_centre
         self._rng = rng
         self._stats_by_node: dict[str, _GateStats] = {}
+        #: Moving failure ratios of the gates of other data centres, by service.
+        self._remote_failures: dict[str, _FailureRatio] = {}
 
     def select_gate(
         self, service: str, route: Route, excluded: frozenset[str], now: float
@@ -200,7 +223,9 @@
         """
         ready_gates = self._directory.ready_gates(service)
         local_gates = self._directory.ready_gates_in(service, self._data_centre)
-        local_gate = self._healthy_local_gate(local_gates, route, excluded, now)
+        local_gate = self._healthy_local_gate(
+            service, local_gates, route, excluded, now
+        )
         if local_gate is not None:
             return local_gate
         untried = [entry for entry in ready_gates if entry.node not in excluded]
@@ -272,10 +297,13 @@
             stats.next_ejection_s = EJECTION_MIN_S
             stats.unreachable_since = None
         if result in (AttemptResult.GOOD, AttemptResult.FAILED):
-            failed = 1.0 if result is AttemptResult.FAILED else 0.0
-            ratio = stats.decayed_failure_ratio(now)
-            stats.failure_ratio = ratio + FAILURE_SMOOTHING * (failed - ratio)
-            stats.failure_changed_at = now
+            failed = result is AttemptResult.FAILED
+            stats.failures.record(failed, now)
+            if entry.data_centre != self._data_centre:
+                remote = self._remote_failures.setdefault(
+                    entry.service, _FailureRatio()
+                )
+                remote.record(failed, now)
 
     def record_answer_latency(
         self, entry: GateEntry, route: Route, latency_s: float, now: float
@@ -309,6 +337,7 @@
 
     def _healthy_local_gate(
         self,
+        service: str,
         local_gates: Sequence[GateEntry],
         route: Route,
         excluded: frozenset[str],
@@ -316,16 +345,24 @@
     ) -> GateEntry | None:
         """Return the least occupied healthy local gate that has room, if any.
 
-        This handles the usual case without comparing gates of other data centres.
+        This handles the usual case without comparing gates of other data centres. A
+        gate is healthy if it fails no more often than the gates of other data centres
+        did recently: when a whole service fails, calls elsewhere would fail as often.
         """
         best, best_occupancy = None, SPILLOVER_OCCUPANCY
+        max_failure_ratio = HEALTHY_FAILURE_RATIO
+        remote = self._remote_failures.get(service)
+        if remote is not None:
+            remote_ratio = remote.decayed(now)
+            if remote_ratio > HEALTHY_FAILURE_RATIO:
+                max_failure_ratio = remote_ratio + FAILURE_RATIO_NOISE
         for entry in local_gates:
             if entry.node in excluded:
                 continue
             stats = self._stats(entry)
             if (
                 stats.ejection_ends_at > now
-                or stats.failure_ratio > HEALTHY_FAILURE_RATIO
+                or stats.failures.decayed(now) > max_failure_ratio
             ):
                 continue
             if stats.slowness(route, now) > 0.0:
@@ -356,12 +393,12 @@
     ) -> GateEntry:
         """Return the candidate with the lowest cost, which is measured as occupancy."""
         min_failure_ratio = min(
-            self._stats(entry).decayed_failure_ratio(now) for entry in candidates
+            self._stats(entry).failures.decayed(now) for entry in candidates
         )
         best, best_cost = candidates[0], float("inf")
         for entry in candidates:
             stats = self._stats(entry)
-            excess = stats.decayed_failure_ratio(now) - min_failure_ratio
+            excess = stats.failures.decayed(now) - min_failure_ratio
             cost = (
                 stats.occupancy(entry.slots, now) + FAILURE_OCCUPANCY_PENALTY * excess
             )
--- a/packages/relay/tests/test_balancer.py
+++ b/packages/relay/tests/test_balancer.py
@@ -173,3 +173,55 @@
     for entry in entries.values():
         balancer.record_answer_latency(entry, ROUTE, 0.9, 0.0)
     assert pick_many(balancer, 0.0) == {"near": 200}
+
+
+def make_mesh(n_data_centres=6, n_gates=7):
+    entries = [
+        make_entry(f"{data_centre}-{i}", data_centre)
+        for data_centre in ["home", *(f"dc{n}" for n in range(1, n_data_centres))]
+        for i in range(n_gates)
+    ]
+    directory = Directory()
+    snapshot = DirectorySnapshot(StorePosition(0, 1), {e.node: e for e in entries})
+    directory.apply_listing(snapshot, 0.0)
+    return Balancer(directory, "home", random.Random(1)), {e.node: e for e in entries}
+
+
+def share_of_local_calls(failure_ratio_of, n_calls=3000, per_s=150.0):
+    """Play calls whose gates fail at random; return the local share of the last half.
+
+    :param failure_ratio_of: returns the failure ratio of a gate.
+    """
+    balancer, entries = make_mesh()
+    rng = random.Random(2)
+    n_local = 0
+    for index in range(n_calls):
+        now = index / per_s
+        picked = balancer.select_gate("svc", ROUTE, frozenset(), now)
+        failed = rng.random() < failure_ratio_of(picked)
+        result = AttemptResult.FAILED if failed else AttemptResult.GOOD
+        report(balancer, entries[picked.node], now, result)
+        n_local += index >= n_calls / 2 and picked.data_centre == "home"
+    return n_local / (n_calls / 2)
+
+
+@pytest.mark.parametrize("failure_ratio", [0.2, 0.55, 0.8])
+def test_service_that_sheds_everywhere_causes_little_traffic_between_data_centres(
+    failure_ratio,
+):
+    """All upstreams of a service shed, so other data centres offer no better ones."""
+    assert share_of_local_calls(lambda _: failure_ratio) > 0.8
+
+
+def test_service_that_fails_in_the_local_data_centre_only_is_called_elsewhere():
+    share = share_of_local_calls(lambda e: 0.55 if e.data_centre == "home" else 0.0)
+    assert share < 0.1
+
+
+def test_failing_gate_of_the_local_data_centre_is_avoided_without_leaving_it():
+    balancer, entries = make_mesh()
+    for _ in range(30):
+        report(balancer, entries["home-0"], 0.0, AttemptResult.FAILED)
+    picked = pick_many(balancer, 0.0)
+    assert "home-0" not in picked
+    assert all(node.startswith("home") for node in picked)
