Bound the bytes that a call receives before the head of its answer

Cause: the limit on a head was counted anew for each message, so an upstream that sends interim answers without end was read until the deadline of the call.

Change: the count runs from the start of the call to the head of its answer, over interim and skipped answers. Endless status lines, heads, bodies (chunked, unframed, declared long), foreign answers and bytes that are no answer were tested, fast and byte by byte: each ended for the caller without looking complete and for the upstream already, by the limit on heads or the deadline; 200 at once leave memory within 64 MiB and other calls fast.

--- a/packages/relay/src/knapweedspring_relay/_http_client.py
+++ b/packages/relay/src/knapweedspring_relay/_http_client.py
@@ -19,9 +19,9 @@
 MAX_BUFFERED_ANSWER_BYTES = 65_536
 #: Unread bytes of a streamed body above which the connection stops receiving.
 READ_HIGH_WATER_BYTES = 131_072
-#: Limit on the bytes received of an answer whose head is still incomplete, and of an
-#: answer that is skipped because it belongs to another request. The connection is
-#: aborted when more bytes than this arrive.
+#: Limit on the bytes received by a call until the head of its answer is complete. They
+#: include interim answers, and answers that are skipped because they belong to another
+#: request. The connection is aborted when more bytes than this arrive.
 MAX_ANSWER_HEAD_BYTES = 65_536
 #: Longest wait for an answer unless the caller sets a timeout, in seconds.
 DEFAULT_TIMEOUT_S = 60.0
@@ -67,7 +67,6 @@
         self._last_used_at = 0.0
         self._headers: list[Header] = []
         self._n_head_bytes = 0
-        self._in_answer = False
 
     @property
     def address(self) -> str:
@@ -109,7 +108,7 @@
         self._is_head_request = is_head_request
         self._answer = None
         self._skipping = False
-        self._in_answer = False
+        self._n_head_bytes = 0
         result: asyncio.Future[Answer] = self._loop.create_future()
         self._result = result
         if not self.is_open:
@@ -164,7 +163,7 @@
         if self._is_reusable:
             self._return_to_pool()
             return
-        if self._answer is None and self._in_answer:
+        if self._answer is None:
             self._n_head_bytes += len(data)
             if self._n_head_bytes > MAX_ANSWER_HEAD_BYTES:
                 self._abort_and_remove()
@@ -175,8 +174,6 @@
     def on_message_begin(self) -> None:
         """Begin an answer; one that no request waits for is skipped."""
         self._headers = []
-        self._n_head_bytes = 0
-        self._in_answer = True
         if self._result is None or (self._answer and self._answer.is_complete):
             self._must_close = True
             self._skipping = True
@@ -220,7 +217,6 @@
 
     def on_message_complete(self) -> None:
         """Complete the answer."""
-        self._in_answer = False
         if self._skipping:
             self._skipping = False
             return
