Let no ordinary end precede a reset by the fault proxy

Change: the connection is marked as reset before its sockets are touched, and an end that is read afterwards is not passed on. The test runs the two steps apart and failed in both its cases before.

--- a/packages/standins/src/knapweedspring_standins/_fault_proxy.py
+++ b/packages/standins/src/knapweedspring_standins/_fault_proxy.py
@@ -185,6 +185,7 @@
         self._source: str | None = None
         self._target: socket.socket | None = None
         self._n_ended_directions = 0
+        self._is_reset = False
         self._lock = threading.Lock()
 
     def is_reset_by_fault(self) -> bool:
@@ -193,6 +194,9 @@
 
     def reset(self) -> None:
         """Reset both sides and remove the connection from the proxy."""
+        # Set first: a thread that forwards bytes must not pass on the end that it reads
+        # while the sockets are being closed.
+        self._is_reset = True
         for sock in (self._caller, self._target):
             if sock is not None:
                 _reset(sock)
@@ -268,7 +272,7 @@
             self._send(sink, chunk, direction)
             forwarded.add(len(chunk))
         self._wait_while_held(source, direction)
-        if not self._hides_close(direction):
+        if not self._is_reset and not self._hides_close(direction):
             sink.shutdown(socket.SHUT_WR)
 
     def _end_at_limit(self) -> None:
--- a/packages/standins/tests/test_fault_proxy.py
+++ b/packages/standins/tests/test_fault_proxy.py
@@ -4,6 +4,7 @@
 when a black hole forwards the close, or when a fault stays in force after its removal.
 """
 
+import contextlib
 import socket
 import sys
 import threading
@@ -11,6 +12,7 @@
 
 import pytest
 
+from knapweedspring_standins import _fault_proxy
 from knapweedspring_standins._fault_proxy import FaultProxy
 from knapweedspring_standins._faults import (
     BlackHole,
@@ -204,6 +206,27 @@
         assert exchange(sock) == b"hello"
 
 
+@pytest.mark.parametrize("pause_s", [0.02, 0.1])
+def test_reset_is_not_preceded_by_an_ordinary_end(proxy, monkeypatch, pause_s):
+    """The threads that forward bytes may run between the steps of a reset."""
+
+    def reset_slowly(sock):
+        with contextlib.suppress(OSError):
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _fault_proxy.RESET_ON_CLOSE
+            )
+            sock.shutdown(socket.SHUT_RD)
+            time.sleep(pause_s)
+        sock.close()
+
+    monkeypatch.setattr(_fault_proxy, "_reset", reset_slowly)
+    with connect(proxy) as sock:
+        assert exchange(sock) == b"hello"
+        proxy.set_faults(ResetConnections())
+        with pytest.raises(ConnectionResetError):
+            sock.recv(1)
+
+
 def test_faults_of_one_source_do_not_affect_the_others(echo_address):
     names = {}
     with FaultProxy(echo_address, 7, lambda port: names.get(port, "")) as proxy:
