Answer accepted pipelined requests at a stop, and restore when a drain began

Causes: at a planned stop the first answer on a connection announced its close, so requests that had been read behind it were dropped without an answer (one of the faults that operators report: requests just accepted are cut off). A restart beside a draining upstream restored its state without the time at which it began to drain, so queued calls were not refused when that time was over.

Change: only the answer to the last request read closes the connection; the restored state counts as draining from the restart on.

--- a/packages/relay/src/knapweedspring_relay/_http_server.py
+++ b/packages/relay/src/knapweedspring_relay/_http_server.py
@@ -270,8 +270,11 @@
 
     @property
     def closes_after_answer(self) -> bool:
-        """Whether the connection closes after the next answer."""
-        return self._listener.is_draining
+        """Whether the connection closes after the next answer.
+
+        Requests that were already read are still answered before it closes.
+        """
+        return self._listener.is_draining and not self._requests
 
     def _reset_message(self) -> None:
         self._target = b""
--- a/packages/relay/src/knapweedspring_relay/_relay.py
+++ b/packages/relay/src/knapweedspring_relay/_relay.py
@@ -28,6 +28,7 @@
     GateEntry,
     Knowledge,
     PeerPageHandler,
+    UpstreamState,
 )
 from knapweedspring_relay._local_upstream import (
     ASSUMED_SEQUENCE,
@@ -362,6 +363,7 @@
         is_own = previous.gate_address == self._settings.gate_address
         if not is_own or previous.service != self._settings.service:
             return
+        is_ready = previous.state is UpstreamState.READY
         self._tracker.assume_published(
             LocalUpstream(
                 instance=previous.instance,
@@ -371,6 +373,7 @@
                 born_ms=previous.born_ms,
                 sequence=ASSUMED_SEQUENCE,
                 cold_ends_at=0.0,
+                draining_at=None if is_ready else now_s(),
             )
         )
         self._gate.apply_upstream_state(now_s())
--- a/packages/relay/tests/test_deployment_changes.py
+++ b/packages/relay/tests/test_deployment_changes.py
@@ -15,7 +15,7 @@
     make_configuration,
 )
 
-from knapweedspring_relay import Destination
+from knapweedspring_relay import Destination, UpstreamState
 from knapweedspring_relay._balancer import AttemptResult
 from knapweedspring_relay._clock import now_s
 from knapweedspring_relay._knowledge._entry_cleaner import MIN_UNREACHABLE_S
@@ -120,6 +120,48 @@
     run(scenario)
 
 
+def test_stop_answers_all_requests_that_were_accepted_on_a_connection():
+    """Pipelined requests that were read before the stop are answered, not dropped."""
+
+    async def slow(upstream, request, writer):
+        await asyncio.sleep(0.2)
+        writer.write(answer_of(request))
+
+    async def scenario():
+        async with Deployment([slow]) as deployment:
+            host, port = deployment.settings[0].entry_address.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            one = b"GET /read/%d HTTP/1.1\r\nhost: h\r\nx-id: %d\r\n\r\n"
+            writer.write(b"".join(one % (i, i) for i in range(3)))
+            await asyncio.sleep(0.1)
+            deployment.relays[0].stop()
+            received = await asyncio.wait_for(reader.read(-1), 3)
+            assert received.count(b"200 OK") == 3
+            # Only the last answer announces the close.
+            answers = received.lower().split(b"http/1.1 200")[1:]
+            closes = [b"connection: close" in answer for answer in answers]
+            assert closes == [False, False, True]
+
+    run(scenario)
+
+
+def test_upstream_that_drained_before_a_restart_is_restored_as_draining():
+    async def scenario():
+        async with Deployment([answer_ok]) as deployment:
+            deployment.send_heartbeat(0, 2, state=UpstreamState.DRAINING)
+            entry = deployment.relays[0]._desired_entry()
+            deployment.add_relay(0)
+            relay = deployment.relays[1]
+            relay._assume_published(
+                replace(entry, gate_address=deployment.settings[1].gate_address)
+            )
+            # Without the time at which it began to drain, queued calls would wait for
+            # their deadlines.
+            assert relay._tracker.current.draining_at is not None
+
+    run(scenario)
+
+
 def test_restarted_node_uses_its_stored_entry_until_the_next_heartbeat():
     async def scenario():
         async with Deployment([answer_ok]) as deployment:
