Parse the numbers of other processes in one place, with a bound on their length

Cause: a deadline of some thousand digits raised ValueError in the entry's handler, since Python refuses to convert such numbers; the caller got 502 and the failure was counted as a defect.

Change: parse_decimal accepts at most 20 digits and nothing else.

--- a/packages/relay/src/knapweedspring_relay/__init__.py
+++ b/packages/relay/src/knapweedspring_relay/__init__.py
@@ -38,6 +38,7 @@
 from knapweedspring_relay._local_upstream import Heartbeat, HeartbeatVerdict
 from knapweedspring_relay._logs import LineBuffer
 from knapweedspring_relay._messages import encode_request
+from knapweedspring_relay._numbers import parse_decimal
 from knapweedspring_relay._relay import Relay
 from knapweedspring_relay._settings import (
     RelaySettings,
@@ -84,4 +85,5 @@
     "StoreUnavailable",
     "UpstreamState",
     "encode_request",
+    "parse_decimal",
 ]
--- a/packages/relay/src/knapweedspring_relay/_answer.py
+++ b/packages/relay/src/knapweedspring_relay/_answer.py
@@ -6,6 +6,7 @@
 
 from knapweedspring_relay._errors import BadAnswer, ConnectionBroke
 from knapweedspring_relay._messages import end_to_end_headers, header_lines
+from knapweedspring_relay._numbers import parse_decimal
 from knapweedspring_relay._requests import Header
 
 __all__ = ["Answer"]
@@ -84,8 +85,7 @@
         """Length of the body in bytes as declared by the sender; None if undeclared."""
         if self._length is not None:
             return self._length
-        value = self._by_name.get(b"content-length")
-        return int(value) if value is not None and value.isdigit() else None
+        return parse_decimal(self._by_name.get(b"content-length"))
 
     def header(self, name: bytes) -> bytes | None:
         """Return the value of a header; None when it is absent.
--- a/packages/relay/src/knapweedspring_relay/_entry.py
+++ b/packages/relay/src/knapweedspring_relay/_entry.py
@@ -27,6 +27,7 @@
 from knapweedspring_relay._knowledge import GateEntry
 from knapweedspring_relay._logs import DecisionLog
 from knapweedspring_relay._messages import to_forwarded_request
+from knapweedspring_relay._numbers import parse_decimal
 from knapweedspring_relay._relaying import relay_answer
 from knapweedspring_relay._request_state import RequestState
 from knapweedspring_relay._requests import ForwardedRequest, Header, Request
@@ -487,6 +488,5 @@
     It is ``DEFAULT_DEADLINE_S`` when the header is missing or not a number of
     milliseconds.
     """
-    if value is None or not value.strip().isdigit():
-        return DEFAULT_DEADLINE_S
-    return int(value) / 1_000
+    stated_ms = parse_decimal(value.strip()) if value is not None else None
+    return DEFAULT_DEADLINE_S if stated_ms is None else stated_ms / 1_000
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_peer_pages.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_peer_pages.py
@@ -7,6 +7,7 @@
 from knapweedspring_relay._http_server import Exchange, RequestHandler
 from knapweedspring_relay._knowledge._peer_snapshot import PeerSnapshot
 from knapweedspring_relay._knowledge._position import StorePosition
+from knapweedspring_relay._numbers import parse_decimal
 
 __all__ = [
     "ControlHandler",
@@ -18,8 +19,6 @@
 
 #: Path of the peer page, which the knowledge and the heartbeat address both serve.
 PEER_PAGE_PATH = b"/knowledge"
-#: Longest number accepted in the query, in digits: more than the numbers in use have.
-MAX_DIGITS = 20
 
 _decoder = msgspec.json.Decoder(PeerSnapshot)
 
@@ -57,15 +56,12 @@
         if path != PEER_PAGE_PATH:
             exchange.send_answer(404, [])
             return
-        version, era, revision = (*map(_parse_number, query.split(b"&")), 0, 0, 0)[:3]
+        numbers = [parse_decimal(text) or 0 for text in query.split(b"&")]
+        version, era, revision = (*numbers, 0, 0, 0)[:3]
         snapshot = self._snapshot(version, StorePosition(era, revision))
         exchange.send_answer(200, [], msgspec.json.encode(snapshot))
 
 
-def _parse_number(text: bytes) -> int:
-    return int(text) if text.isdigit() and len(text) <= MAX_DIGITS else 0
-
-
 class PeerPageHandler(RequestHandler):
     """Serves the peer page on the knowledge address.
 
