--- a/packages/node/src/knapweedspring_node/_calls/_outbound.py
+++ b/packages/node/src/knapweedspring_node/_calls/_outbound.py
@@ -32,8 +32,6 @@
 #: are streamed.
 MAX_BUFFERED_ANSWER_BYTES = 65_536
 MAX_IDLE_PER_PEER = 256
-#: A connection that was idle for longer than this is checked before it is reused.
-MAX_UNCHECKED_IDLE_S = 0.02
 #: Time to read an answer that was sent before the request was fully received.
 EARLY_ANSWER_TIMEOUT_S = 0.2
 
@@ -119,8 +117,6 @@
     """Connection that can send the head and body of a request in one system call."""
 
     _buffered: list[bytes] | None = None
-    #: When the connection was returned to its pool, on the monotonic clock, in seconds.
-    last_used_at = 0.0
 
     def start_buffering(self) -> None:
         """Buffer the parts of the request until :meth:`flush`."""
@@ -150,7 +146,7 @@
         self._idle: deque[_Connection] = deque()
 
     def get_idle(self) -> _Connection | None:
-        """Remove and return an idle connection that the peer has not closed.
+        """Remove and return an idle connection on which nothing has arrived.
 
         :return: None when there is no such connection.
         """
@@ -159,8 +155,8 @@
                 connection = self._idle.pop()
             except IndexError:
                 return None
-            if time.monotonic() - connection.last_used_at < MAX_UNCHECKED_IDLE_S:
-                return connection
+            # Bytes that arrived while it was idle, such as a second copy of the last
+            # answer, would be read as the answer to the next request.
             if connection.is_connected:
                 return connection
             connection.close()
@@ -184,7 +180,6 @@
         if connection.sock is None or len(self._idle) >= MAX_IDLE_PER_PEER:
             connection.close()
             return
-        connection.last_used_at = time.monotonic()
         self._idle.append(connection)
 
     def close(self) -> None:
