--- a/packages/core/src/knapweedspring_core/_platform.py
+++ b/packages/core/src/knapweedspring_core/_platform.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+import msgspec
 import urllib3
 from result import Err, Ok, Result
 
@@ -36,6 +37,32 @@
     version: int
 
 
+class _WireRecord(msgspec.Struct, frozen=True):
+    """An object, as the API sends it."""
+
+    kind: str
+    name: str
+    version: int
+    deleted: bool
+    writer: str
+    content: str
+
+
+class _WireConflict(msgspec.Struct, frozen=True):
+    """The part that is read of the answer to a write that named an outdated version."""
+
+    #: Version that the object has.
+    version: int
+
+
+class _WireChanges(msgspec.Struct, frozen=True):
+    """Answer to a list or a watch."""
+
+    items: tuple[_WireRecord, ...]
+    #: Platform version from which the next watch continues.
+    version: int
+
+
 class Platform(ABC):
     """Interface of the platform's object API."""
 
@@ -183,12 +210,15 @@
 
 
 def _as_record(status: int, body: Any) -> Result[ObjectRecord, PlatformError]:
-    if status == 409:
-        detail = f"the object has version {body['version']}"
-        return Err(PlatformConflict(detail, body["version"]))
-    if status != 200:
+    if status not in (200, 409):
         return Err(_as_error(status, body))
-    return Ok(_parse_record(body))
+    try:
+        if status == 409:
+            version = msgspec.convert(body, _WireConflict).version
+            return Err(PlatformConflict(f"the object has version {version}", version))
+        return Ok(_parse_record(msgspec.convert(body, _WireRecord)))
+    except msgspec.ValidationError as error:
+        return Err(PlatformUnavailable(f"unreadable answer: {error}"))
 
 
 def _as_changes(status: int, body: Any) -> Result[ObjectChanges, PlatformError]:
@@ -196,8 +226,11 @@
         return Err(PlatformVersionTooOld("list the objects again"))
     if status != 200:
         return Err(_as_error(status, body))
-    records = tuple(_parse_record(item) for item in body["items"])
-    return Ok(ObjectChanges(records, body["version"]))
+    try:
+        changes = msgspec.convert(body, _WireChanges)
+    except msgspec.ValidationError as error:
+        return Err(PlatformUnavailable(f"unreadable answer: {error}"))
+    return Ok(ObjectChanges(tuple(map(_parse_record, changes.items)), changes.version))
 
 
 def _as_error(status: int, body: Any) -> PlatformError:
@@ -207,11 +240,11 @@
     return PlatformUnavailable(f"status {status}")
 
 
-def _parse_record(body: Any) -> ObjectRecord:
+def _parse_record(found: _WireRecord) -> ObjectRecord:
     return ObjectRecord(
-        key=ObjectKey(body["kind"], body["name"]),
-        version=body["version"],
-        deleted=body["deleted"],
-        writer=body["writer"],
-        content=body["content"],
+        key=ObjectKey(found.kind, found.name),
+        version=found.version,
+        deleted=found.deleted,
+        writer=found.writer,
+        content=found.content,
     )
--- a/packages/core/src/knapweedspring_core/_writes.py
+++ b/packages/core/src/knapweedspring_core/_writes.py
@@ -73,8 +73,8 @@
     :param platform: platform that stores the objects.
     :param name: name of the writer, such as ``operator@host``; a unique id is appended
         for each write.
-    :param timeout_s: seconds after the first send, after which a failed read of the
-        object is not repeated.
+    :param timeout_s: seconds after the first send, after which neither a failed read of
+        the object nor the write is repeated.
     :param wait: waits for the given seconds; callers that must be able to interrupt
         the wait pass a function of their own.
     """
@@ -131,6 +131,7 @@
     def _send_until_resolved(self, write: _Write) -> Result[ObjectRecord, WriteError]:
         deadline_at = time.monotonic() + self._timeout_s
         may_have_taken_effect = False
+        pause_s = READ_BACK_PAUSE_MIN_S
         while True:
             written = write.send()
             if isinstance(written, Ok):
@@ -148,6 +149,11 @@
                 return Err(WriteConflict(current))
             if not _is_unchanged(current, write.expected_version):
                 return self._resolve_from_stored_object(current, write)
+            if time.monotonic() + pause_s > deadline_at:
+                detail = "no send was answered"
+                return Err(WriteOutcomeUnknown(detail, write.writer, current))
+            self._wait(pause_s)
+            pause_s = min(pause_s * 2, READ_BACK_PAUSE_MAX_S)
             # Sending the write again is safe: the version condition lets at most
             # one of the sends take effect, and all carry the same id.
 
--- a/packages/ctl/src/knapweedspring_ctl/_main.py
+++ b/packages/ctl/src/knapweedspring_ctl/_main.py
@@ -194,7 +194,7 @@
     )
     timeline.add_argument(
         "--newest",
-        type=int,
+        type=_positive_number,
         metavar="N",
         help="only the newest N events; html shows 5000 by default",
     )
@@ -256,6 +256,16 @@
     return drain_node(settings, drain_options, output)
 
 
+def _positive_number(text: str) -> int:
+    """Parse a positive number from the command line.
+
+    :raises argparse.ArgumentTypeError: when the text is none.
+    """
+    if not text.isdecimal() or int(text) == 0:
+        raise argparse.ArgumentTypeError(f"{text!r} is not a positive number")
+    return int(text)
+
+
 def _run_timeline(
     options: argparse.Namespace, settings: CtlSettings, output: Output
 ) -> Result[ExitCode, CtlError]:
--- a/packages/ctl/tests/test_timeline.py
+++ b/packages/ctl/tests/test_timeline.py
@@ -57,6 +57,14 @@
     assert [event["kind"] for event in events] == ["node:draining", "node:drained"]
 
 
+@pytest.mark.parametrize("value", ["-1", "0", "many"])
+def test_newest_must_be_a_positive_number(two_files, capsys, value):
+    with pytest.raises(SystemExit) as ended:
+        main(["timeline", *two_files, "--newest", value])
+    assert ended.value.code != ExitCode.OK
+    assert "--newest" in capsys.readouterr().err
+
+
 def test_the_page_has_a_lane_for_each_process_and_a_mark_for_each_event(
     two_files, capsys
 ):
--- a/packages/node/src/knapweedspring_node/_calls/_remote.py
+++ b/packages/node/src/knapweedspring_node/_calls/_remote.py
@@ -22,7 +22,7 @@
     OutboundCall,
 )
 from knapweedspring_node._calls._reply import RefusedReply, RelayedReply, Reply, refuse
-from knapweedspring_node._calls._request import CallRequest
+from knapweedspring_node._calls._request import MAX_LENGTH_DIGITS, CallRequest
 
 __all__ = ["ForwardMark", "RemoteNodes"]
 
@@ -179,4 +179,5 @@
 
 def _int_header(kws_headers: dict[str, str], header: Header) -> int:
     text = kws_headers.get(header.lower(), "")
-    return int(text) if text.isascii() and text.isdigit() else 0
+    is_number = text.isascii() and text.isdigit() and len(text) <= MAX_LENGTH_DIGITS
+    return int(text) if is_number else 0
--- a/packages/node/src/knapweedspring_node/_calls/_request.py
+++ b/packages/node/src/knapweedspring_node/_calls/_request.py
@@ -25,6 +25,9 @@
 BUFFERED_BODY_BYTES = 65_536
 CHUNK_BYTES = 65_536
 MAX_DEADLINE_MS = 600_000
+#: Longest Content-Length that is accepted, in digits: any 64-bit number has fewer, and
+#: Python refuses to convert numbers of some thousand digits.
+MAX_LENGTH_DIGITS = 20
 
 _HOP_BY_HOP = frozenset(
     {
@@ -282,7 +285,7 @@
     if chunked:
         # A body with two framings allows request smuggling.
         return Err(BadRequest("send a length or chunks, not both"))
-    if not declared.isdigit():
+    if not declared.isdigit() or len(declared) > MAX_LENGTH_DIGITS:
         return Err(BadRequest("write Content-Length as one decimal number"))
     return Ok(int(declared))
 
--- a/packages/node/tests/calls/test_request.py
+++ b/packages/node/tests/calls/test_request.py
@@ -33,6 +33,7 @@
         (b"/orders", {"Content_Length": b"-1"}),
         (b"/orders", {"Content_Length": b"+1"}),
         (b"/orders", {"Content_Length": b"5, 5"}),
+        (b"/orders", {"Content_Length": b"9" * 5_000}),
         (b"/orders", {"Kws_Deadline_Ms": b"soon"}),
         (b"/orders", {"Kws_Deadline_Ms": b"-5"}),
     ],
