--- a/packages/relay/src/knapweedspring_relay/_hop_listener.py
+++ b/packages/relay/src/knapweedspring_relay/_hop_listener.py
@@ -27,20 +27,16 @@
     encode_frame,
 )
 from knapweedspring_relay._knowledge import Follower, FollowHandler
-from knapweedspring_relay._sockets import set_timeouts
+from knapweedspring_relay._requests import MAX_BODIES_BYTES
+from knapweedspring_relay._sockets import BACKLOG, set_timeouts
 
 __all__ = ["HopListener"]
 
-#: Maximum number of connections that the kernel queues until the listener accepts them.
-BACKLOG = 1_024
 #: Time for which sent bytes may stay unacknowledged before the kernel ends the
 #: connection, in seconds.
 UNACKNOWLEDGED_S = 1.0
 #: Number of bytes of a streamed body that are sent before the receiver grants credit.
 WINDOW_BYTES = 131_072
-#: Bytes of request bodies held in memory at once: an eighth of the memory of a small
-#: VM. A call whose body would exceed this limit is refused.
-MAX_BODIES_BYTES = 32 * 1_048_576
 
 
 class HopListener:
--- a/packages/relay/src/knapweedspring_relay/_http_server.py
+++ b/packages/relay/src/knapweedspring_relay/_http_server.py
@@ -12,8 +12,14 @@
 from knapweedspring_relay._clock import now_s
 from knapweedspring_relay._configuration import CallLimits
 from knapweedspring_relay._errors import MessageError
-from knapweedspring_relay._messages import encode_answer_head, header_lines
-from knapweedspring_relay._requests import Header, Request
+from knapweedspring_relay._messages import (
+    encode_answer_head,
+    encode_error_answer,
+    has_folded_header,
+    header_lines,
+)
+from knapweedspring_relay._requests import MAX_BODIES_BYTES, Header, Request
+from knapweedspring_relay._sockets import BACKLOG
 
 __all__ = ["Exchange", "HttpListener", "RequestHandler"]
 
@@ -21,18 +27,11 @@
 WRITE_HIGH_WATER_BYTES = 65_536
 #: Number of queued requests at which a connection stops receiving more.
 MAX_PIPELINED = 8
-#: Bytes of request bodies held by one listener: an eighth of the memory of a small VM.
-#: Up to four copies of a body exist while it is sent. Requests are held whole, so that
-#: they can be repeated at another server. A request that would exceed this limit gets
-#: status 503.
-MAX_BODIES_BYTES = 32 * 1_048_576
 #: Time within which a body must arrive after its head, in seconds; otherwise the
 #: request gets status 408.
 BODY_TIMEOUT_S = 60.0
 #: Bytes of a header line besides name and value: colon, space and line end.
 HEADER_SEPARATOR_BYTES = 4
-#: Maximum number of connections that the kernel queues until the listener accepts them.
-BACKLOG = 1_024
 
 
 class Exchange:
@@ -270,10 +269,7 @@
 
     @property
     def closes_after_answer(self) -> bool:
-        """Whether the connection closes after the next answer.
-
-        Requests that were already read are still answered before it closes.
-        """
+        """Whether the next answer ends the connection: no further request was read."""
         return self._listener.is_draining and not self._requests
 
     def _reset_message(self) -> None:
@@ -313,7 +309,7 @@
             return
         if not self._in_body:
             self._n_head_bytes += len(data)
-            if _has_folded_header(data):
+            if has_folded_header(data):
                 self._reject(MessageError(400, "a header is folded over lines"))
                 return
         try:
@@ -484,9 +480,7 @@
             self._answer_error(error)
 
     def _answer_error(self, error: MessageError) -> None:
-        lines = b"retry-after: 1\r\n" if error.status == 503 else b""
-        body = str(error).encode()
-        self.write(encode_answer_head(error.status, lines, len(body), False) + body)
+        self.write(encode_error_answer(error))
         self._closing = True
         if self._transport is not None:
             self._transport.close()
@@ -502,11 +496,3 @@
     def _wake_writer(self) -> None:
         if self._writable_waiter is not None and not self._writable_waiter.done():
             self._writable_waiter.set_result(None)
-
-
-def _has_folded_header(data: bytes) -> bool:
-    if b"\r\n " not in data and b"\r\n\t" not in data:
-        return False
-    # Only the head counts: the body may contain the same bytes.
-    head = data.partition(b"\r\n\r\n")[0]
-    return b"\r\n " in head or b"\r\n\t" in head
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_knowledge.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_knowledge.py
@@ -4,7 +4,8 @@
 import random
 from collections.abc import Callable
 
-from knapweedspring_core import Counters
+from knapweedspring_core import Counters, MetricsPage
+from knapweedspring_relay._clock import now_s
 from knapweedspring_relay._http_client import ConnectionPool
 from knapweedspring_relay._knowledge._configuration_sync import ConfigurationSync
 from knapweedspring_relay._knowledge._declared_state import DeclaredState
@@ -167,10 +168,20 @@
         """Where this node's knowledge comes from."""
         return self._sources
 
-    @property
-    def is_store_failing(self) -> bool:
-        """Whether the last call to the store failed for at least one purpose."""
-        return self._health.is_failing
+    def register_gauges(self, page: MetricsPage) -> None:
+        """Add gauges for the state of this node's knowledge.
+
+        :param page: the metrics page.
+        """
+        state, directory, sources = self._state, self._directory, self._sources
+        page.add_gauge("configuration_version", lambda: float(state.version))
+        page.add_gauge("store_era", lambda: float(directory.position.era))
+        page.add_gauge("directory_revision", lambda: float(directory.position.revision))
+        page.add_gauge("directory_nodes", lambda: float(len(directory.entries)))
+        page.add_gauge("store_watching", lambda: float(sources.is_watching))
+        page.add_gauge("store_failing", lambda: float(self._health.is_failing))
+        page.add_gauge("knowledge_age_s", lambda: sources.age_s(now_s()))
+        page.add_gauge("followers", lambda: float(self._followers.n_followers))
 
     def start(self, supervisor: TaskSupervisor, timers: LoopTimers) -> None:
         """Start the tasks and timers.
--- a/packages/relay/src/knapweedspring_relay/_messages.py
+++ b/packages/relay/src/knapweedspring_relay/_messages.py
@@ -3,14 +3,17 @@
 from collections.abc import Iterable, Sequence
 from http import HTTPStatus
 
+from knapweedspring_relay._errors import MessageError
 from knapweedspring_relay._requests import ForwardedRequest, Header, Request
 
 __all__ = [
     "CONNECTION_HEADERS",
     "encode_answer_head",
+    "encode_error_answer",
     "encode_forwarded_request",
     "encode_request",
     "end_to_end_headers",
+    "has_folded_header",
     "header_lines",
     "to_forwarded_request",
 ]
@@ -142,3 +145,25 @@
         framing,
         b"" if keep_alive else b"connection: close\r\n",
     )
+
+
+def has_folded_header(data: bytes) -> bool:
+    """Return whether the head of a message continues a header on a further line.
+
+    :param data: received bytes of the message.
+    """
+    if b"\r\n " not in data and b"\r\n\t" not in data:
+        return False
+    # Only the head counts: the body may contain the same bytes.
+    head = data.partition(b"\r\n\r\n")[0]
+    return b"\r\n " in head or b"\r\n\t" in head
+
+
+def encode_error_answer(error: MessageError) -> bytes:
+    """Encode the answer to a message that is refused, after which the server closes.
+
+    :param error: why it is refused.
+    """
+    lines = b"retry-after: 1\r\n" if error.status == 503 else b""
+    body = str(error).encode()
+    return encode_answer_head(error.status, lines, len(body), False) + body
--- a/packages/relay/src/knapweedspring_relay/_relay.py
+++ b/packages/relay/src/knapweedspring_relay/_relay.py
@@ -210,21 +210,9 @@
         page.add_gauge("gate_running", lambda: float(queue.n_running))
         page.add_gauge("gate_waiting", lambda: float(queue.n_waiting))
         page.add_gauge("gate_limit", lambda: float(queue.limit(now_s())))
-        page.add_gauge(
-            "configuration_version", lambda: float(self._declared_state.version)
-        )
-        directory, sources = self._directory, self._knowledge.sources
-        page.add_gauge("store_era", lambda: float(directory.position.era))
-        page.add_gauge("directory_revision", lambda: float(directory.position.revision))
-        page.add_gauge("store_watching", lambda: float(sources.is_watching))
-        page.add_gauge("knowledge_age_s", lambda: sources.age_s(now_s()))
-        page.add_gauge(
-            "followers", lambda: float(self._knowledge.followers.n_followers)
-        )
-        page.add_gauge("directory_nodes", lambda: float(len(self._directory.entries)))
         page.add_gauge("hop_connections", lambda: float(self._hop_pool.n_connections))
         page.add_gauge("hop_bad_frames", lambda: float(self._hop_pool.n_bad_frames))
-        page.add_gauge("store_failing", lambda: float(self._knowledge.is_store_failing))
+        self._knowledge.register_gauges(page)
         self._latencies.register(page)
 
     @property
--- a/packages/relay/src/knapweedspring_relay/_requests.py
+++ b/packages/relay/src/knapweedspring_relay/_requests.py
@@ -4,7 +4,13 @@
 
 import msgspec
 
-__all__ = ["ForwardedRequest", "Header", "Request"]
+__all__ = ["MAX_BODIES_BYTES", "ForwardedRequest", "Header", "Request"]
+
+#: Bytes of request bodies held by one listener: an eighth of the memory of a small VM.
+#: Up to four copies of a body exist while it is sent. Requests are held whole, so that
+#: they can be repeated at another server. A request that would exceed this limit is
+#: refused.
+MAX_BODIES_BYTES = 32 * 1_048_576
 
 #: Name in lower case and value of one header.
 Header = tuple[bytes, bytes]
--- a/packages/relay/src/knapweedspring_relay/_sockets.py
+++ b/packages/relay/src/knapweedspring_relay/_sockets.py
@@ -3,8 +3,10 @@
 import asyncio
 import socket
 
-__all__ = ["set_timeouts"]
+__all__ = ["BACKLOG", "set_timeouts"]
 
+#: Maximum number of connections that the kernel queues until a listener accepts them.
+BACKLOG = 1_024
 #: Unanswered TCP keep-alive probes after which the kernel ends a connection.
 MAX_KEEPALIVE_PROBES = 2
 
--- a/packages/relay/tests/test_calls.py
+++ b/packages/relay/tests/test_calls.py
@@ -22,8 +22,6 @@
 from knapweedspring_relay import CallLimits, UpstreamState
 from knapweedspring_relay._clock import now_s
 from knapweedspring_relay._errors import CallError
-from knapweedspring_relay._gate_result import GateResult
-from knapweedspring_relay._hop import HopOutcome
 
 
 def run(scenario):
@@ -483,30 +481,3 @@
             assert not relay._gate._root_priorities
 
     run(scenario)
-
-
-@pytest.mark.interpreted
-def test_request_that_gates_keep_refusing_is_refused_without_delay():
-    """Upstreams shed the request; then their gates refuse it, as queues are full."""
-
-    async def scenario():
-        async with Deployment([shed, shed]) as deployment:
-            n_offers = itertools.count()
-            for relay in deployment.relays:
-                gate, run_call = relay._gate, relay._gate.run
-
-                async def refuse(call, request, gate=gate, run_call=run_call):
-                    if next(n_offers) < 2:
-                        return await run_call(call, request)
-                    return GateResult(
-                        gate.make_report(HopOutcome.REFUSED, "full"), None
-                    )
-
-                gate.run = refuse
-            started = time.monotonic()
-            status, _, _ = await deployment.call("/write/1", b"POST", b"x")
-            assert status == 503
-            assert next(n_offers) <= 6
-            assert time.monotonic() - started < 0.5
-
-    run(scenario)
