Compute the decay of a failure ratio only for gates above the limit

Cause: since local gates are compared with other data centres, each choice computed a power for each local gate.

Change: the ratio itself, which is never below its decayed value, is compared first. No outcome changes.

--- a/packages/relay/src/knapweedspring_relay/_balancer.py
+++ b/packages/relay/src/knapweedspring_relay/_balancer.py
@@ -105,6 +105,15 @@
         age_s = max(0.0, now - self.changed_at)
         return self.value * 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
 
+    def exceeds(self, limit: float, now: float) -> bool:
+        """Return whether the decayed ratio is above a limit.
+
+        :param limit: the limit.
+        :param now: monotonic time, in seconds.
+        """
+        # The first comparison saves the power for nearly all gates.
+        return self.value > limit and self.decayed(now) > limit
+
     def record(self, failed: bool, now: float) -> None:
         """Record the result of an attempt.
 
@@ -360,10 +369,9 @@
             if entry.node in excluded:
                 continue
             stats = self._stats(entry)
-            if (
-                stats.ejection_ends_at > now
-                or stats.failures.decayed(now) > max_failure_ratio
-            ):
+            if stats.ejection_ends_at > now:
+                continue
+            if stats.failures.exceeds(max_failure_ratio, now):
                 continue
             if stats.slowness(route, now) > 0.0:
                 continue
