--- a/packages/relay/tests/knowledge/test_sources.py
+++ b/packages/relay/tests/knowledge/test_sources.py
@@ -136,6 +136,54 @@
     run(scenario)
 
 
+def test_configuration_passes_between_data_centres_while_one_gets_no_answers():
+    """The store holds the watches of one data centre open and never answers them."""
+
+    async def scenario():
+        async with make_deployment(1) as deployment:
+            store = deployment.store
+            for index in range(1, 4):
+                deployment.upstreams.append(deployment.upstreams[0])
+                deployment.services.append("svc")
+                deployment.add_relay(index, data_centre=("dc", "away")[index % 2])
+                deployment.send_heartbeat(index)
+            away = [
+                relay
+                for relay in deployment.relays
+                if relay._settings.data_centre == "away"
+            ]
+            await deployment.wait_until(
+                lambda: (
+                    len(watching(deployment)) == 2
+                    and sum(r._knowledge.sources.is_watching for r in away) == 1
+                ),
+                6.0,
+            )
+            await asyncio.sleep(0.5)
+
+            async def wait_forever(*_):
+                await asyncio.Event().wait()
+
+            for relay in away:
+                relay._knowledge.sources._store_watch.set_running(False)
+                for task in relay._knowledge.sources._store_watch._tasks.values():
+                    task.__self__._store = type(
+                        "Silent",
+                        (),
+                        {
+                            "read_configuration": wait_forever,
+                            "watch_configuration": wait_forever,
+                            "read_directory": wait_forever,
+                            "watch_directory": wait_forever,
+                        },
+                    )()
+            await asyncio.sleep(0.5)
+            store.put_configuration(make_configuration(2))
+            await wait_for_version(deployment, 2, 0.5)
+
+    run(scenario)
+
+
 def test_all_nodes_learn_a_configuration_that_only_one_peer_has():
     async def scenario():
         async with make_deployment(3) as deployment:
