--- a/packages/node/tests/calls/test_outbound.py
+++ b/packages/node/tests/calls/test_outbound.py
@@ -8,20 +8,19 @@
 import threading
 import time
 
-import pytest
-
 from knapweedspring_node._calls._outbound import ConnectionPools, OutboundCall
 from knapweedspring_node._calls._request import Body, CallerConnection
 
-#: Time after which a copy has arrived on loopback, in seconds.
-COPY_ARRIVAL_S = 0.005
-
 
 class RepeatingUpstream:
-    """Answers each request with its path, and the first one a second time."""
+    """Answers each request with its path, and the first one a second time.
+
+    :param repeats_late: whether the copy follows once the second request has arrived.
+    """
 
-    def __init__(self, delay_s):
-        self._delay_s = delay_s
+    def __init__(self, repeats_late):
+        self.repeats_late = repeats_late
+        self.copy_sent = threading.Event()
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
         self._thread = threading.Thread(target=self._accept, daemon=True)
@@ -36,20 +35,26 @@
             threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
 
     def _serve(self, sock):
-        is_first = True
+        copy = b""
         with sock:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             while head := sock.recv(65_536):
                 path = head.split(b" ")[1]
                 answer = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%b" % (
                     len(path),
                     path,
                 )
+                if copy:
+                    # Any copy in the same write would arrive with the answer.
+                    sock.sendall(copy)
+                    self.copy_sent.set()
+                    copy = b""
                 sock.sendall(answer)
-                if is_first:
-                    is_first = False
-                    time.sleep(self._delay_s)
-                    sock.sendall(answer)
+                if not self.copy_sent.is_set():
+                    copy = answer
+                if copy and not self.repeats_late:
+                    sock.sendall(copy)
+                    self.copy_sent.set()
+                    copy = b""
 
     def close(self):
         self._listener.close()
@@ -67,23 +72,37 @@
     )
 
 
-@pytest.mark.parametrize("delay_s", [0.0, 0.005])
-def test_second_copy_of_an_answer_does_not_reach_the_next_call(delay_s):
-    upstream = RepeatingUpstream(delay_s)
+def make_calls(upstream, n_calls=4):
+    """Make calls one after the other; return the bodies of their answers."""
     pools = ConnectionPools()
     caller, caller_end = socket.socketpair()
+    bodies = []
     try:
-        for index in range(6):
-            answer = pools.exchange(
+        for index in range(n_calls):
+            exchanged = pools.exchange(
                 make_call(upstream.address, f"/call-{index}", caller)
             )
-            assert answer.is_ok(), answer
-            answer = answer.ok_value
-            assert answer.body == f"/call-{index}".encode()
+            assert exchanged.is_ok(), exchanged
+            answer = exchanged.ok_value
+            bodies.append(answer.body)
             answer.release(True)
-            time.sleep(delay_s + COPY_ARRIVAL_S)
+            if index == 0 and not upstream.repeats_late:
+                assert upstream.copy_sent.wait(5.0)
     finally:
         pools.close()
         upstream.close()
         caller.close()
         caller_end.close()
+    return bodies
+
+
+def expected_bodies(n_calls=4):
+    return [f"/call-{index}".encode() for index in range(n_calls)]
+
+
+def test_copy_that_arrives_before_the_next_request_does_not_reach_it():
+    assert make_calls(RepeatingUpstream(repeats_late=False)) == expected_bodies()
+
+
+def test_copy_that_arrives_after_the_next_request_does_not_reach_it():
+    assert make_calls(RepeatingUpstream(repeats_late=True)) == expected_bodies()
