Record the limit and the leaving that answers of upstreams name

Neither logs nor metrics showed what an upstream names, so a header that nobody reads could not be told from a limit that is enforced in the wrong place or forgotten. The names stand in platform/ with the others; the gate, which receives every answer of its upstream, keeps the limit of the current process and writes upstream:rate-limit when it changes (at most one line a second while it holds), upstream:leaving, and a gauge. A limit ends with an answer without the header to a request sent after the limit was last named, with another process, or never by a header that cannot be read. Nothing acts on it yet.

--- a/packages/relay/src/knapweedspring_relay/_gate.py
+++ b/packages/relay/src/knapweedspring_relay/_gate.py
@@ -22,6 +22,7 @@
 from knapweedspring_relay._logs import DecisionLog
 from knapweedspring_relay._messages import encode_forwarded_request
 from knapweedspring_relay._requests import ForwardedRequest
+from knapweedspring_relay._upstream_notices import UpstreamNotices
 
 __all__ = ["Gate", "GateLink", "GatePolicy", "LocalGate"]
 
@@ -130,6 +131,7 @@
         self._latencies = latencies
         self._policy = policy or GatePolicy()
         self._queue = AdmissionQueue()
+        self._notices = UpstreamNotices(tracker, headers, log, counters)
         self._stopping = False
         self._entry_failure_ratio = 0.0
         self._detached_calls: set[asyncio.Task[GateResult]] = set()
@@ -140,6 +142,11 @@
         """Admission queue of the gate."""
         return self._queue
 
+    @property
+    def rate_limit(self) -> float | None:
+        """Rate that the upstream accepts, in requests per second; None if unlimited."""
+        return self._notices.rate_limit
+
     @property
     def n_running(self) -> int:
         """Number of calls that the upstream runs."""
@@ -158,6 +165,7 @@
 
         :param now: monotonic time, in seconds.
         """
+        self._notices.forget_replaced_process(now)
         upstream = self._tracker.current
         if upstream is not None:
             self._queue.set_upstream(upstream.slots, upstream.cold_ends_at)
@@ -352,6 +360,7 @@
             call.caller.encode(),
         )
         repeatable = call.kind.is_repeatable
+        sent_at = now_s()
         answer = await self._pool.call(
             self._address,
             encode_forwarded_request(request, added_lines),
@@ -360,6 +369,7 @@
             max_idle_s=float("inf") if repeatable else NON_REPEATABLE_MAX_IDLE_S,
             timeout_s=max(0.0, left_s) + LATE_ANSWER_GRACE_S,
         )
+        self._notices.observe_answer(answer, upstream, sent_at, now_s())
         if answer.header(b"content-encoding") is not None:
             answer.abandon()
             raise BadAnswer("the body is encoded, which nobody asked for")
--- a/packages/relay/src/knapweedspring_relay/_headers.py
+++ b/packages/relay/src/knapweedspring_relay/_headers.py
@@ -26,6 +26,11 @@
     not_executed: bytes
     #: Service on the VM where the request entered the deployment.
     caller_service: bytes
+    #: Requests per second that the upstream accepts from all nodes together, as a
+    #: decimal number; named in answers while the limit holds.
+    rate_limit: bytes
+    #: Present, with the value 1, on the answers of an upstream that leaves.
+    leaving: bytes
     #: Returns the id of the request for which an upstream made a call, given the id of
     #: the call; None when the id shows no such request.
     parent_of: Callable[[str], str | None] = _no_parent
--- a/packages/relay/src/knapweedspring_relay/_relay.py
+++ b/packages/relay/src/knapweedspring_relay/_relay.py
@@ -210,6 +210,7 @@
         page.add_gauge("gate_running", lambda: float(queue.n_running))
         page.add_gauge("gate_waiting", lambda: float(queue.n_waiting))
         page.add_gauge("gate_limit", lambda: float(queue.limit(now_s())))
+        page.add_gauge("upstream_rate_limit", lambda: self._gate.rate_limit or 0.0)
         page.add_gauge("hop_connections", lambda: float(self._hop_pool.n_connections))
         page.add_gauge("hop_bad_frames", lambda: float(self._hop_pool.n_bad_frames))
         self._knowledge.register_gauges(page)
--- a/packages/relay/tests/_deployment.py
+++ b/packages/relay/tests/_deployment.py
@@ -53,6 +53,8 @@
     expected_instance=b"x-expect",
     not_executed=b"x-not-run",
     caller_service=b"x-caller",
+    rate_limit=b"x-limit",
+    leaving=b"x-leaving",
     parent_of=lambda request_id: request_id.rpartition("/")[0] or None,
 )
 ROUTES = (
