--- a/packages/relay/tests/_deployment.py
+++ b/packages/relay/tests/_deployment.py
@@ -324,10 +324,7 @@
         for task in self.tasks:
             task.cancel()
         for relay in self.relays:
-            relay._supervisor.stop()
-            relay._knowledge.stop()
-            for listener in relay._listeners:
-                listener.close()
+            self._close_relay(relay)
 
     def add_relay(self, index, **changes):
         settings = RelaySettings(
@@ -346,6 +343,20 @@
             retries=RetrySettings(0.2, 480.0, 10.0),
         )
         settings = replace(settings, **changes)
+        self.settings.append(settings)
+        relay, task = self._start_relay(settings)
+        self.relays.append(relay)
+        self.tasks.append(task)
+
+    async def restart_relay(self, index):
+        """Kill a relay and start it again with the same settings."""
+        self.tasks[index].cancel()
+        self._close_relay(self.relays[index])
+        await asyncio.sleep(0.05)
+        started = self._start_relay(self.settings[index])
+        self.relays[index], self.tasks[index] = started
+
+    def _start_relay(self, settings):
         adapter = DeploymentAdapter(
             headers=HEADERS,
             readiness_path="/ready",
@@ -355,9 +366,13 @@
             settings_file=os.path.join(tempfile.gettempdir(), "absent"),
         )
         relay = Relay(settings, adapter, Counters(), self._lines)
-        self.settings.append(settings)
-        self.relays.append(relay)
-        self.tasks.append(asyncio.ensure_future(relay.run()))
+        return relay, asyncio.ensure_future(relay.run())
+
+    def _close_relay(self, relay):
+        relay._supervisor.stop()
+        relay._knowledge.stop()
+        for listener in relay._listeners:
+            listener.close()
 
     def send_heartbeat(self, index, sequence=1, **changes):
         heartbeat = Heartbeat(
