Start calls no faster than the limit that the upstream names

Class: a notice of a party is relayed without being obeyed; the gate limited what an upstream runs at once, not how often calls start. Change: the gate is the only sender to its upstream, so the limit is enforced there for all nodes at once, without any exchange between them. The admission queue paces its calls (CallPacer in core); calls wait in their order of priority and are refused as before when the wait would be too long. The gate reports the concurrency that the rate sustains, so balancers spill over to gates with room. Gate reports carry the limit; entries keep it by process (bounded) and send it with each call, so a gate that was restarted has it with the first call. Ruled out: shares of the limit for each entry (needs the number of active nodes, and loses most of a small limit by rounding); writing it to the store (a write for each change, and nothing when the store is away).

--- a/packages/core/src/knapweedspring_core/__init__.py
+++ b/packages/core/src/knapweedspring_core/__init__.py
@@ -1,5 +1,6 @@
 """Declarations, platform client, events and metrics, shared by all programs."""
 
+from knapweedspring_core._call_pacer import CallPacer
 from knapweedspring_core._calls import (
     Header,
     Outcome,
@@ -118,6 +119,7 @@
     "BudgetUse",
     "CONTACTS_KIND",
     "ObjectChanges",
+    "CallPacer",
     "Child",
     "CodecError",
     "Contact",
--- a/packages/relay/src/knapweedspring_relay/_admission.py
+++ b/packages/relay/src/knapweedspring_relay/_admission.py
@@ -4,9 +4,11 @@
 """
 
 import bisect
+import math
 from collections.abc import Callable
 from enum import StrEnum
 
+from knapweedspring_core import CallPacer
 from knapweedspring_relay._admission_request import AdmissionRequest
 
 __all__ = ["AdmissionQueue", "AdmissionState", "QueuedCall"]
@@ -83,6 +85,8 @@
 class AdmissionQueue:
     """Limits running calls to the upstream's usable slots and queues the others.
 
+    While the upstream names a rate limit, calls start no faster than that.
+
     Queued calls are ordered by priority, then by arrival. A call is refused at once if
     its expected wait is longer than its longest wait; otherwise it is refused when it
     has waited that long. An early refusal leaves the caller time to offer the call to
@@ -97,6 +101,7 @@
         self._n_arrived = 0
         self._service_s: dict[str, float] = {}
         self._mean_service_s = 0.0
+        self._pacer = CallPacer()
 
     @property
     def n_running(self) -> int:
@@ -118,6 +123,27 @@
         self._slots = slots
         self._cold_ends_at = cold_ends_at
 
+    def set_rate_limit(self, rate_per_s: float | None, now: float) -> None:
+        """Set the rate at which the upstream accepts calls.
+
+        :param rate_per_s: calls per second; None when the upstream names no limit.
+        :param now: monotonic time, in seconds.
+        """
+        self._pacer.set_rate(rate_per_s, now)
+        self.admit_waiting_calls(now)
+
+    def sustained_limit(self, now: float) -> int:
+        """Return how many calls run at the same time when the gate is fully used.
+
+        It is lower than :meth:`limit` when the rate limit allows fewer calls.
+
+        :param now: monotonic time, in seconds.
+        """
+        limit, rate_per_s = self.limit(now), self._pacer.rate_per_s
+        if rate_per_s is None:
+            return limit
+        return max(1, min(limit, math.ceil(rate_per_s * self._mean_service_s)))
+
     def limit(self, now: float) -> int:
         """Return how many calls may run at the same time, at least 1.
 
@@ -152,7 +178,7 @@
             return
         self._n_arrived += 1
         queued.order_key = (request.priority << ARRIVAL_BITS) + self._n_arrived
-        if self._n_running < self.limit(now) and not self._has_call_ahead(request):
+        if self._may_start(now) and not self._has_call_ahead(request):
             self._start_call(queued, now)
         elif self._expected_wait_s(queued, now) > request.max_wait_s:
             queued.state = AdmissionState.REFUSED
@@ -216,8 +242,7 @@
 
         :param now: monotonic time, in seconds.
         """
-        limit = self.limit(now)
-        while self._waiting and self._n_running < limit:
+        while self._waiting and self._may_start(now):
             queued = self._waiting.pop(0)
             if self._would_miss_deadline(queued.admission_request, now):
                 queued.record_decision(
@@ -227,6 +252,16 @@
                 self._start_call(queued, now)
                 queued.record_decision(AdmissionState.RUNNING)
 
+    def next_start_s(self, now: float) -> float | None:
+        """Return the time until the rate limit lets the next queued call start.
+
+        :param now: monotonic time, in seconds.
+        :return: the time in seconds; None when no call waits for the rate limit.
+        """
+        if not self._waiting or self._n_running >= self.limit(now):
+            return None
+        return self._pacer.delay_s(now)
+
     def longest_wait_s(self, queued: QueuedCall, now: float) -> float:
         """Return how long a call may wait before it is refused, in seconds.
 
@@ -255,8 +290,12 @@
         for queued in overdue:
             self.expire_call(queued)
 
+    def _may_start(self, now: float) -> bool:
+        return self._n_running < self.limit(now) and self._pacer.delay_s(now) == 0.0
+
     def _start_call(self, queued: QueuedCall, now: float) -> None:
         self._n_running += 1
+        self._pacer.record_start(now)
         queued.state = AdmissionState.RUNNING
         queued.started_at = now
 
@@ -275,12 +314,13 @@
         return request.deadline_at - now <= needed_s
 
     def _expected_wait_s(self, queued: QueuedCall, now: float) -> float:
-        """Return the expected wait of a call for a slot, in seconds.
+        """Return the expected wait of a call until it may start, in seconds.
 
         It is estimated from the number of calls ahead in the queue.
         """
         n_ahead = bisect.bisect_left(self._waiting, queued.order_key, key=_order_key_of)
-        return (n_ahead + 1) * self._mean_service_s / self.limit(now)
+        slot_wait_s = (n_ahead + 1) * self._mean_service_s / self.limit(now)
+        return max(slot_wait_s, self._pacer.delay_s(now, n_ahead))
 
     def _update_service_time(self, route: str, service_s: float) -> None:
         mean_s = self._service_s.get(route)
--- a/packages/relay/src/knapweedspring_relay/_balancer.py
+++ b/packages/relay/src/knapweedspring_relay/_balancer.py
@@ -7,7 +7,7 @@
 
 from knapweedspring_relay._configuration import Route
 from knapweedspring_relay._hop import GateReport
-from knapweedspring_relay._knowledge import Directory, GateEntry
+from knapweedspring_relay._knowledge import Directory, GateEntry, UpstreamProcess
 
 __all__ = ["AttemptResult", "Balancer"]
 
@@ -59,6 +59,9 @@
 #: Concurrency limit assumed for a gate that has sent no report yet, as share of its
 #: slots.
 DEFAULT_LIMIT_SHARE = 0.95
+#: Maximum number of upstream processes whose rate limits are kept, more than any
+#: deployment runs at a time. The limit that changed first is forgotten first.
+MAX_RATE_LIMITS = 4_096
 
 
 class AttemptResult(StrEnum):
@@ -219,6 +222,8 @@
         self._stats_by_node: dict[str, _GateStats] = {}
         #: Moving failure ratios of the gates of other data centres, by service.
         self._remote_failures: dict[str, _FailureRatio] = {}
+        #: Rate limits that upstreams named, in requests per second.
+        self._rate_limits: dict[UpstreamProcess, float] = {}
 
     def select_gate(
         self, service: str, route: Route, excluded: frozenset[str], now: float
@@ -291,6 +296,7 @@
             stats.n_open_at_report = stats.n_open
             stats.limit = report.limit
             stats.reported_at = now
+            self._record_rate_limit(entry, report)
         if result is AttemptResult.UNREACHABLE:
             if stats.unreachable_since is None:
                 stats.unreachable_since = now
@@ -326,6 +332,14 @@
         """
         self._stats(entry).record_latency(route.name, latency_s, now)
 
+    def rate_limit(self, entry: GateEntry) -> float | None:
+        """Return the rate limit that a gate reported for its present upstream.
+
+        :param entry: the gate.
+        :return: requests per second; None when the upstream named no limit.
+        """
+        return self._rate_limits.get(entry.process) if self._rate_limits else None
+
     def unreachable_duration_s(self, node: str, now: float) -> float:
         """Return how long a node's gate has been unreachable, in seconds.
 
@@ -380,6 +394,16 @@
                 best, best_occupancy = entry, occupancy
         return best
 
+    def _record_rate_limit(self, entry: GateEntry, report: GateReport) -> None:
+        if report.instance != entry.instance:
+            return
+        if report.rate_limit is not None:
+            self._rate_limits[entry.process] = report.rate_limit
+            if len(self._rate_limits) > MAX_RATE_LIMITS:
+                del self._rate_limits[next(iter(self._rate_limits))]
+        elif self._rate_limits:
+            self._rate_limits.pop(entry.process, None)
+
     def _stats(self, entry: GateEntry) -> _GateStats:
         stats = self._stats_by_node.get(entry.node)
         if stats is None:
--- a/packages/relay/src/knapweedspring_relay/_entry.py
+++ b/packages/relay/src/knapweedspring_relay/_entry.py
@@ -449,6 +449,7 @@
             route=route.name,
             caller=self._identity.caller_service,
             version=state.version,
+            rate_limit=self._balancer.rate_limit(entry),
         )
 
     def _link_to(self, entry: GateEntry) -> GateLink:
--- a/packages/relay/src/knapweedspring_relay/_gate.py
+++ b/packages/relay/src/knapweedspring_relay/_gate.py
@@ -131,7 +131,10 @@
         self._latencies = latencies
         self._policy = policy or GatePolicy()
         self._queue = AdmissionQueue()
-        self._notices = UpstreamNotices(tracker, headers, log, counters)
+        self._notices = UpstreamNotices(
+            tracker, headers, self._apply_rate_limit, log, counters
+        )
+        self._pacing_timer: asyncio.TimerHandle | None = None
         self._stopping = False
         self._entry_failure_ratio = 0.0
         self._detached_calls: set[asyncio.Task[GateResult]] = set()
@@ -169,7 +172,7 @@
         upstream = self._tracker.current
         if upstream is not None:
             self._queue.set_upstream(upstream.slots, upstream.cold_ends_at)
-            self._queue.admit_waiting_calls(now)
+            self._admit_waiting_calls(now)
 
     def stop(self) -> None:
         """Refuse new calls from now on, since the process is about to end."""
@@ -210,6 +213,7 @@
         :return: the gate's report and the upstream's answer, if any.
         """
         now = now_s()
+        self._notices.adopt_limit(call.rate_limit, call.instance, now)
         closed_reason = self._closed_reason(call, now)
         if closed_reason:
             return self._report_failure(call, HopOutcome.CLOSED, closed_reason, 0.0)
@@ -218,6 +222,7 @@
         waiter = self._new_waiter(call, now)
         self._queue.offer_call(waiter.queued, now)
         if waiter.queued.state is AdmissionState.WAITING:
+            self._schedule_next_start(now)
             await self._wait_for_admission(waiter, now)
         waited_s = now_s() - now
         if waiter.queued.state is not AdmissionState.RUNNING:
@@ -258,13 +263,39 @@
             reason=reason,
             n_running=self._queue.n_running,
             n_waiting=self._queue.n_waiting,
-            limit=self._queue.limit(now_s()),
+            limit=self._queue.sustained_limit(now_s()),
             waited_s=waited_s,
             entry_failure_ratio=self._entry_failure_ratio,
             version=self._version(),
             instance=upstream.instance if upstream is not None else "",
+            rate_limit=self._notices.rate_limit,
         )
 
+    def _apply_rate_limit(self, rate_per_s: float | None, now: float) -> None:
+        self._queue.set_rate_limit(rate_per_s, now)
+        if self._pacing_timer is not None:
+            # It was set for the previous rate.
+            self._pacing_timer.cancel()
+            self._pacing_timer = None
+        self._schedule_next_start(now)
+
+    def _admit_waiting_calls(self, now: float) -> None:
+        self._queue.admit_waiting_calls(now)
+        self._schedule_next_start(now)
+
+    def _schedule_next_start(self, now: float) -> None:
+        """Start the next queued call when the rate limit allows it."""
+        if self._pacing_timer is not None:
+            return
+        delay_s = self._queue.next_start_s(now)
+        if delay_s is not None:
+            loop = asyncio.get_running_loop()
+            self._pacing_timer = loop.call_later(delay_s, self._start_paced_calls)
+
+    def _start_paced_calls(self) -> None:
+        self._pacing_timer = None
+        self._admit_waiting_calls(now_s())
+
     def _closed_reason(self, call: HopCall, now: float) -> str:
         """Return why the gate does not accept a call; empty when it accepts it."""
         upstream = self._tracker.current
@@ -336,7 +367,9 @@
         was_served = answer is not None and answer.status < 500
 
         def finish() -> None:
-            self._queue.finish_call(queued, now_s(), was_served)
+            now = now_s()
+            self._queue.finish_call(queued, now, was_served)
+            self._schedule_next_start(now)
 
         if answer is None or answer.has_ended:
             finish()
--- a/packages/relay/src/knapweedspring_relay/_hop.py
+++ b/packages/relay/src/knapweedspring_relay/_hop.py
@@ -50,6 +50,10 @@
     caller: str
     #: Version of the configuration in force at the sender.
     version: int
+    #: Rate limit that the expected upstream named in the sender's last report of its
+    #: gate, in requests per second; None when it named none. A gate whose process was
+    #: restarted uses it until the upstream's next answer.
+    rate_limit: float | None = None
 
 
 class GateReport(msgspec.Struct, frozen=True, array_like=True, gc=False):
@@ -63,7 +67,8 @@
     n_running: int
     #: Number of calls that wait in the gate's admission queue.
     n_waiting: int
-    #: Concurrency limit: calls that the gate lets the upstream run at the same time.
+    #: Concurrency limit: calls that the gate lets the upstream run at the same time. It
+    #: is lower while the upstream names a rate limit.
     limit: int
     #: Time that the call waited at the gate, in seconds.
     waited_s: float
@@ -74,3 +79,6 @@
     version: int
     #: Identity of the upstream beside the gate; empty when there is none.
     instance: str
+    #: Rate limit that the upstream names, in requests per second; None when it names
+    #: none.
+    rate_limit: float | None = None
--- a/packages/relay/src/knapweedspring_relay/_knowledge/__init__.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/__init__.py
@@ -10,6 +10,7 @@
     Directory,
     DirectorySnapshot,
     GateEntry,
+    UpstreamProcess,
     UpstreamState,
 )
 from knapweedspring_relay._knowledge._followers import Follower, FollowHandler
@@ -47,5 +48,6 @@
     "StoreHistoryGone",
     "StorePosition",
     "StoreUnavailable",
+    "UpstreamProcess",
     "UpstreamState",
 ]
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_directory.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_directory.py
@@ -8,7 +8,13 @@
 from knapweedspring_relay._knowledge._change_log import ChangeLog
 from knapweedspring_relay._knowledge._position import ORIGIN, StorePosition
 
-__all__ = ["Directory", "DirectorySnapshot", "GateEntry", "UpstreamState"]
+__all__ = [
+    "Directory",
+    "DirectorySnapshot",
+    "GateEntry",
+    "UpstreamProcess",
+    "UpstreamState",
+]
 
 #: Time for which an entry that disappeared from the store stays in use, in seconds. Its
 #: node writes it again within two seconds of the end of an outage of the store.
@@ -27,6 +33,17 @@
     DRAINING = "draining"
 
 
+class UpstreamProcess(NamedTuple):
+    """Identity of one run of an upstream beside a node."""
+
+    #: Name of the node.
+    node: str
+    #: Identity of the upstream's process.
+    instance: str
+    #: Start of the process, in milliseconds since the epoch.
+    born_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class GateEntry:
     """Directory entry in which a node publishes its gate and its upstream."""
@@ -50,6 +67,11 @@
     #: State of the upstream.
     state: UpstreamState
 
+    @property
+    def process(self) -> UpstreamProcess:
+        """Identity of the run of the upstream."""
+        return UpstreamProcess(self.node, self.instance, self.born_ms)
+
 
 @dataclass(frozen=True, slots=True)
 class DirectorySnapshot:
@@ -70,21 +92,6 @@
     data_centre: str
 
 
-class _UpstreamProcess(NamedTuple):
-    """Identity of one run of an upstream beside a node."""
-
-    #: Name of the node.
-    node: str
-    #: Identity of the upstream's process.
-    instance: str
-    #: Start of the process, in milliseconds since the epoch.
-    born_ms: int
-
-
-def _process_of(entry: GateEntry) -> _UpstreamProcess:
-    return _UpstreamProcess(entry.node, entry.instance, entry.born_ms)
-
-
 class Directory:
     """Entries of the directory on this node, with look-up by service.
 
@@ -96,7 +103,7 @@
         self._position = ORIGIN
         self._entries: dict[str, GateEntry] = {}
         self._missing_at: dict[str, float] = {}
-        self._departed: dict[_UpstreamProcess, None] = {}
+        self._departed: dict[UpstreamProcess, None] = {}
         self._changes = ChangeLog()
         self._by_service: dict[str, tuple[GateEntry, ...]] = {}
         self._by_location: dict[_ServiceLocation, tuple[GateEntry, ...]] = {}
@@ -219,7 +226,7 @@
             changed.add(entry.node)
             self._entries[entry.node] = entry
             self._missing_at.pop(entry.node, None)
-            self._departed.pop(_process_of(entry), None)
+            self._departed.pop(entry.process, None)
         for node in removed:
             if node in self._entries:
                 changed.add(node)
@@ -250,7 +257,7 @@
         return dropped
 
     def _record_departure(self, node: str) -> None:
-        self._departed[_process_of(self._entries[node])] = None
+        self._departed[self._entries[node].process] = None
         if len(self._departed) > MAX_DEPARTED:
             del self._departed[next(iter(self._departed))]
 
@@ -260,11 +267,11 @@
         """Correct a listing of an older copy by what is known of its processes."""
         corrected = {}
         for node, entry in listed.items():
-            process, known = _process_of(entry), self._entries.get(node)
+            process, known = entry.process, self._entries.get(node)
             if process in self._departed:
                 continue
             drains = known is not None and known.state is UpstreamState.DRAINING
-            if drains and known is not None and _process_of(known) == process:
+            if drains and known is not None and known.process == process:
                 entry = known
             corrected[node] = entry
         return corrected
--- a/packages/relay/src/knapweedspring_relay/_upstream_notices.py
+++ b/packages/relay/src/knapweedspring_relay/_upstream_notices.py
@@ -1,5 +1,6 @@
 """What the answers of the upstream say about it: a rate limit, or that it leaves."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from knapweedspring_core import Counters
@@ -43,6 +44,8 @@
 
     :param tracker: tracks the process of the upstream.
     :param headers: names of the headers that upstreams write.
+    :param on_rate_change: called with the rate in requests per second, or None, and the
+        monotonic time in seconds, when the limit changes.
     :param log: decision log.
     :param counters: counts headers that cannot be read.
     """
@@ -51,11 +54,13 @@
         self,
         tracker: UpstreamTracker,
         headers: CallHeaders,
+        on_rate_change: Callable[[float | None, float], None],
         log: DecisionLog,
         counters: Counters,
     ) -> None:
         self._tracker = tracker
         self._headers = headers
+        self._on_rate_change = on_rate_change
         self._log = log
         self._counters = counters
         self._limit: _RateLimit | None = None
@@ -85,6 +90,21 @@
         if answer.header(self._headers.leaving) == LEAVING_VALUE and sender.is_ready:
             self._log.write_state("upstream:leaving", instance=sender.instance)
 
+    def adopt_limit(self, rate_per_s: float | None, instance: str, now: float) -> None:
+        """Use a limit that another node learned before this process was started.
+
+        Has no effect once an answer of the upstream has arrived.
+
+        :param rate_per_s: the limit, in requests per second; None when there is none.
+        :param instance: identity of the process that named it.
+        :param now: monotonic time, in seconds.
+        """
+        if rate_per_s is None or self._limit is not None:
+            return
+        current = self._tracker.current
+        if current is not None and current.instance == instance:
+            self._set_limit(current, rate_per_s, now, "peer")
+
     def forget_replaced_process(self, now: float) -> None:
         """End the limit of a process that another one has replaced.
 
@@ -95,6 +115,7 @@
             return
         self._limit = None
         if limit.rate_per_s is not None:
+            self._on_rate_change(None, now)
             self._write_change(None, limit.instance, "replaced", now)
 
     def _observe_limit(
@@ -128,6 +149,7 @@
         previous = self.rate_limit
         self._limit = _RateLimit(process.instance, process.born_ms, rate_per_s, now)
         if rate_per_s != previous:
+            self._on_rate_change(rate_per_s, now)
             is_new = previous is None or rate_per_s is None
             if is_new or now - self._logged_at >= LOG_PERIOD_S:
                 self._write_change(rate_per_s, process.instance, source, now)
--- a/packages/relay/tests/test_admission.py
+++ b/packages/relay/tests/test_admission.py
@@ -195,3 +195,43 @@
         return counted[0] / n_waiting
 
     assert n_comparisons(1_000) <= n_comparisons(10) + 1
+
+
+def test_calls_beyond_the_rate_limit_wait_and_start_in_order_of_priority():
+    queue = make_queue()
+    queue.set_rate_limit(2.0, 0.0)
+    first, low, high = (make_queued_call(p) for p in (2, 2, 0))
+    for queued in (first, low, high):
+        queue.offer_call(queued, 0.0)
+    assert first.state is AdmissionState.RUNNING
+    assert queue.next_start_s(0.1) == pytest.approx(0.4)
+    queue.admit_waiting_calls(0.5)
+    assert high.state is AdmissionState.RUNNING
+    assert low.state is AdmissionState.WAITING
+    queue.set_rate_limit(None, 0.6)
+    assert low.state is AdmissionState.RUNNING
+    assert queue.next_start_s(0.6) is None
+
+
+def test_call_that_would_wait_too_long_for_the_rate_limit_is_refused_at_once():
+    queue = make_queue()
+    queue.set_rate_limit(1.0, 0.0)
+    queue.offer_call(make_queued_call(), 0.0)
+    waiting, refused = make_queued_call(max_wait_s=1.5), make_queued_call()
+    queue.offer_call(waiting, 0.0)
+    queue.offer_call(refused, 0.0)
+    assert waiting.state is AdmissionState.WAITING
+    assert refused.state is AdmissionState.REFUSED
+
+
+def test_sustained_limit_follows_the_rate_limit():
+    queue = make_queue(slots=100)
+    queued = make_queued_call()
+    queue.offer_call(queued, 0.0)
+    queue.finish_call(queued, 0.2, was_served=True)
+    queue.set_rate_limit(20.0, 0.2)
+    assert queue.sustained_limit(0.2) == 4
+    queue.set_rate_limit(10_000.0, 0.2)
+    assert queue.sustained_limit(0.2) == 95
+    queue.set_rate_limit(0.0, 0.2)
+    assert queue.sustained_limit(0.2) == 1
--- a/packages/relay/tests/test_balancer.py
+++ b/packages/relay/tests/test_balancer.py
@@ -8,10 +8,12 @@
 
 import random
 from collections import Counter
+from dataclasses import replace
 
+import msgspec
 import pytest
 
-from knapweedspring_relay._balancer import AttemptResult, Balancer
+from knapweedspring_relay._balancer import MAX_RATE_LIMITS, AttemptResult, Balancer
 from knapweedspring_relay._configuration import CallKind, Destination, Route
 from knapweedspring_relay._hop import GateReport, HopOutcome
 from knapweedspring_relay._knowledge import (
@@ -225,3 +227,35 @@
     picked = pick_many(balancer, 0.0)
     assert "home-0" not in picked
     assert all(node.startswith("home") for node in picked)
+
+
+def test_rate_limit_is_kept_for_the_process_that_named_it(balancer_and_entries):
+    """A gate that was restarted learns the limit of its upstream from callers."""
+    balancer, entries = balancer_and_entries
+    near = entries["near"]
+    named = msgspec.structs.replace(make_report(), instance="i-near", rate_limit=8.0)
+    balancer.record_attempt_start(near)
+    balancer.record_attempt_end(near, AttemptResult.GOOD, named, 0.0)
+    assert balancer.rate_limit(near) == 8.0
+    assert balancer.rate_limit(entries["far"]) is None
+    assert balancer.rate_limit(replace(near, born_ms=2)) is None
+    # The report of another process says nothing about this one.
+    report(balancer, near, 1.0)
+    assert balancer.rate_limit(near) == 8.0
+    balancer.remove_node("near")
+    assert balancer.rate_limit(near) == 8.0
+    ended = msgspec.structs.replace(named, rate_limit=None)
+    balancer.record_attempt_start(near)
+    balancer.record_attempt_end(near, AttemptResult.GOOD, ended, 2.0)
+    assert balancer.rate_limit(near) is None
+
+
+def test_number_of_kept_rate_limits_is_bounded(balancer_and_entries):
+    balancer, entries = balancer_and_entries
+    for born_ms in range(MAX_RATE_LIMITS + 10):
+        entry = replace(entries["near"], born_ms=born_ms)
+        named = msgspec.structs.replace(
+            make_report(), instance="i-near", rate_limit=1.0
+        )
+        balancer.record_attempt_end(entry, AttemptResult.GOOD, named, 0.0)
+    assert len(balancer._rate_limits) == MAX_RATE_LIMITS
--- a/packages/relay/tests/test_upstream_notices.py
+++ b/packages/relay/tests/test_upstream_notices.py
@@ -37,8 +37,13 @@
         self.tracker = UpstreamTracker(ADDRESS)
         self.tracker.apply_heartbeat(HEARTBEAT, 0.0)
         self.counters = Counters()
+        self.rates = []
         self.notices = UpstreamNotices(
-            self.tracker, HEADERS, DecisionLog("n", self.counters), self.counters
+            self.tracker,
+            HEADERS,
+            lambda rate, _: self.rates.append(rate),
+            DecisionLog("n", self.counters),
+            self.counters,
         )
 
     def answer(self, limit=None, now=1.0, sent_at=None, status=200, headers=(SIGNED,)):
@@ -137,3 +142,14 @@
     observed.tracker.apply_heartbeat(replace(HEARTBEAT, sequence=2), 2.0)
     observed.notices.forget_replaced_process(2.0)
     assert observed.notices.rate_limit == 10.0
+
+
+def test_limit_of_a_peer_is_used_until_the_first_answer(observed):
+    observed.notices.adopt_limit(10.0, "i-0", 0.5)
+    assert observed.notices.rate_limit is None
+    observed.notices.adopt_limit(10.0, "i-1", 0.5)
+    assert observed.notices.rate_limit == 10.0
+    observed.answer(None, now=1.0)
+    observed.notices.adopt_limit(10.0, "i-1", 1.5)
+    assert observed.notices.rate_limit is None
+    assert observed.rates == [10.0, None]
