Send nothing more to an upstream whose answers say that it leaves

Callers were answered, but an upstream that says in its answers that it leaves got its usual share until a heartbeat said so too. Change: the gate closes with the first such answer of the current process, final like a heartbeat that says draining, and publishes it. Gate reports say it, and each entry keeps the process as leaving (bounded), whatever its directory entry says later, so neither a restart of the gate while the store is away nor an older copy of the store brings it back. A newer process with the same identity is used again. Ruled out: telling the restarted gate by the next call, as for the limit: a call that carries the notice would be one request too many.

--- a/packages/relay/src/knapweedspring_relay/_balancer.py
+++ b/packages/relay/src/knapweedspring_relay/_balancer.py
@@ -296,7 +296,10 @@
             stats.n_open_at_report = stats.n_open
             stats.limit = report.limit
             stats.reported_at = now
-            self._record_rate_limit(entry, report)
+            if report.instance == entry.instance:
+                self._record_rate_limit(entry.process, report.rate_limit)
+                if report.is_leaving:
+                    self._directory.record_leaving(entry.process)
         if result is AttemptResult.UNREACHABLE:
             if stats.unreachable_since is None:
                 stats.unreachable_since = now
@@ -394,15 +397,15 @@
                 best, best_occupancy = entry, occupancy
         return best
 
-    def _record_rate_limit(self, entry: GateEntry, report: GateReport) -> None:
-        if report.instance != entry.instance:
-            return
-        if report.rate_limit is not None:
-            self._rate_limits[entry.process] = report.rate_limit
+    def _record_rate_limit(
+        self, process: UpstreamProcess, rate_per_s: float | None
+    ) -> None:
+        if rate_per_s is not None:
+            self._rate_limits[process] = rate_per_s
             if len(self._rate_limits) > MAX_RATE_LIMITS:
                 del self._rate_limits[next(iter(self._rate_limits))]
         elif self._rate_limits:
-            self._rate_limits.pop(entry.process, None)
+            self._rate_limits.pop(process, None)
 
     def _stats(self, entry: GateEntry) -> _GateStats:
         stats = self._stats_by_node.get(entry.node)
--- a/packages/relay/src/knapweedspring_relay/_gate.py
+++ b/packages/relay/src/knapweedspring_relay/_gate.py
@@ -101,6 +101,8 @@
     :param headers: names of the headers that upstreams read and write.
     :param drain_s: time for which a draining upstream continues to serve, in seconds.
     :param version: returns the version of the configuration in force.
+    :param on_leaving: called with the upstream when one of its answers says that it
+        leaves.
     :param log: decision log.
     :param counters: counts outcomes.
     :param latencies: records service times.
@@ -115,6 +117,7 @@
         headers: CallHeaders,
         drain_s: float,
         version: Callable[[], int],
+        on_leaving: Callable[[LocalUpstream], None],
         log: DecisionLog,
         counters: Counters,
         latencies: LatencyHistograms,
@@ -132,7 +135,7 @@
         self._policy = policy or GatePolicy()
         self._queue = AdmissionQueue()
         self._notices = UpstreamNotices(
-            tracker, headers, self._apply_rate_limit, log, counters
+            tracker, headers, self._apply_rate_limit, on_leaving, log, counters
         )
         self._pacing_timer: asyncio.TimerHandle | None = None
         self._stopping = False
@@ -269,6 +272,7 @@
             version=self._version(),
             instance=upstream.instance if upstream is not None else "",
             rate_limit=self._notices.rate_limit,
+            is_leaving=upstream is not None and not upstream.is_ready,
         )
 
     def _apply_rate_limit(self, rate_per_s: float | None, now: float) -> None:
--- a/packages/relay/src/knapweedspring_relay/_hop.py
+++ b/packages/relay/src/knapweedspring_relay/_hop.py
@@ -82,3 +82,5 @@
     #: Rate limit that the upstream names, in requests per second; None when it names
     #: none.
     rate_limit: float | None = None
+    #: Whether the upstream accepts no new calls because it drains or leaves.
+    is_leaving: bool = False
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_directory.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_directory.py
@@ -22,6 +22,9 @@
 #: Number of processes that are remembered as departed. They are needed only when the
 #: store is restored from an older copy, which lists the entries of the last seconds.
 MAX_DEPARTED = 4_096
+#: Number of processes that are remembered as leaving; beyond it, the first one is
+#: forgotten.
+MAX_LEAVING = 4_096
 
 
 class UpstreamState(StrEnum):
@@ -104,6 +107,7 @@
         self._entries: dict[str, GateEntry] = {}
         self._missing_at: dict[str, float] = {}
         self._departed: dict[UpstreamProcess, None] = {}
+        self._leaving: dict[UpstreamProcess, None] = {}
         self._changes = ChangeLog()
         self._by_service: dict[str, tuple[GateEntry, ...]] = {}
         self._by_location: dict[_ServiceLocation, tuple[GateEntry, ...]] = {}
@@ -163,6 +167,21 @@
             self._by_location[location] = found
         return found
 
+    def record_leaving(self, process: UpstreamProcess) -> None:
+        """Stop using a process that its gate reported as leaving.
+
+        The process stays unused whatever its entry says: the gate may be restarted
+        before it can publish the leaving.
+
+        :param process: the process.
+        """
+        if process in self._leaving:
+            return
+        self._leaving[process] = None
+        if len(self._leaving) > MAX_LEAVING:
+            del self._leaving[next(iter(self._leaving))]
+        self._rebuild_index()
+
     def apply_listing(self, snapshot: DirectorySnapshot, now: float) -> bool:
         """Apply a complete listing, if no newer position has been applied.
 
@@ -285,7 +304,8 @@
         by_service: dict[str, list[GateEntry]] = {}
         for node in sorted(entry.node for entry in entry_by_address.values()):
             entry = self._entries[node]
-            if entry.service and entry.state is UpstreamState.READY:
+            is_ready = entry.state is UpstreamState.READY
+            if entry.service and is_ready and entry.process not in self._leaving:
                 by_service.setdefault(entry.service, []).append(entry)
         self._by_service = {name: tuple(found) for name, found in by_service.items()}
         self._by_location.clear()
--- a/packages/relay/src/knapweedspring_relay/_local_upstream.py
+++ b/packages/relay/src/knapweedspring_relay/_local_upstream.py
@@ -45,7 +45,7 @@
 
 
 class HeartbeatVerdict(StrEnum):
-    """Effect of a heartbeat or a departure."""
+    """Effect of a heartbeat, a departure or an answer."""
 
     #: The state of the upstream changed.
     CHANGED = "changed"
@@ -180,6 +180,21 @@
         self._current = _as_draining(current, now)
         return HeartbeatVerdict.CHANGED
 
+    def apply_leaving(self, process: LocalUpstream, now: float) -> HeartbeatVerdict:
+        """Apply that an answer of a process said that it leaves.
+
+        :param process: the process that was sent the request.
+        :param now: monotonic time, in seconds.
+        :return: effect on the state.
+        """
+        current = self._current
+        if current is None or not _is_same_process(current, process):
+            return HeartbeatVerdict.LATE
+        if not current.is_ready:
+            return HeartbeatVerdict.UNCHANGED
+        self._current = _as_draining(current, now)
+        return HeartbeatVerdict.CHANGED
+
     def _update_current(
         self, current: LocalUpstream, heartbeat: Heartbeat, now: float
     ) -> HeartbeatVerdict:
@@ -200,10 +215,8 @@
         return HeartbeatVerdict.CHANGED if changed else HeartbeatVerdict.UNCHANGED
 
 
-def _is_same_process(current: LocalUpstream, heartbeat: Heartbeat) -> bool:
-    return (
-        current.instance == heartbeat.instance and current.born_ms == heartbeat.born_ms
-    )
+def _is_same_process(current: LocalUpstream, other: Heartbeat | LocalUpstream) -> bool:
+    return current.instance == other.instance and current.born_ms == other.born_ms
 
 
 def _upstream_from(heartbeat: Heartbeat, now: float) -> LocalUpstream:
--- a/packages/relay/src/knapweedspring_relay/_relay.py
+++ b/packages/relay/src/knapweedspring_relay/_relay.py
@@ -153,6 +153,7 @@
             headers=headers,
             drain_s=settings.shutdown.drain_or_default_s,
             version=lambda: self._declared_state.version,
+            on_leaving=self._apply_leaving,
             log=self._log,
             counters=self._counters,
             latencies=self._latencies,
@@ -305,6 +306,13 @@
         self._handle_upstream_verdict(verdict)
         return verdict
 
+    def _apply_leaving(self, process: LocalUpstream) -> None:
+        """Close the gate for an upstream whose answer says that it leaves."""
+        verdict = self._tracker.apply_leaving(process, now_s())
+        if verdict is HeartbeatVerdict.CHANGED:
+            self._log.write_state("upstream:leaving", instance=process.instance)
+        self._handle_upstream_verdict(verdict)
+
     def reject_heartbeat(self, reason: str) -> None:
         """Log a heartbeat that cannot be decoded."""
         self._log.write_state("upstream:rejected", reason=reason)
--- a/packages/relay/src/knapweedspring_relay/_upstream_notices.py
+++ b/packages/relay/src/knapweedspring_relay/_upstream_notices.py
@@ -46,6 +46,7 @@
     :param headers: names of the headers that upstreams write.
     :param on_rate_change: called with the rate in requests per second, or None, and the
         monotonic time in seconds, when the limit changes.
+    :param on_leaving: called with the process that leaves.
     :param log: decision log.
     :param counters: counts headers that cannot be read.
     """
@@ -55,12 +56,14 @@
         tracker: UpstreamTracker,
         headers: CallHeaders,
         on_rate_change: Callable[[float | None, float], None],
+        on_leaving: Callable[[LocalUpstream], None],
         log: DecisionLog,
         counters: Counters,
     ) -> None:
         self._tracker = tracker
         self._headers = headers
         self._on_rate_change = on_rate_change
+        self._on_leaving = on_leaving
         self._log = log
         self._counters = counters
         self._limit: _RateLimit | None = None
@@ -87,8 +90,8 @@
         if not is_current or answer.status == OTHER_PROCESS_STATUS:
             return
         self._observe_limit(answer, sender, sent_at, now)
-        if answer.header(self._headers.leaving) == LEAVING_VALUE and sender.is_ready:
-            self._log.write_state("upstream:leaving", instance=sender.instance)
+        if answer.header(self._headers.leaving) == LEAVING_VALUE:
+            self._on_leaving(sender)
 
     def adopt_limit(self, rate_per_s: float | None, instance: str, now: float) -> None:
         """Use a limit that another node learned before this process was started.
--- a/packages/relay/tests/knowledge/test_directory.py
+++ b/packages/relay/tests/knowledge/test_directory.py
@@ -7,6 +7,7 @@
 from dataclasses import replace
 
 from knapweedspring_relay._knowledge._directory import (
+    MAX_LEAVING,
     MISSING_GRACE_S,
     Directory,
     DirectorySnapshot,
@@ -69,3 +70,22 @@
     directory = make_directory(ENTRY, OTHER, newcomer)
     assert directory.ready_gates("svc") == (OTHER,)
     assert directory.ready_gates("new") == (newcomer,)
+
+
+def test_process_that_leaves_is_not_used_whatever_its_entry_says():
+    directory = make_directory(ENTRY, OTHER)
+    directory.record_leaving(ENTRY.process)
+    assert directory.ready_gates("svc") == (OTHER,)
+    directory.apply_changes(at(6), [replace(ENTRY, slots=30)], [], 1.0)
+    directory.apply_listing(DirectorySnapshot(at(3, era=1), {"a": ENTRY}), 2.0)
+    assert ENTRY not in directory.ready_gates("svc")
+    restarted = replace(ENTRY, born_ms=ENTRY.born_ms + 1)
+    directory.apply_changes(at(7, era=1), [restarted], [], 3.0)
+    assert restarted in directory.ready_gates("svc")
+
+
+def test_number_of_processes_remembered_as_leaving_is_bounded():
+    directory = make_directory(ENTRY)
+    for born_ms in range(MAX_LEAVING + 10):
+        directory.record_leaving(replace(ENTRY, born_ms=1_000 + born_ms).process)
+    assert len(directory._leaving) == MAX_LEAVING
--- a/packages/relay/tests/test_local_upstream.py
+++ b/packages/relay/tests/test_local_upstream.py
@@ -98,3 +98,16 @@
     tracker.apply_heartbeat(BEAT, 1.0)
     assert not tracker.drop_unconfirmed()
     assert tracker.current.is_ready
+
+
+def test_answer_of_a_process_that_leaves_is_final_for_that_process_only(tracker):
+    first = tracker.current
+    assert tracker.apply_leaving(first, 1.0) is HeartbeatVerdict.CHANGED
+    assert tracker.apply_leaving(first, 2.0) is HeartbeatVerdict.UNCHANGED
+    tracker.apply_heartbeat(replace(BEAT, sequence=9), 3.0)
+    assert not tracker.current.is_ready
+    assert tracker.current.draining_at == 1.0
+    tracker.apply_heartbeat(replace(BEAT, born_ms=2000), 4.0)
+    # A late answer of the process before it.
+    assert tracker.apply_leaving(first, 5.0) is HeartbeatVerdict.LATE
+    assert tracker.current.is_ready
--- a/packages/relay/tests/test_upstream_notices.py
+++ b/packages/relay/tests/test_upstream_notices.py
@@ -38,15 +38,18 @@
         self.tracker.apply_heartbeat(HEARTBEAT, 0.0)
         self.counters = Counters()
         self.rates = []
+        self.leaving = []
         self.notices = UpstreamNotices(
             self.tracker,
             HEADERS,
             lambda rate, _: self.rates.append(rate),
+            self.leaving.append,
             DecisionLog("n", self.counters),
             self.counters,
         )
 
     def answer(self, limit=None, now=1.0, sent_at=None, status=200, headers=(SIGNED,)):
+        """Observe an answer of the current process."""
         if limit is not None:
             headers = (*headers, (b"x-limit", limit))
         answer = Answer(status, list(headers), self.loop)
@@ -153,3 +156,16 @@
     observed.notices.adopt_limit(10.0, "i-1", 1.5)
     assert observed.notices.rate_limit is None
     assert observed.rates == [10.0, None]
+
+
+@pytest.mark.parametrize(
+    ("value", "leaves"), [(b"1", True), (b"0", False), (b"true", False), (b"", False)]
+)
+def test_only_the_defined_value_says_that_the_upstream_leaves(observed, value, leaves):
+    observed.answer(headers=(SIGNED, (b"x-leaving", value)))
+    assert bool(observed.leaving) is leaves
+
+
+def test_other_process_at_the_address_does_not_make_the_upstream_leave(observed):
+    observed.answer(status=421, headers=((b"x-leaving", b"1"),))
+    assert not observed.leaving
