Record which requests were running when an upstream ended

Entries now make a fingerprint of method, target, caller and body (equal for attempts with different ids) that calls carry and failure lines show. A gate whose connections break checks its upstream with one connection; refused means that it ended (upstream:ended, with the fingerprints in flight), accepted means a single answer broke off, and the connection is kept for the next call. Nothing acts on it yet.

--- a/packages/relay/src/knapweedspring_relay/_balancer.py
+++ b/packages/relay/src/knapweedspring_relay/_balancer.py
@@ -7,7 +7,8 @@
 
 from knapweedspring_relay._configuration import Route
 from knapweedspring_relay._hop import GateReport
-from knapweedspring_relay._knowledge import Directory, GateEntry, UpstreamProcess
+from knapweedspring_relay._knowledge import Directory, GateEntry
+from knapweedspring_relay._upstream_process import UpstreamProcess
 
 __all__ = ["AttemptResult", "Balancer"]
 
--- a/packages/relay/src/knapweedspring_relay/_entry.py
+++ b/packages/relay/src/knapweedspring_relay/_entry.py
@@ -29,6 +29,7 @@
 from knapweedspring_relay._messages import to_forwarded_request
 from knapweedspring_relay._numbers import parse_decimal
 from knapweedspring_relay._relaying import relay_answer
+from knapweedspring_relay._request_fingerprint import RequestFingerprinter
 from knapweedspring_relay._request_state import RequestState
 from knapweedspring_relay._requests import ForwardedRequest, Header, Request
 from knapweedspring_relay._retry_budget import RetryBudget
@@ -123,6 +124,7 @@
         self._latencies = latencies
         self._rng = rng
         self._chain_health = ChainHealth()
+        self._fingerprinter = RequestFingerprinter(headers)
 
     @property
     def limits(self) -> CallLimits:
@@ -175,6 +177,7 @@
             route=route,
             service=self._splitter.choose_service(route),
             request_id=request_id,
+            fingerprint=self._fingerprinter.fingerprint(request),
             chain_priority=self._chain_priority(request_id),
             deadline_at=request.arrived_at + left_s,
             version=version,
@@ -402,6 +405,7 @@
                 failed,
                 "entry:call",
                 request_id=state.request_id,
+                fingerprint=state.fingerprint.hex(),
                 route=state.route.name,
                 configuration=state.version,
                 service=state.service,
@@ -450,6 +454,7 @@
             caller=self._identity.caller_service,
             version=state.version,
             rate_limit=self._balancer.rate_limit(entry),
+            fingerprint=state.fingerprint,
         )
 
     def _link_to(self, entry: GateEntry) -> GateLink:
--- a/packages/relay/src/knapweedspring_relay/_gate.py
+++ b/packages/relay/src/knapweedspring_relay/_gate.py
@@ -12,7 +12,13 @@
 from knapweedspring_relay._admission_request import AdmissionRequest
 from knapweedspring_relay._answer import Answer
 from knapweedspring_relay._clock import now_s
-from knapweedspring_relay._errors import BadAnswer, CallError, ConnectFailed
+from knapweedspring_relay._crash_detector import CrashDetector
+from knapweedspring_relay._errors import (
+    BadAnswer,
+    CallError,
+    ConnectFailed,
+    ConnectionBroke,
+)
 from knapweedspring_relay._gate_result import GateResult
 from knapweedspring_relay._headers import CallHeaders
 from knapweedspring_relay._histograms import LatencyHistograms
@@ -103,6 +109,8 @@
     :param version: returns the version of the configuration in force.
     :param on_leaving: called with the upstream when one of its answers says that it
         leaves.
+    :param on_crash: called with the upstream that ended and the fingerprints of the
+        requests that it was running.
     :param log: decision log.
     :param counters: counts outcomes.
     :param latencies: records service times.
@@ -118,6 +126,7 @@
         drain_s: float,
         version: Callable[[], int],
         on_leaving: Callable[[LocalUpstream], None],
+        on_crash: Callable[[LocalUpstream, tuple[bytes, ...]], None],
         log: DecisionLog,
         counters: Counters,
         latencies: LatencyHistograms,
@@ -137,6 +146,7 @@
         self._notices = UpstreamNotices(
             tracker, headers, self._apply_rate_limit, on_leaving, log, counters
         )
+        self._crash_detector = CrashDetector(pool, address, on_crash, log, counters)
         self._pacing_timer: asyncio.TimerHandle | None = None
         self._stopping = False
         self._entry_failure_ratio = 0.0
@@ -361,6 +371,8 @@
         except TimeoutError:
             return self._report_failure(call, HopOutcome.LATE, "deadline", waited_s)
         except CallError as error:
+            if isinstance(error, ConnectionBroke):
+                self._crash_detector.record_broken(upstream, call.fingerprint)
             return self._report_failure(call, HopOutcome.LOST, str(error), waited_s)
         finally:
             self._root_priorities.pop(call.request_id, None)
@@ -469,6 +481,7 @@
                 True,
                 "gate:call",
                 request_id=call.request_id,
+                fingerprint=call.fingerprint.hex(),
                 service=call.service,
                 instance=upstream.instance if upstream is not None else "",
                 expected_instance=call.instance,
--- a/packages/relay/src/knapweedspring_relay/_hop.py
+++ b/packages/relay/src/knapweedspring_relay/_hop.py
@@ -54,6 +54,8 @@
     #: gate, in requests per second; None when it named none. A gate whose process was
     #: restarted uses it until the upstream's next answer.
     rate_limit: float | None = None
+    #: Fingerprint of the request, equal for attempts with different ids.
+    fingerprint: bytes = b""
 
 
 class GateReport(msgspec.Struct, frozen=True, array_like=True, gc=False):
--- a/packages/relay/src/knapweedspring_relay/_http_client.py
+++ b/packages/relay/src/knapweedspring_relay/_http_client.py
@@ -356,6 +356,21 @@
             connection.abort_connection()
             raise
 
+    async def refuses_connections(self, address: str) -> bool:
+        """Return whether no process listens at an address.
+
+        A connection that is established is kept for the next call.
+
+        :param address: ``ip:port`` of the server.
+        :return: False also when nothing answers in time: the server may be busy.
+        """
+        try:
+            connection = await self._open_connection(address)
+        except ConnectFailed as error:
+            return isinstance(error.__cause__, ConnectionRefusedError)
+        self.add_idle(connection)
+        return False
+
     def add_idle(self, connection: _ClientConnection) -> None:
         """Add an idle connection for the next call."""
         self._idle.setdefault(connection.address, []).append(connection)
--- a/packages/relay/src/knapweedspring_relay/_knowledge/__init__.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/__init__.py
@@ -10,7 +10,6 @@
     Directory,
     DirectorySnapshot,
     GateEntry,
-    UpstreamProcess,
     UpstreamState,
 )
 from knapweedspring_relay._knowledge._followers import Follower, FollowHandler
@@ -48,6 +47,5 @@
     "StoreHistoryGone",
     "StorePosition",
     "StoreUnavailable",
-    "UpstreamProcess",
     "UpstreamState",
 ]
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_directory.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_directory.py
@@ -7,12 +7,12 @@
 
 from knapweedspring_relay._knowledge._change_log import ChangeLog
 from knapweedspring_relay._knowledge._position import ORIGIN, StorePosition
+from knapweedspring_relay._upstream_process import UpstreamProcess
 
 __all__ = [
     "Directory",
     "DirectorySnapshot",
     "GateEntry",
-    "UpstreamProcess",
     "UpstreamState",
 ]
 
@@ -36,17 +36,6 @@
     DRAINING = "draining"
 
 
-class UpstreamProcess(NamedTuple):
-    """Identity of one run of an upstream beside a node."""
-
-    #: Name of the node.
-    node: str
-    #: Identity of the upstream's process.
-    instance: str
-    #: Start of the process, in milliseconds since the epoch.
-    born_ms: int
-
-
 @dataclass(frozen=True, slots=True)
 class GateEntry:
     """Directory entry in which a node publishes its gate and its upstream."""
--- a/packages/relay/src/knapweedspring_relay/_relay.py
+++ b/packages/relay/src/knapweedspring_relay/_relay.py
@@ -154,6 +154,7 @@
             drain_s=settings.shutdown.drain_or_default_s,
             version=lambda: self._declared_state.version,
             on_leaving=self._apply_leaving,
+            on_crash=self._handle_crash,
             log=self._log,
             counters=self._counters,
             latencies=self._latencies,
@@ -313,6 +314,11 @@
             self._log.write_state("upstream:leaving", instance=process.instance)
         self._handle_upstream_verdict(verdict)
 
+    def _handle_crash(
+        self, process: LocalUpstream, fingerprints: tuple[bytes, ...]
+    ) -> None:
+        self._counters.add("upstream_crashes")
+
     def reject_heartbeat(self, reason: str) -> None:
         """Log a heartbeat that cannot be decoded."""
         self._log.write_state("upstream:rejected", reason=reason)
--- a/packages/relay/src/knapweedspring_relay/_request_state.py
+++ b/packages/relay/src/knapweedspring_relay/_request_state.py
@@ -17,6 +17,8 @@
     service: str
     #: Id of the request.
     request_id: str
+    #: Fingerprint of the request, equal for attempts with different ids.
+    fingerprint: bytes
     #: Priority of the request at the root of the chain. None when no running request
     #: is known to have made this request, which then counts as the root itself.
     chain_priority: int | None
