Refuse a request under which three upstreams ended

Cause: hypothesis 1, nothing remembers which request an upstream ran when it ended; each attempt has its own id and enters at another node. Class: a failure is attributed to the server alone, never to what was sent to it. Entries and gates exchange what they know of a request with each call, so that the union of both decides before it runs; refused requests also travel with the source of each node, for nodes that restarted or were cut off. After three processes a request is refused with 503 where it enters: it has not run, and Retry-After is long. Requests that succeeded are no suspects; one with two crashes runs alone among such requests, so that an innocent one that is retried beside the cause is told apart. Ruled out: fewer crashes as proof (requests in flight with the cause are retried at the same upstream together with it); the id (new each time); the store (away when it is needed, and a write for each crash).

--- a/packages/relay/src/knapweedspring_relay/_answer.py
+++ b/packages/relay/src/knapweedspring_relay/_answer.py
@@ -44,6 +44,7 @@
         self._pieces: deque[bytes] = deque()
         self._n_unread_bytes = 0
         self._complete = False
+        self._is_abandoned = False
         self._error: Exception | None = None
         self._waiter: asyncio.Future[None] | None = None
         self._on_read: Callable[[int], None] = lambda _: None
@@ -75,6 +76,11 @@
         """Whether the body is complete or failed, so nothing more of it will arrive."""
         return self._complete or self._error is not None
 
+    @property
+    def is_broken_off(self) -> bool:
+        """Whether the body ended early, other than by :meth:`abandon`."""
+        return self._error is not None and not self._is_abandoned
+
     @property
     def n_unread_bytes(self) -> int:
         """Bytes of the body that have arrived and have not been read."""
@@ -148,6 +154,7 @@
     def abandon(self) -> None:
         """Discard the rest of an incomplete body and stop receiving it."""
         if not self._complete:
+            self._is_abandoned = True
             self._on_abandon()
             self.fail(ConnectionBroke("the rest of the answer was discarded"))
 
--- a/packages/relay/src/knapweedspring_relay/_entry.py
+++ b/packages/relay/src/knapweedspring_relay/_entry.py
@@ -15,6 +15,7 @@
     Route,
     RouteTable,
 )
+from knapweedspring_relay._crash_records import CrashRecords
 from knapweedspring_relay._destination_splitter import DestinationSplitter
 from knapweedspring_relay._errors import CallError, ConnectFailed
 from knapweedspring_relay._gate import Gate, GateLink
@@ -62,6 +63,9 @@
 #: while whole chains fail.
 EARLY_REFUSAL_RETRY_AFTER_MIN_SHARE = 0.2
 EARLY_REFUSAL_RETRY_AFTER_MAX_SHARE = 0.33
+#: Retry-After of a request that is refused because upstreams ended under it, in
+#: seconds. The refusal lasts longer than any caller waits.
+CRASH_RETRY_AFTER_S = 300.0
 #: Retry-After of a node that has no configuration yet, in seconds.
 UNCONFIGURED_RETRY_AFTER_S = 0.5
 
@@ -88,6 +92,7 @@
     :param budget: limits the retries of this node.
     :param splitter: distributes requests among a route's destinations.
     :param on_peer_version: called with the configuration version in force at a gate.
+    :param crashes: requests that are refused because upstreams ended under them.
     :param log: decision log.
     :param counters: counts outcomes.
     :param latencies: records the time to an answer.
@@ -105,6 +110,7 @@
         budget: RetryBudget,
         splitter: DestinationSplitter,
         on_peer_version: Callable[[int], None],
+        crashes: CrashRecords,
         log: DecisionLog,
         counters: Counters,
         latencies: LatencyHistograms,
@@ -119,6 +125,7 @@
         self._budget = budget
         self._splitter = splitter
         self._on_peer_version = on_peer_version
+        self._crashes = crashes
         self._log = log
         self._counters = counters
         self._latencies = latencies
@@ -221,6 +228,10 @@
         now = now_s()
         if state.deadline_at <= now:
             return None
+        if self._crashes.is_refused(state.fingerprint, now):
+            state.is_refused_for_crashes = True
+            state.last_reason = "the request ran on several upstreams that ended"
+            return None
         entry = self._select_gate(state, now)
         if entry is not None:
             state.n_offers += 1
@@ -261,6 +272,8 @@
             report = gate_result.report
             result = _attempt_result_of(gate_result)
             self._on_peer_version(report.version)
+            if report.crashes is not None:
+                self._crashes.merge(report.crashes, now_s())
             if result is AttemptResult.GOOD:
                 ended = now_s()
                 self._balancer.record_answer_latency(
@@ -325,6 +338,8 @@
             return False
         if state.n_sent >= MAX_SENDS:
             return False
+        if self._crashes.is_refused(state.fingerprint, now):
+            return False
         if state.may_have_run and state.n_sent >= route.max_attempts:
             return False
         if state.deadline_at - now < MIN_RETRY_GOAL_SHARE * route.goal_s:
@@ -343,6 +358,8 @@
             is_whole = await relay_answer(exchange, answer)
         else:
             is_whole = await self._stream_answer(state, exchange, answer)
+        if is_whole and answer.status < 300:
+            self._crashes.record_success(state.fingerprint)
         self._record_request_end(
             state, exchange, "answered" if is_whole else "broke-off", answer.status
         )
@@ -367,7 +384,8 @@
         else:
             self._send_503(state, exchange, self._retry_after_s(state))
             status = 503
-        self._record_request_end(state, exchange, "failed", status)
+        outcome = "refused-crash" if state.is_refused_for_crashes else "failed"
+        self._record_request_end(state, exchange, outcome, status)
 
     def _refuse_early(self, state: RequestState, exchange: Exchange) -> None:
         """Refuse a request whose chain would probably fail."""
@@ -386,6 +404,8 @@
         exchange.send_answer(503, [*self._request_id_header(state), retry_after])
 
     def _retry_after_s(self, state: RequestState) -> float:
+        if state.is_refused_for_crashes:
+            return CRASH_RETRY_AFTER_S
         share = self._rng.uniform(RETRY_AFTER_MIN_SHARE, RETRY_AFTER_MAX_SHARE)
         return share * state.route.goal_s
 
@@ -396,7 +416,7 @@
         now = now_s()
         latency_s = now - exchange.request.arrived_at
         failed = outcome != "answered" or status >= 500
-        if outcome not in ("caller-left", "refused-early"):
+        if outcome not in ("caller-left", "refused-early", "refused-crash"):
             self._gate.count_entry_call(failed)
         self._counters.add("calls", f"{outcome}-{status}")
         self._latencies.record(f"route:{state.route.name}", latency_s)
@@ -455,6 +475,7 @@
             version=state.version,
             rate_limit=self._balancer.rate_limit(entry),
             fingerprint=state.fingerprint,
+            crashes=self._crashes.record_of(state.fingerprint, now),
         )
 
     def _link_to(self, entry: GateEntry) -> GateLink:
--- a/packages/relay/src/knapweedspring_relay/_errors.py
+++ b/packages/relay/src/knapweedspring_relay/_errors.py
@@ -36,7 +36,20 @@
 
 
 class ConnectFailed(CallError):
-    """No connection was established, so nothing was sent."""
+    """No connection was established, so nothing was sent.
+
+    :param detail: what failed, for the log.
+    :param is_refused: whether no process listens at the address.
+    """
+
+    def __init__(self, detail: str, is_refused: bool = False) -> None:
+        super().__init__(detail)
+        self._is_refused = is_refused
+
+    @property
+    def is_refused(self) -> bool:
+        """Whether no process listens at the address."""
+        return self._is_refused
 
 
 class ConnectionBroke(CallError):
--- a/packages/relay/src/knapweedspring_relay/_gate.py
+++ b/packages/relay/src/knapweedspring_relay/_gate.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+import msgspec
 from mypy_extensions import mypyc_attr
 
 from knapweedspring_core import Counters
@@ -13,6 +14,7 @@
 from knapweedspring_relay._answer import Answer
 from knapweedspring_relay._clock import now_s
 from knapweedspring_relay._crash_detector import CrashDetector
+from knapweedspring_relay._crash_records import CrashRecords
 from knapweedspring_relay._errors import (
     BadAnswer,
     CallError,
@@ -109,6 +111,7 @@
     :param version: returns the version of the configuration in force.
     :param on_leaving: called with the upstream when one of its answers says that it
         leaves.
+    :param crashes: requests that are refused because upstreams ended under them.
     :param on_crash: called with the upstream that ended and the fingerprints of the
         requests that it was running.
     :param log: decision log.
@@ -126,6 +129,7 @@
         drain_s: float,
         version: Callable[[], int],
         on_leaving: Callable[[LocalUpstream], None],
+        crashes: CrashRecords,
         on_crash: Callable[[LocalUpstream, tuple[bytes, ...]], None],
         log: DecisionLog,
         counters: Counters,
@@ -146,6 +150,8 @@
         self._notices = UpstreamNotices(
             tracker, headers, self._apply_rate_limit, on_leaving, log, counters
         )
+        self._crashes = crashes
+        self._runs_suspect = False
         self._crash_detector = CrashDetector(pool, address, on_crash, log, counters)
         self._pacing_timer: asyncio.TimerHandle | None = None
         self._stopping = False
@@ -232,6 +238,9 @@
             return self._report_failure(call, HopOutcome.CLOSED, closed_reason, 0.0)
         if call.left_s <= MIN_LEFT_S:
             return self._report_refusal(call, "too little time is left", 0.0)
+        crash_reason = self._crash_reason(call, now)
+        if crash_reason:
+            return self._report_refusal(call, crash_reason, 0.0)
         waiter = self._new_waiter(call, now)
         self._queue.offer_call(waiter.queued, now)
         if waiter.queued.state is AdmissionState.WAITING:
@@ -242,6 +251,11 @@
             return self._report_refusal(call, waiter.queued.reason, waited_s)
         upstream = self._tracker.current
         assert upstream is not None
+        crash_reason = self._crash_reason(call, now_s())
+        if crash_reason:
+            # Crashes became known while the call waited.
+            self._free_slot(waiter.queued)
+            return self._report_refusal(call, crash_reason, waited_s)
         if call.kind.is_repeatable:
             return await self._send_admitted_call(
                 call, request, waiter.queued, upstream
@@ -325,6 +339,21 @@
             return "the upstream is draining"
         return ""
 
+    def _crash_reason(self, call: HopCall, now: float) -> str:
+        """Return why a call may not run after crashes; empty when it may run.
+
+        A request that was in flight in nearly as many crashes as show the cause runs
+        only while no other such request does. So a crash shows which of them caused it.
+        """
+        if call.crashes is not None:
+            self._crashes.merge(call.crashes, now)
+        if self._crashes.is_refused(call.fingerprint, now):
+            return "the request ran on several upstreams that ended"
+        is_suspect = self._crashes.is_likely_cause(call.fingerprint)
+        if is_suspect and self._runs_suspect:
+            return "another request that may end the upstream is running"
+        return ""
+
     def _new_waiter(self, call: HopCall, now: float) -> "_AdmissionWaiter":
         max_wait_s = self._policy.max_wait_share * call.left_s
         root_priority = min(call.root_priority, N_ROOT_PRIORITIES - 1)
@@ -359,6 +388,9 @@
     ) -> GateResult:
         """Send an admitted call and free its slot, whatever the outcome."""
         answer: Answer | None = None
+        is_suspect = self._crashes.is_likely_cause(call.fingerprint)
+        if is_suspect:
+            self._runs_suspect = True
         self._root_priorities[call.request_id] = call.root_priority
         waited_s = queued.started_at - queued.entered_at
         try:
@@ -375,22 +407,36 @@
                 self._crash_detector.record_broken(upstream, call.fingerprint)
             return self._report_failure(call, HopOutcome.LOST, str(error), waited_s)
         finally:
+            if is_suspect:
+                self._runs_suspect = False
             self._root_priorities.pop(call.request_id, None)
-            self._free_slot(queued, answer)
-
-    def _free_slot(self, queued: QueuedCall, answer: Answer | None) -> None:
-        """Free the slot of a call once the whole answer has arrived or failed."""
-        was_served = answer is not None and answer.status < 500
-
-        def finish() -> None:
-            now = now_s()
-            self._queue.finish_call(queued, now, was_served)
-            self._schedule_next_start(now)
-
-        if answer is None or answer.has_ended:
-            finish()
-        else:
-            answer.on_end(finish)
+            if answer is None:
+                self._free_slot(queued)
+            elif answer.has_ended:
+                self._finish_answered_call(call, queued, upstream, answer)
+            else:
+                answer.on_end(
+                    lambda: self._finish_answered_call(call, queued, upstream, answer)
+                )
+
+    def _finish_answered_call(
+        self,
+        call: HopCall,
+        queued: QueuedCall,
+        upstream: LocalUpstream,
+        answer: Answer,
+    ) -> None:
+        """Finish a call once its whole answer has arrived or the rest has failed."""
+        if answer.is_broken_off:
+            self._crash_detector.record_broken(upstream, call.fingerprint)
+        elif answer.is_complete and answer.status < 300:
+            self._crashes.record_success(call.fingerprint)
+        self._free_slot(queued, was_served=answer.status < 500)
+
+    def _free_slot(self, queued: QueuedCall, was_served: bool = False) -> None:
+        now = now_s()
+        self._queue.finish_call(queued, now, was_served)
+        self._schedule_next_start(now)
 
     async def _call_upstream(
         self,
@@ -459,7 +505,8 @@
                 n_running=self._queue.n_running,
                 n_waiting=self._queue.n_waiting,
             )
-        return GateResult(self.make_report(HopOutcome.ANSWERED, "", waited_s), answer)
+        report = self._report_on(call, HopOutcome.ANSWERED, "", waited_s)
+        return GateResult(report, answer)
 
     def _report_refusal(
         self, call: HopCall, reason: str, waited_s: float
@@ -494,7 +541,16 @@
                 n_running=self._queue.n_running,
                 n_waiting=self._queue.n_waiting,
             )
-        return GateResult(self.make_report(outcome, reason, waited_s), answer)
+        return GateResult(self._report_on(call, outcome, reason, waited_s), answer)
+
+    def _report_on(
+        self, call: HopCall, outcome: HopOutcome, reason: str, waited_s: float
+    ) -> GateReport:
+        report = self.make_report(outcome, reason, waited_s)
+        crashes = self._crashes.record_of(call.fingerprint, now_s())
+        if crashes is None:
+            return report
+        return msgspec.structs.replace(report, crashes=crashes)
 
     def _is_drain_wait_over(self, upstream: LocalUpstream, now: float) -> bool:
         drain_started_at = upstream.draining_at
--- a/packages/relay/src/knapweedspring_relay/_hop.py
+++ b/packages/relay/src/knapweedspring_relay/_hop.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from knapweedspring_relay._configuration import CallKind
+from knapweedspring_relay._crash_records import CrashRecord
 
 __all__ = ["GateReport", "HopCall", "HopOutcome"]
 
@@ -56,6 +57,9 @@
     rate_limit: float | None = None
     #: Fingerprint of the request, equal for attempts with different ids.
     fingerprint: bytes = b""
+    #: Crashes of upstreams that ran the request, as known to the sender; None when it
+    #: knows of none.
+    crashes: CrashRecord | None = None
 
 
 class GateReport(msgspec.Struct, frozen=True, array_like=True, gc=False):
@@ -86,3 +90,6 @@
     rate_limit: float | None = None
     #: Whether the upstream accepts no new calls because it drains or leaves.
     is_leaving: bool = False
+    #: Crashes of upstreams that ran the request, as known to the gate; None when it
+    #: knows of none.
+    crashes: CrashRecord | None = None
--- a/packages/relay/src/knapweedspring_relay/_hop_client.py
+++ b/packages/relay/src/knapweedspring_relay/_hop_client.py
@@ -144,6 +144,16 @@
         finally:
             timer.cancel()
 
+    def notify(self, frame: Frame) -> None:
+        """Send a frame that has no answer.
+
+        :param frame: the frame.
+        """
+        if not self._streams:
+            # The idle time is measured from the last use.
+            self._received_at = now_s()
+        self._send_frame(frame)
+
     def check(self, now: float) -> None:
         """Ping the connection when it stalls, or close it when it is idle.
 
@@ -305,6 +315,18 @@
         timeout_s = max(0.0, call.left_s) + OUTCOME_GRACE_S
         return await connection.call(call, request, timeout_s)
 
+    async def notify(self, address: str, frame: Frame) -> None:
+        """Send a frame that has no answer to a node.
+
+        :param address: ``ip:port`` of the node's gate.
+        :param frame: the frame.
+        :raises ConnectFailed: when the node cannot be reached.
+        """
+        connection = self._usable_connection(address)
+        if connection is None:
+            connection = await self._open_connection(address)
+        connection.notify(frame)
+
     def check_connections(self) -> None:
         """Ping stalled connections and close idle ones; called periodically."""
         now = now_s()
--- a/packages/relay/src/knapweedspring_relay/_hop_frames.py
+++ b/packages/relay/src/knapweedspring_relay/_hop_frames.py
@@ -7,12 +7,14 @@
 from knapweedspring_relay._errors import RelayError
 from knapweedspring_relay._hop import GateReport, HopCall
 from knapweedspring_relay._requests import ForwardedRequest
+from knapweedspring_relay._upstream_process import UpstreamProcess
 
 __all__ = [
     "AnswerFrame",
     "BodyFrame",
     "CallFrame",
     "CancelFrame",
+    "CrashFrame",
     "CreditFrame",
     "EndFrame",
     "Frame",
@@ -133,6 +135,15 @@
     content: bytes
 
 
+class CrashFrame(msgspec.Struct, frozen=True, array_like=True, gc=False, tag=12):
+    """An upstream that ended while it was running requests."""
+
+    #: The process that ended.
+    process: UpstreamProcess
+    #: Fingerprints of the requests that it was running.
+    fingerprints: tuple[bytes, ...]
+
+
 Frame = (
     CallFrame
     | AnswerFrame
@@ -145,6 +156,7 @@
     | GoAwayFrame
     | FollowFrame
     | KnowledgeFrame
+    | CrashFrame
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/relay/src/knapweedspring_relay/_hop_listener.py
+++ b/packages/relay/src/knapweedspring_relay/_hop_listener.py
@@ -15,6 +15,7 @@
     BodyFrame,
     CallFrame,
     CancelFrame,
+    CrashFrame,
     CreditFrame,
     EndFrame,
     FollowFrame,
@@ -46,6 +47,7 @@
     :param gate: the gate of this node.
     :param follow_handler: receives the connections of nodes that follow this one.
     :param on_peer_version: called with the configuration version in force at a peer.
+    :param on_crash: called with the crash that another node reports.
     :param on_error: called with a call whose handling failed and the exception.
     """
 
@@ -55,12 +57,14 @@
         gate: LocalGate,
         follow_handler: FollowHandler,
         on_peer_version: Callable[[int], None],
+        on_crash: Callable[[CrashFrame], None],
         on_error: Callable[[HopCall, Exception], None],
     ) -> None:
         self._address = address
         self._gate = gate
         self._follow_handler = follow_handler
         self._on_peer_version = on_peer_version
+        self._on_crash = on_crash
         self._on_error = on_error
         self._connections: set[_HopServerConnection] = set()
         self._server: asyncio.Server | None = None
@@ -118,6 +122,13 @@
         """Remove a connection that has ended."""
         self._connections.discard(connection)
 
+    def report_crash(self, frame: CrashFrame) -> None:
+        """Pass on a crash that another node reports.
+
+        :param frame: the crash.
+        """
+        self._on_crash(frame)
+
     async def run_call(self, frame: CallFrame) -> GateResult:
         """Pass a call to the gate.
 
@@ -229,6 +240,8 @@
                 window.add_credit(frame.n_bytes)
         elif isinstance(frame, PingFrame):
             self.send(PongFrame())
+        elif isinstance(frame, CrashFrame):
+            self._listener.report_crash(frame)
         elif isinstance(frame, FollowFrame):
             self._listener.follow_handler.add(self, frame)
 
--- a/packages/relay/src/knapweedspring_relay/_http_client.py
+++ b/packages/relay/src/knapweedspring_relay/_http_client.py
@@ -367,7 +367,7 @@
         try:
             connection = await self._open_connection(address)
         except ConnectFailed as error:
-            return isinstance(error.__cause__, ConnectionRefusedError)
+            return error.is_refused
         self.add_idle(connection)
         return False
 
@@ -419,7 +419,10 @@
                     lambda: _ClientConnection(self, address, loop), host, int(port)
                 )
         except (OSError, TimeoutError, ValueError) as error:
-            raise ConnectFailed(f"{address}: {error or 'timed out'}") from error
+            # Compiled code does not keep the cause of an exception.
+            is_refused = isinstance(error, ConnectionRefusedError)
+            detail = f"{address}: {error or 'timed out'}"
+            raise ConnectFailed(detail, is_refused) from error
         self._n_opened += 1
         connection._last_used_at = now_s()
         return connection
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_followers.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_followers.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from knapweedspring_relay._clock import now_s
+from knapweedspring_relay._crash_records import CrashRecords
 from knapweedspring_relay._hop_frames import FollowFrame, Frame, KnowledgeFrame
 from knapweedspring_relay._knowledge._peer_snapshot import PeerSnapshot
 from knapweedspring_relay._knowledge._position import StorePosition
@@ -53,6 +54,8 @@
     position: StorePosition
     #: Whether this node watches the store.
     is_watching: bool
+    #: Value of ``CrashRecords.n_changes`` at the last frame; -1 before the first.
+    n_refused_changes: int
 
 
 class _Encoded(NamedTuple):
@@ -81,10 +84,16 @@
 
     :param snapshot: returns what this node knows beyond a version of the configuration
         and a position of the directory.
+    :param crashes: requests that this node refuses.
     """
 
-    def __init__(self, snapshot: Callable[[int, StorePosition], PeerSnapshot]) -> None:
+    def __init__(
+        self,
+        snapshot: Callable[[int, StorePosition], PeerSnapshot],
+        crashes: CrashRecords,
+    ) -> None:
         self._snapshot = snapshot
+        self._crashes = crashes
         self._progress: dict[Follower, _Progress] = {}
 
     @property
@@ -95,7 +104,7 @@
     def add(self, follower: Follower, request: FollowFrame) -> None:
         """Send a follower what it lacks, now and after each change."""
         position = StorePosition(request.era, request.revision)
-        known = _Known(request.version, position, False)
+        known = _Known(request.version, position, False, -1)
         progress = _Progress(known, request.period_s, float("-inf"))
         self._progress[follower] = progress
         self._send_due(follower, progress, {}, now_s())
@@ -123,19 +132,23 @@
         found = encoded.get(known)
         if found is None:
             snapshot = self._snapshot(known.version, known.position)
-            found = encoded[known] = _encode(snapshot, known)
+            n_refused_changes = self._crashes.n_changes
+            if known.n_refused_changes == n_refused_changes:
+                snapshot = msgspec.structs.replace(snapshot, refused=())
+            found = encoded[known] = _encode(snapshot, known, n_refused_changes)
         is_due = now - progress.sent_at >= progress.period_s - TIMER_TOLERANCE_S
         if found.known != known or is_due:
             follower.send(found.frame)
             progress.known, progress.sent_at = found.known, now
 
 
-def _encode(snapshot: PeerSnapshot, known: _Known) -> _Encoded:
+def _encode(snapshot: PeerSnapshot, known: _Known, n_refused_changes: int) -> _Encoded:
     return _Encoded(
         KnowledgeFrame(_encoder.encode(snapshot)),
         _Known(
             max(known.version, snapshot.version),
             max(known.position, snapshot.position),
             snapshot.is_watching,
+            n_refused_changes,
         ),
     )
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_knowledge.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_knowledge.py
@@ -6,6 +6,7 @@
 
 from knapweedspring_core import Counters, MetricsPage
 from knapweedspring_relay._clock import now_s
+from knapweedspring_relay._crash_records import CrashRecords
 from knapweedspring_relay._http_client import ConnectionPool
 from knapweedspring_relay._knowledge._configuration_sync import ConfigurationSync
 from knapweedspring_relay._knowledge._declared_state import DeclaredState
@@ -42,6 +43,7 @@
     """Configuration and directory of this node, and this node's entry in the store.
 
     :param settings: settings of the node.
+    :param crashes: refused requests, which are passed on with the rest.
     :param store: the deployment's store.
     :param pool: connections to the pages of other nodes.
     :param desired_entry: returns the entry that the store should have of this node.
@@ -56,6 +58,7 @@
     def __init__(
         self,
         settings: RelaySettings,
+        crashes: CrashRecords,
         store: DeploymentStore,
         pool: ConnectionPool,
         desired_entry: Callable[[], GateEntry | None],
@@ -71,8 +74,9 @@
         self._is_leaving = False
         self._state = DeclaredState(log, counters)
         self._directory = Directory()
+        self._crashes = crashes
         self._health = StoreHealth(log, counters)
-        self._followers = Followers(self._snapshot_newer_than)
+        self._followers = Followers(self._snapshot_newer_than, crashes)
         self._pages = PeerPages(self._snapshot_newer_than)
         self._own_entry = OwnEntryPublisher(
             store, settings.node, desired_entry, self._health, rng, log, counters
@@ -95,6 +99,7 @@
         self._peers = PeerSync(
             self._state,
             self._directory,
+            crashes,
             pool,
             self._health,
             settings.node,
@@ -117,6 +122,7 @@
             settings.data_centre,
             self._state,
             self._directory,
+            crashes,
             self._health,
             store_watch,
             self._peers,
@@ -218,6 +224,7 @@
         return make_peer_snapshot(
             self._state,
             self._directory,
+            self._crashes.refused_records(now_s()),
             version,
             position,
             self._sources.is_watching and not self._is_leaving,
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_peer_snapshot.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_peer_snapshot.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from knapweedspring_relay._configuration import Configuration
+from knapweedspring_relay._crash_records import CrashRecord, CrashRecords
 from knapweedspring_relay._knowledge._declared_state import DeclaredState
 from knapweedspring_relay._knowledge._directory import (
     Directory,
@@ -37,11 +38,15 @@
     is_watching: bool = False
     #: Address of the node's gate, as ``ip:port``.
     gate_address: str = ""
+    #: Requests that are refused because upstreams ended while they ran them; empty also
+    #: when the reader has received them.
+    refused: tuple[CrashRecord, ...] = ()
 
 
 def make_peer_snapshot(
     state: DeclaredState,
     directory: Directory,
+    refused: tuple[CrashRecord, ...],
     version: int,
     position: StorePosition,
     is_watching: bool,
@@ -51,6 +56,7 @@
 
     :param state: the node's configuration.
     :param directory: the node's directory.
+    :param refused: requests that the node refuses.
     :param version: version of the reader's configuration.
     :param position: position of the reader's directory.
     :param is_watching: whether the node watches the store.
@@ -79,20 +85,28 @@
         removed=tuple(removed),
         is_watching=is_watching,
         gate_address=gate_address,
+        refused=refused,
     )
 
 
 def apply_peer_snapshot(
-    snapshot: PeerSnapshot, state: DeclaredState, directory: Directory, now: float
+    snapshot: PeerSnapshot,
+    state: DeclaredState,
+    directory: Directory,
+    crashes: CrashRecords,
+    now: float,
 ) -> bool:
     """Apply what a peer knows.
 
     :param snapshot: received from the peer.
     :param state: this node's configuration.
     :param directory: this node's directory.
+    :param crashes: requests that this node refuses.
     :param now: monotonic time, in seconds.
     :return: whether the directory was updated.
     """
+    for record in snapshot.refused:
+        crashes.merge(record, now)
     if snapshot.configuration is not None:
         state.apply(snapshot.configuration, "peer")
     if snapshot.version == state.version:
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_peer_sync.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_peer_sync.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 
 from knapweedspring_relay._clock import now_s
+from knapweedspring_relay._crash_records import CrashRecords
 from knapweedspring_relay._errors import CallError
 from knapweedspring_relay._http_client import ConnectionPool
 from knapweedspring_relay._knowledge._declared_state import DeclaredState
@@ -41,6 +42,7 @@
 
     :param state: the configuration in force.
     :param directory: directory of the gates, whose nodes are queried.
+    :param crashes: refused requests.
     :param pool: connections to other nodes.
     :param health: state of the store.
     :param node: name of this node.
@@ -54,6 +56,7 @@
         self,
         state: DeclaredState,
         directory: Directory,
+        crashes: CrashRecords,
         pool: ConnectionPool,
         health: StoreHealth,
         node: str,
@@ -64,6 +67,7 @@
     ) -> None:
         self._state = state
         self._directory = directory
+        self._crashes = crashes
         self._pool = pool
         self._health = health
         self._node = node
@@ -119,7 +123,9 @@
             self._log.write_state("peer:malformed", peer=address)
             return False
         self._health.observe_era(snapshot.position.era)
-        if apply_peer_snapshot(snapshot, self._state, self._directory, now_s()):
+        if apply_peer_snapshot(
+            snapshot, self._state, self._directory, self._crashes, now_s()
+        ):
             self._log.write_state(
                 "directory:from-peer",
                 era=snapshot.position.era,
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_source_sync.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_source_sync.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterator
 
 from knapweedspring_relay._clock import now_s
+from knapweedspring_relay._crash_records import CrashRecords
 from knapweedspring_relay._hop_frames import FollowFrame
 from knapweedspring_relay._knowledge._declared_state import DeclaredState
 from knapweedspring_relay._knowledge._directory import Directory, GateEntry
@@ -51,6 +52,7 @@
     :param data_centre: this node's data centre.
     :param state: the configuration in force.
     :param directory: directory of the gates.
+    :param crashes: refused requests.
     :param health: state of the store.
     :param store_watch: watches the store.
     :param peers: reads pages of peers.
@@ -67,6 +69,7 @@
         data_centre: str,
         state: DeclaredState,
         directory: Directory,
+        crashes: CrashRecords,
         health: StoreHealth,
         store_watch: StoreWatch,
         peers: PeerSync,
@@ -80,6 +83,7 @@
         self._data_centre = data_centre
         self._state = state
         self._directory = directory
+        self._crashes = crashes
         self._health = health
         self._store_watch = store_watch
         self._peers = peers
@@ -274,7 +278,9 @@
                 self._source, self._candidate = link, None
                 self._log.write_state("source:followed", source=link.node)
         self._health.observe_era(snapshot.position.era)
-        if apply_peer_snapshot(snapshot, self._state, self._directory, now_s()):
+        if apply_peer_snapshot(
+            snapshot, self._state, self._directory, self._crashes, now_s()
+        ):
             self._log.write_state(
                 "directory:from-source",
                 source=link.node,
--- a/packages/relay/src/knapweedspring_relay/_relay.py
+++ b/packages/relay/src/knapweedspring_relay/_relay.py
@@ -14,6 +14,8 @@
 from knapweedspring_relay._adapter import DeploymentAdapter, HeartbeatReceiver
 from knapweedspring_relay._balancer import Balancer
 from knapweedspring_relay._clock import now_s, suspension_meter
+from knapweedspring_relay._crash_exchange import CrashExchange
+from knapweedspring_relay._crash_records import CrashRecord, CrashRecords
 from knapweedspring_relay._destination_splitter import DestinationSplitter
 from knapweedspring_relay._entry import Entry, NodeIdentity
 from knapweedspring_relay._gate import Gate
@@ -44,6 +46,7 @@
 from knapweedspring_relay._settings import RelaySettings
 from knapweedspring_relay._task_supervisor import TaskSupervisor
 from knapweedspring_relay._timers import LoopTimers
+from knapweedspring_relay._upstream_process import UpstreamProcess
 
 __all__ = ["Relay"]
 
@@ -114,8 +117,10 @@
         self._peer_pool = ConnectionPool(
             ConnectionSettings(PEER_CONNECT_TIMEOUT_S, PEER_IDLE_S, UNACKNOWLEDGED_S)
         )
+        self._crashes = CrashRecords(self._log_refused)
         self._knowledge = Knowledge(
             settings=settings,
+            crashes=self._crashes,
             store=adapter.store,
             pool=self._peer_pool,
             desired_entry=self._desired_entry,
@@ -146,6 +151,13 @@
             )
         )
         self._hop_pool = HopPool(HopSettings(PEER_CONNECT_TIMEOUT_S, UNACKNOWLEDGED_S))
+        self._crash_exchange = CrashExchange(
+            settings.node,
+            self._crashes,
+            self._directory,
+            self._hop_pool,
+            self._counters,
+        )
         self._gate = Gate(
             tracker=self._tracker,
             address=settings.upstream_address,
@@ -154,6 +166,7 @@
             drain_s=settings.shutdown.drain_or_default_s,
             version=lambda: self._declared_state.version,
             on_leaving=self._apply_leaving,
+            crashes=self._crashes,
             on_crash=self._handle_crash,
             log=self._log,
             counters=self._counters,
@@ -176,6 +189,7 @@
             budget=self._budget,
             splitter=DestinationSplitter(zlib.crc32(settings.node.encode())),
             on_peer_version=self._declared_state.observe_version,
+            crashes=self._crashes,
             log=self._log,
             counters=self._counters,
             latencies=self._latencies,
@@ -192,6 +206,7 @@
             self._gate,
             self._knowledge.followers,
             self._declared_state.observe_version,
+            self._crash_exchange.receive,
             self._report_hop_error,
         )
         self._other_listeners = (
@@ -213,6 +228,8 @@
         page.add_gauge("gate_waiting", lambda: float(queue.n_waiting))
         page.add_gauge("gate_limit", lambda: float(queue.limit(now_s())))
         page.add_gauge("upstream_rate_limit", lambda: self._gate.rate_limit or 0.0)
+        page.add_gauge("crash_suspects", lambda: float(self._crashes.n_suspects))
+        page.add_gauge("refused_requests", lambda: float(self._crashes.n_refused))
         page.add_gauge("hop_connections", lambda: float(self._hop_pool.n_connections))
         page.add_gauge("hop_bad_frames", lambda: float(self._hop_pool.n_bad_frames))
         self._knowledge.register_gauges(page)
@@ -317,7 +334,19 @@
     def _handle_crash(
         self, process: LocalUpstream, fingerprints: tuple[bytes, ...]
     ) -> None:
-        self._counters.add("upstream_crashes")
+        node = self._settings.node
+        self._crash_exchange.report(
+            UpstreamProcess(node, process.instance, process.born_ms), fingerprints
+        )
+
+    def _log_refused(self, record: CrashRecord) -> None:
+        self._counters.add("requests_refused_for_crashes")
+        self._log.write_state(
+            "request:refused",
+            fingerprint=record.fingerprint.hex(),
+            instances=[process.instance for process in record.processes],
+            age_s=round(record.age_s, 1),
+        )
 
     def reject_heartbeat(self, reason: str) -> None:
         """Log a heartbeat that cannot be decoded."""
@@ -469,6 +498,7 @@
             after_s=round(now_s() - self._stop_at, 2),
         )
         self._supervisor.stop()
+        self._crash_exchange.stop()
         self._knowledge.stop()
         self._adapter.store.close()
         for listener in self._listeners:
--- a/packages/relay/src/knapweedspring_relay/_request_state.py
+++ b/packages/relay/src/knapweedspring_relay/_request_state.py
@@ -36,6 +36,8 @@
     n_sent: int = 0
     #: Whether an upstream may have run the request.
     may_have_run: bool = False
+    #: Whether the request is refused because upstreams ended while they ran it.
+    is_refused_for_crashes: bool = False
     #: Reason of the last attempt's outcome, for logs.
     last_reason: str = "no upstream of the service is known"
     #: Node of the gate that the request was offered to last.
--- a/packages/relay/tests/test_crashing_requests.py
+++ b/packages/relay/tests/test_crashing_requests.py
@@ -11,6 +11,8 @@
 import pytest
 from _deployment import Deployment, Upstream, answer_of
 
+from knapweedspring_relay import CallError
+
 #: Path of the request that crashes upstreams.
 CRASHING_PATH = "/read/crash"
 #: Number of crashes after which a request counts as their cause.
@@ -28,12 +30,15 @@
 
 
 class CrashingFleet:
-    """Upstreams that one request crashes, each with its relay."""
+    """Upstreams that one request crashes, each with its relay.
 
-    def __init__(self, n_nodes, services=None):
-        self.deployment = Deployment(
-            [self._serve] * n_nodes, services=services or ["svc"] * n_nodes
-        )
+    :param n_nodes: number of relays and upstreams.
+    :param begins_answer: whether an upstream crashes in the middle of a long answer.
+    """
+
+    def __init__(self, n_nodes, begins_answer=False):
+        self.begins_answer = begins_answer
+        self.deployment = Deployment([self._serve] * n_nodes)
         self.sent_at = []
         self.crashed_at = []
         self._writers = {}
@@ -44,6 +49,9 @@
         self._writers.setdefault(upstream.address, set()).add(writer)
         if CRASHING_PATH.encode() in request.split(b"\r\n")[0]:
             self.sent_at.append(time.monotonic())
+            if self.begins_answer:
+                writer.write(answer_of(request, b"x" * 300_000)[:200_000])
+                await writer.drain()
             await asyncio.sleep(0.02)
             self._crash(upstream)
             return
@@ -69,7 +77,11 @@
         )
 
     async def call_crashing(self, index):
-        return (await self.deployment.call(CRASHING_PATH, index=index))[0]
+        try:
+            return (await self.deployment.call(CRASHING_PATH, index=index))[0]
+        except CallError:
+            # The answer broke off.
+            return None
 
     async def send_crashing(self, period_s, duration_s, nodes):
         """Send the request again and again; return the statuses of the last second."""
@@ -102,6 +114,17 @@
     run(scenario)
 
 
+def test_request_that_crashes_upstreams_in_the_middle_of_its_answer_is_refused():
+    async def scenario():
+        fleet = CrashingFleet(6, begins_answer=True)
+        async with fleet.deployment:
+            await fleet.send_crashing(0.05, 6.0, range(6))
+            assert len(fleet.crashed_at) >= N_CRASHES
+            assert fleet.n_sent_after(CONTACT_S) <= N_ALLOWED
+
+    run(scenario)
+
+
 def test_node_that_restarts_does_not_send_the_request_again():
     async def scenario():
         fleet = CrashingFleet(4)
--- a/packages/relay/tests/test_hop.py
+++ b/packages/relay/tests/test_hop.py
@@ -95,6 +95,7 @@
         gate,
         IgnoredFollowers(),
         lambda _: None,
+        lambda _: None,
         lambda *error: errors.append(error),
     )
     await listener.start()
