--- a/packages/relay/src/knapweedspring_relay/_entry.py
+++ b/packages/relay/src/knapweedspring_relay/_entry.py
@@ -7,6 +7,10 @@
 
 from knapweedspring_core import Counters
 from knapweedspring_relay._answer import Answer
+from knapweedspring_relay._attempt_results import (
+    attempt_result_of,
+    result_without_report,
+)
 from knapweedspring_relay._balancer import AttemptResult, Balancer
 from knapweedspring_relay._chain_health import LOW_PRIORITY, ChainHealth
 from knapweedspring_relay._clock import now_s
@@ -18,20 +22,20 @@
 from knapweedspring_relay._crash_records import CrashRecords
 from knapweedspring_relay._destination_splitter import DestinationSplitter
 from knapweedspring_relay._errors import CallError, ConnectFailed
-from knapweedspring_relay._gate import Gate, GateLink
+from knapweedspring_relay._gate import Gate
+from knapweedspring_relay._gate_link import GateLink
 from knapweedspring_relay._gate_result import GateResult
 from knapweedspring_relay._headers import CallHeaders
 from knapweedspring_relay._histograms import LatencyHistograms
-from knapweedspring_relay._hop import GateReport, HopCall, HopOutcome
+from knapweedspring_relay._hop import HopCall, HopOutcome
 from knapweedspring_relay._hop_client import HopPool, RemoteGate
 from knapweedspring_relay._http_server import Exchange, RequestHandler
 from knapweedspring_relay._knowledge import GateEntry
 from knapweedspring_relay._logs import DecisionLog
 from knapweedspring_relay._messages import to_forwarded_request
-from knapweedspring_relay._numbers import parse_decimal
 from knapweedspring_relay._relaying import relay_answer
 from knapweedspring_relay._request_fingerprint import RequestFingerprinter
-from knapweedspring_relay._request_state import RequestState
+from knapweedspring_relay._request_state import RequestState, stated_deadline_s
 from knapweedspring_relay._requests import ForwardedRequest, Header, Request
 from knapweedspring_relay._retry_budget import RetryBudget
 
@@ -44,8 +48,6 @@
 #: the request may get it again: some upstreams shed at random, and a chain completes
 #: only if each of its calls completes.
 MAX_SENDS = 4
-#: Time until the deadline of a request that states none, in seconds.
-DEFAULT_DEADLINE_S = 30.0
 #: Time past the deadline for which the rest of an answer is still relayed, in seconds.
 LATE_ANSWER_GRACE_S = 0.1
 #: Least time left until the deadline for a retry, as share of the route's goal.
@@ -176,7 +178,7 @@
     def _new_request_state(
         self, request: Request, route: Route, version: int
     ) -> RequestState:
-        stated_s = _stated_deadline_s(request.header(self._headers.deadline_ms))
+        stated_s = stated_deadline_s(request.header(self._headers.deadline_ms))
         left_s = min(stated_s, route.timeout_s)
         header = request.header(self._headers.request_id) or b""
         request_id = header.decode("latin-1")
@@ -270,7 +272,7 @@
         try:
             gate_result = await self._link_to(entry).run(call, request)
             report = gate_result.report
-            result = _attempt_result_of(gate_result)
+            result = attempt_result_of(gate_result)
             self._on_peer_version(report.version)
             if report.crashes is not None:
                 self._crashes.merge(report.crashes, now_s())
@@ -287,11 +289,11 @@
             return None
         except CallError as error:
             result = AttemptResult.UNREACHABLE
-            return self._result_without_report(
+            return result_without_report(
                 HopOutcome.LOST, f"connection to the gate: {error}"
             )
         except TimeoutError:
-            return self._result_without_report(HopOutcome.LATE, "deadline")
+            return result_without_report(HopOutcome.LATE, "deadline")
         finally:
             self._balancer.record_attempt_end(entry, result, report, now_s())
 
@@ -483,37 +485,10 @@
             return self._gate
         return RemoteGate(entry, self._pool)
 
-    def _result_without_report(self, outcome: HopOutcome, reason: str) -> GateResult:
-        """Return the result of an offer for which the gate sent no report."""
-        report = GateReport(outcome, reason, 0, 0, 0, 0.0, 0.0, 0, "")
-        return GateResult(report, None)
-
     def _request_id_header(self, state: RequestState) -> list[Header]:
         return [(self._headers.request_id, state.request_id.encode("latin-1"))]
 
 
-def _attempt_result_of(gate_result: GateResult) -> AttemptResult:
-    """Return what the outcome of an attempt shows about the gate."""
-    if gate_result.report.outcome is HopOutcome.REFUSED:
-        return AttemptResult.REFUSED
-    if gate_result.report.outcome is HopOutcome.CLOSED:
-        return AttemptResult.CLOSED
-    if gate_result.report.outcome is not HopOutcome.ANSWERED:
-        return AttemptResult.FAILED
-    is_failure = gate_result.answer is not None and gate_result.answer.status >= 500
-    return AttemptResult.FAILED if is_failure else AttemptResult.GOOD
-
-
 def _abandon_answer(answer: Answer | None) -> None:
     if answer is not None:
         answer.abandon()
-
-
-def _stated_deadline_s(value: bytes | None) -> float:
-    """Return the caller's time limit, in seconds.
-
-    It is ``DEFAULT_DEADLINE_S`` when the header is missing or not a number of
-    milliseconds.
-    """
-    stated_ms = parse_decimal(value.strip()) if value is not None else None
-    return DEFAULT_DEADLINE_S if stated_ms is None else stated_ms / 1_000
--- a/packages/relay/src/knapweedspring_relay/_gate.py
+++ b/packages/relay/src/knapweedspring_relay/_gate.py
@@ -1,12 +1,10 @@
 """Gate: admits all calls to the upstream beside this node and sends them to it."""
 
 import asyncio
-from abc import ABC, abstractmethod
 from collections.abc import Callable
 from dataclasses import dataclass
 
 import msgspec
-from mypy_extensions import mypyc_attr
 
 from knapweedspring_core import Counters
 from knapweedspring_relay._admission import AdmissionQueue, AdmissionState, QueuedCall
@@ -16,11 +14,11 @@
 from knapweedspring_relay._crash_detector import CrashDetector
 from knapweedspring_relay._crash_records import CrashRecords
 from knapweedspring_relay._errors import (
-    BadAnswer,
     CallError,
     ConnectFailed,
     ConnectionBroke,
 )
+from knapweedspring_relay._gate_link import LocalGate
 from knapweedspring_relay._gate_result import GateResult
 from knapweedspring_relay._headers import CallHeaders
 from knapweedspring_relay._histograms import LatencyHistograms
@@ -28,18 +26,13 @@
 from knapweedspring_relay._http_client import ConnectionPool
 from knapweedspring_relay._local_upstream import LocalUpstream, UpstreamTracker
 from knapweedspring_relay._logs import DecisionLog
-from knapweedspring_relay._messages import encode_forwarded_request
 from knapweedspring_relay._requests import ForwardedRequest
+from knapweedspring_relay._suspect_runs import SuspectRuns
+from knapweedspring_relay._upstream_caller import UpstreamCaller
 from knapweedspring_relay._upstream_notices import UpstreamNotices
 
-__all__ = ["Gate", "GateLink", "GatePolicy", "LocalGate"]
+__all__ = ["Gate", "GatePolicy"]
 
-#: Longest idle time of a connection for a request that must not run twice, in seconds:
-#: the upstream may be closing a connection that has been idle for longer.
-NON_REPEATABLE_MAX_IDLE_S = 1.0
-#: Time past a call's deadline for which the gate still waits for the upstream's answer,
-#: in seconds.
-LATE_ANSWER_GRACE_S = 0.08
 #: A call is admitted only if more than this time is left until its deadline, in
 #: seconds.
 MIN_LEFT_S = 0.005
@@ -68,38 +61,6 @@
     drain_share: float = 0.4
 
 
-@mypyc_attr(allow_interpreted_subclasses=True)
-class GateLink(ABC):
-    """Access to a gate in this process or on another VM."""
-
-    @abstractmethod
-    async def run(self, call: HopCall, request: ForwardedRequest) -> GateResult:
-        """Offer a call to the gate and wait for its outcome.
-
-        :param call: description of the call.
-        :param request: the HTTP request to send to the upstream.
-        :return: the gate's report and the upstream's answer, if any.
-        :raises ConnectFailed: when the gate could not be reached.
-        :raises CallError: when the connection to the gate failed after sending.
-        """
-
-
-@mypyc_attr(allow_interpreted_subclasses=True)
-class LocalGate(GateLink):
-    """Interface of the gate of this process, which also reports its load."""
-
-    @abstractmethod
-    def make_report(
-        self, outcome: HopOutcome, reason: str = "", waited_s: float = 0.0
-    ) -> GateReport:
-        """Return a report with the outcome of a call and the load of the gate.
-
-        :param outcome: outcome of the call.
-        :param reason: reason of the outcome, for logs.
-        :param waited_s: time that the call waited at the gate, in seconds.
-        """
-
-
 class Gate(LocalGate):
     """Admits calls and sends them to the upstream.
 
@@ -137,8 +98,6 @@
         policy: GatePolicy | None = None,
     ) -> None:
         self._tracker = tracker
-        self._address = address
-        self._pool = pool
         self._headers = headers
         self._drain_s = drain_s
         self._version = version
@@ -151,8 +110,9 @@
             tracker, headers, self._apply_rate_limit, on_leaving, log, counters
         )
         self._crashes = crashes
-        self._runs_suspect = False
+        self._suspects = SuspectRuns(crashes)
         self._crash_detector = CrashDetector(pool, address, on_crash, log, counters)
+        self._caller = UpstreamCaller(address, pool, headers, self._notices)
         self._pacing_timer: asyncio.TimerHandle | None = None
         self._stopping = False
         self._entry_failure_ratio = 0.0
@@ -238,7 +198,7 @@
             return self._report_failure(call, HopOutcome.CLOSED, closed_reason, 0.0)
         if call.left_s <= MIN_LEFT_S:
             return self._report_refusal(call, "too little time is left", 0.0)
-        crash_reason = self._crash_reason(call, now)
+        crash_reason = self._suspects.refusal_reason(call, now)
         if crash_reason:
             return self._report_refusal(call, crash_reason, 0.0)
         waiter = self._new_waiter(call, now)
@@ -251,7 +211,7 @@
             return self._report_refusal(call, waiter.queued.reason, waited_s)
         upstream = self._tracker.current
         assert upstream is not None
-        crash_reason = self._crash_reason(call, now_s())
+        crash_reason = self._suspects.refusal_reason(call, now_s())
         if crash_reason:
             # Crashes became known while the call waited.
             self._free_slot(waiter.queued)
@@ -339,21 +299,6 @@
             return "the upstream is draining"
         return ""
 
-    def _crash_reason(self, call: HopCall, now: float) -> str:
-        """Return why a call may not run after crashes; empty when it may run.
-
-        A request that was in flight in nearly as many crashes as show the cause runs
-        only while no other such request does. So a crash shows which of them caused it.
-        """
-        if call.crashes is not None:
-            self._crashes.merge(call.crashes, now)
-        if self._crashes.is_refused(call.fingerprint, now):
-            return "the request ran on several upstreams that ended"
-        is_suspect = self._crashes.is_likely_cause(call.fingerprint)
-        if is_suspect and self._runs_suspect:
-            return "another request that may end the upstream is running"
-        return ""
-
     def _new_waiter(self, call: HopCall, now: float) -> "_AdmissionWaiter":
         max_wait_s = self._policy.max_wait_share * call.left_s
         root_priority = min(call.root_priority, N_ROOT_PRIORITIES - 1)
@@ -388,14 +333,12 @@
     ) -> GateResult:
         """Send an admitted call and free its slot, whatever the outcome."""
         answer: Answer | None = None
-        is_suspect = self._crashes.is_likely_cause(call.fingerprint)
-        if is_suspect:
-            self._runs_suspect = True
+        is_suspect = self._suspects.begin(call)
         self._root_priorities[call.request_id] = call.root_priority
         waited_s = queued.started_at - queued.entered_at
         try:
             left_s = queued.admission_request.deadline_at - now_s()
-            answer = await self._call_upstream(call, request, upstream, left_s)
+            answer = await self._caller.call(call, request, upstream, left_s)
             return self._report_answer(call, answer, waited_s, queued.started_at)
         except ConnectFailed as error:
             reason = f"the upstream is unreachable: {error}"
@@ -407,8 +350,7 @@
                 self._crash_detector.record_broken(upstream, call.fingerprint)
             return self._report_failure(call, HopOutcome.LOST, str(error), waited_s)
         finally:
-            if is_suspect:
-                self._runs_suspect = False
+            self._suspects.end(is_suspect)
             self._root_priorities.pop(call.request_id, None)
             if answer is None:
                 self._free_slot(queued)
@@ -438,42 +380,6 @@
         self._queue.finish_call(queued, now, was_served)
         self._schedule_next_start(now)
 
-    async def _call_upstream(
-        self,
-        call: HopCall,
-        request: ForwardedRequest,
-        upstream: LocalUpstream,
-        left_s: float,
-    ) -> Answer:
-        names = self._headers
-        added_lines = b"%b: %d\r\n%b: %b\r\n%b: %b\r\n" % (
-            names.deadline_ms,
-            max(1, int(left_s * 1_000)),
-            names.expected_instance,
-            upstream.instance.encode(),
-            names.caller_service,
-            call.caller.encode(),
-        )
-        repeatable = call.kind.is_repeatable
-        sent_at = now_s()
-        answer = await self._pool.call(
-            self._address,
-            encode_forwarded_request(request, added_lines),
-            call.request_id.encode(),
-            is_head_request=request.method == b"HEAD",
-            max_idle_s=float("inf") if repeatable else NON_REPEATABLE_MAX_IDLE_S,
-            timeout_s=max(0.0, left_s) + LATE_ANSWER_GRACE_S,
-        )
-        self._notices.observe_answer(answer, upstream, sent_at, now_s())
-        if answer.header(b"content-encoding") is not None:
-            answer.abandon()
-            raise BadAnswer("the body is encoded, which nobody asked for")
-        is_success = 200 <= answer.status < 300
-        if is_success and answer.header(names.signature) is None:
-            answer.abandon()
-            raise BadAnswer("the answer is not signed")
-        return answer
-
     def _report_answer(
         self, call: HopCall, answer: Answer, waited_s: float, started_at: float
     ) -> GateResult:
--- a/packages/relay/src/knapweedspring_relay/_hop_client.py
+++ b/packages/relay/src/knapweedspring_relay/_hop_client.py
@@ -7,7 +7,7 @@
 from knapweedspring_relay._answer import Answer
 from knapweedspring_relay._clock import now_s
 from knapweedspring_relay._errors import ConnectFailed, ConnectionBroke
-from knapweedspring_relay._gate import GateLink
+from knapweedspring_relay._gate_link import GateLink
 from knapweedspring_relay._gate_result import GateResult
 from knapweedspring_relay._hop import HopCall
 from knapweedspring_relay._hop_frames import (
--- a/packages/relay/src/knapweedspring_relay/_hop_listener.py
+++ b/packages/relay/src/knapweedspring_relay/_hop_listener.py
@@ -7,7 +7,7 @@
 
 from knapweedspring_relay._answer import Answer
 from knapweedspring_relay._errors import CallError
-from knapweedspring_relay._gate import LocalGate
+from knapweedspring_relay._gate_link import LocalGate
 from knapweedspring_relay._gate_result import GateResult
 from knapweedspring_relay._hop import HopCall, HopOutcome
 from knapweedspring_relay._hop_frames import (
--- a/packages/relay/src/knapweedspring_relay/_local_upstream.py
+++ b/packages/relay/src/knapweedspring_relay/_local_upstream.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, replace
 from enum import StrEnum
 
-from knapweedspring_relay._knowledge import UpstreamState
+from knapweedspring_relay._knowledge import GateEntry, UpstreamState
 
 __all__ = [
     "ASSUMED_SEQUENCE",
@@ -11,6 +11,7 @@
     "HeartbeatVerdict",
     "LocalUpstream",
     "UpstreamTracker",
+    "published_upstream",
 ]
 
 #: Maximum number of departed processes that are remembered, so that their late
@@ -215,6 +216,25 @@
         return HeartbeatVerdict.CHANGED if changed else HeartbeatVerdict.UNCHANGED
 
 
+def published_upstream(entry: GateEntry, now: float) -> LocalUpstream:
+    """Return the state that a node published, until a heartbeat confirms it.
+
+    :param entry: the entry that the node published.
+    :param now: monotonic time, in seconds.
+    """
+    is_ready = entry.state is UpstreamState.READY
+    return LocalUpstream(
+        instance=entry.instance,
+        service=entry.service,
+        slots=entry.slots,
+        state=entry.state,
+        born_ms=entry.born_ms,
+        sequence=ASSUMED_SEQUENCE,
+        cold_ends_at=0.0,
+        draining_at=None if is_ready else now,
+    )
+
+
 def _is_same_process(current: LocalUpstream, other: Heartbeat | LocalUpstream) -> bool:
     return current.instance == other.instance and current.born_ms == other.born_ms
 
--- a/packages/relay/src/knapweedspring_relay/_relay.py
+++ b/packages/relay/src/knapweedspring_relay/_relay.py
@@ -4,7 +4,6 @@
 import gc
 import random
 import signal
-import traceback
 import zlib
 from pathlib import Path
 
@@ -15,12 +14,12 @@
 from knapweedspring_relay._balancer import Balancer
 from knapweedspring_relay._clock import now_s, suspension_meter
 from knapweedspring_relay._crash_exchange import CrashExchange
-from knapweedspring_relay._crash_records import CrashRecord, CrashRecords
+from knapweedspring_relay._crash_records import CrashRecords
 from knapweedspring_relay._destination_splitter import DestinationSplitter
 from knapweedspring_relay._entry import Entry, NodeIdentity
+from knapweedspring_relay._event_reporter import EventReporter
 from knapweedspring_relay._gate import Gate
 from knapweedspring_relay._histograms import LatencyHistograms
-from knapweedspring_relay._hop import HopCall
 from knapweedspring_relay._hop_client import HopPool, HopSettings
 from knapweedspring_relay._hop_listener import HopListener
 from knapweedspring_relay._http_client import ConnectionPool, ConnectionSettings
@@ -30,18 +29,16 @@
     GateEntry,
     Knowledge,
     PeerPageHandler,
-    UpstreamState,
 )
 from knapweedspring_relay._local_upstream import (
-    ASSUMED_SEQUENCE,
     Heartbeat,
     HeartbeatVerdict,
     LocalUpstream,
     UpstreamTracker,
+    published_upstream,
 )
 from knapweedspring_relay._logs import DecisionLog, LineBuffer
 from knapweedspring_relay._readiness import MetricsHandler, ReadinessHandler
-from knapweedspring_relay._requests import Request
 from knapweedspring_relay._retry_budget import RetryBudget
 from knapweedspring_relay._settings import RelaySettings
 from knapweedspring_relay._task_supervisor import TaskSupervisor
@@ -107,17 +104,18 @@
         self._log_lines = log_lines
         self._rng = random.Random()
         self._log = DecisionLog(settings.node, counters)
+        self._reporter = EventReporter(adapter.headers.request_id, self._log, counters)
         self._latencies = LatencyHistograms()
         self._tracker = UpstreamTracker(settings.upstream_address)
         self._supervisor = TaskSupervisor(self._log, counters)
-        self._timers = LoopTimers(self._report_timer_error)
+        self._timers = LoopTimers(self._reporter.report_timer_error)
         self._stopping = asyncio.Event()
         self._stop_at: float | None = None
         self._settings_mtime = 0.0
         self._peer_pool = ConnectionPool(
             ConnectionSettings(PEER_CONNECT_TIMEOUT_S, PEER_IDLE_S, UNACKNOWLEDGED_S)
         )
-        self._crashes = CrashRecords(self._log_refused)
+        self._crashes = CrashRecords(self._reporter.report_refused_request)
         self._knowledge = Knowledge(
             settings=settings,
             crashes=self._crashes,
@@ -207,7 +205,7 @@
             self._knowledge.followers,
             self._declared_state.observe_version,
             self._crash_exchange.receive,
-            self._report_hop_error,
+            self._reporter.report_hop_error,
         )
         self._other_listeners = (
             HttpListener(settings.knowledge_address, PeerPageHandler(pages)),
@@ -254,7 +252,7 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._settings_mtime = self._read_mtime()
         for http_listener in self._http_listeners:
-            http_listener.on_error(self._report_handler_error)
+            http_listener.on_error(self._reporter.report_handler_error)
         for listener in self._listeners:
             await listener.start()
         self._start_timers()
@@ -339,15 +337,6 @@
             UpstreamProcess(node, process.instance, process.born_ms), fingerprints
         )
 
-    def _log_refused(self, record: CrashRecord) -> None:
-        self._counters.add("requests_refused_for_crashes")
-        self._log.write_state(
-            "request:refused",
-            fingerprint=record.fingerprint.hex(),
-            instances=[process.instance for process in record.processes],
-            age_s=round(record.age_s, 1),
-        )
-
     def reject_heartbeat(self, reason: str) -> None:
         """Log a heartbeat that cannot be decoded."""
         self._log.write_state("upstream:rejected", reason=reason)
@@ -395,19 +384,7 @@
         is_own = previous.gate_address == self._settings.gate_address
         if not is_own or previous.service != self._settings.service:
             return
-        is_ready = previous.state is UpstreamState.READY
-        self._tracker.assume_published(
-            LocalUpstream(
-                instance=previous.instance,
-                service=previous.service,
-                slots=previous.slots,
-                state=previous.state,
-                born_ms=previous.born_ms,
-                sequence=ASSUMED_SEQUENCE,
-                cold_ends_at=0.0,
-                draining_at=None if is_ready else now_s(),
-            )
-        )
+        self._tracker.assume_published(published_upstream(previous, now_s()))
         self._gate.apply_upstream_state(now_s())
         loop = asyncio.get_running_loop()
         loop.call_later(ASSUMED_TIMEOUT_S, self._drop_unconfirmed)
@@ -511,31 +488,6 @@
         n_active = self._entry_listener.n_active + self._gate_listener.n_active
         return n_active == 0 and self._gate.n_running == 0
 
-    def _report_handler_error(self, request: Request, error: Exception) -> None:
-        self._counters.add("handler_failures", type(error).__name__)
-        request_id = request.header(self._adapter.headers.request_id) or b""
-        self._log.write_state(
-            "handler:failed",
-            request_id=request_id.decode("latin-1"),
-            target=request.target.decode("latin-1"),
-            error=repr(error),
-            traceback="".join(traceback.format_exception(error, limit=-6)),
-        )
-
-    def _report_hop_error(self, call: HopCall, error: Exception) -> None:
-        self._counters.add("handler_failures", type(error).__name__)
-        self._log.write_state(
-            "handler:failed",
-            request_id=call.request_id,
-            route=call.route,
-            error=repr(error),
-            traceback="".join(traceback.format_exception(error, limit=-6)),
-        )
-
-    def _report_timer_error(self, error: BaseException) -> None:
-        self._counters.add("timer_failures")
-        self._log.write_state("timer:failed", error=repr(error))
-
 
 def _node_identity(settings: RelaySettings) -> NodeIdentity:
     return NodeIdentity(settings.service, settings.node)
--- a/packages/relay/src/knapweedspring_relay/_request_state.py
+++ b/packages/relay/src/knapweedspring_relay/_request_state.py
@@ -3,8 +3,12 @@
 from dataclasses import dataclass
 
 from knapweedspring_relay._configuration import Route
+from knapweedspring_relay._numbers import parse_decimal
 
-__all__ = ["RequestState"]
+__all__ = ["RequestState", "stated_deadline_s"]
+
+#: Time until the deadline of a request that states none, in seconds.
+DEFAULT_DEADLINE_S = 30.0
 
 
 @dataclass(slots=True)
@@ -49,3 +53,13 @@
         if self.chain_priority is None:
             return self.route.priority
         return self.chain_priority
+
+
+def stated_deadline_s(value: bytes | None) -> float:
+    """Return the caller's time limit, in seconds.
+
+    It is ``DEFAULT_DEADLINE_S`` when the header is missing or not a number of
+    milliseconds.
+    """
+    stated_ms = parse_decimal(value.strip()) if value is not None else None
+    return DEFAULT_DEADLINE_S if stated_ms is None else stated_ms / 1_000
--- a/packages/relay/tests/test_hop.py
+++ b/packages/relay/tests/test_hop.py
@@ -16,7 +16,7 @@
 from knapweedspring_relay import _hop_listener as hop_listener
 from knapweedspring_relay._answer import Answer
 from knapweedspring_relay._errors import ConnectFailed, ConnectionBroke
-from knapweedspring_relay._gate import LocalGate
+from knapweedspring_relay._gate_link import LocalGate
 from knapweedspring_relay._gate_result import GateResult
 from knapweedspring_relay._hop import GateReport, HopCall, HopOutcome
 from knapweedspring_relay._hop_client import HopPool, HopSettings
