Refuse call frames whose limit is not finite

Found by reading the change for LIMIT: a node that sends an infinite limit with a call made the computation of the reported concurrency fail at the gate that was restarted, and the call stayed without an outcome. The listener checks the number like the time left and ends the connection. The new test fails before (no end within 2 s) and passes after; the time left, which was checked already, is tested with it.

--- a/packages/relay/src/knapweedspring_relay/_hop_listener.py
+++ b/packages/relay/src/knapweedspring_relay/_hop_listener.py
@@ -226,8 +226,9 @@
 
     def _handle_frame(self, frame: Frame) -> None:
         if isinstance(frame, CallFrame):
-            if not math.isfinite(frame.call.left_s):
-                raise FrameError("the time left is not finite")
+            numbers = (frame.call.left_s, frame.call.rate_limit or 0.0)
+            if not all(math.isfinite(number) for number in numbers):
+                raise FrameError("a number of the call is not finite")
             task = self._loop.create_task(self._serve_call(frame))
             self._tasks[frame.stream] = task
         elif isinstance(frame, CancelFrame):
--- a/packages/relay/tests/test_hop.py
+++ b/packages/relay/tests/test_hop.py
@@ -9,6 +9,7 @@
 import contextlib
 import time
 
+import msgspec
 import pytest
 
 from knapweedspring_relay import CallKind
@@ -23,6 +24,7 @@
 from knapweedspring_relay._hop_frames import (
     AnswerFrame,
     BodyFrame,
+    CallFrame,
     CancelFrame,
     FrameError,
     FrameReader,
@@ -380,3 +382,26 @@
         found += reader.feed(data[begin : begin + 65_536])
     assert [type(frame) for frame in found] == [BodyFrame, PingFrame]
     assert time.process_time() - began < 1.0
+
+
+@pytest.mark.parametrize(
+    "number", [{"left_s": float("nan")}, {"rate_limit": float("inf")}]
+)
+def test_call_with_a_number_that_is_not_finite_ends_only_its_connection(number):
+    async def scenario():
+        async def answer(call, request):
+            return complete_answer(b"ok")
+
+        async with hop(answer) as (pool, address, _, _, errors):
+            broken = msgspec.structs.replace(make_call(), **number)
+            frame = encode_frame(CallFrame(1, broken, make_request()))
+            host, port = address.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(frame)
+            assert await asyncio.wait_for(reader.read(-1), 2.0) == b""
+            writer.close()
+            result = await pool.call(address, make_call(), make_request())
+            assert result.answer.status == 200
+            assert errors == []
+
+    run(scenario)
