Report a broken call after the check whether the upstream ended

So the entry retried the attempt that caused the third crash at a fourth upstream. The report on a call that may be repeated now waits for the check; the final answer to any other call goes out at once as before.

--- a/packages/relay/src/knapweedspring_relay/_crash_detector.py
+++ b/packages/relay/src/knapweedspring_relay/_crash_detector.py
@@ -49,17 +49,21 @@
         self._broken: dict[bytes, None] = {}
         self._check: asyncio.Task[None] | None = None
 
-    def record_broken(self, upstream: LocalUpstream, fingerprint: bytes) -> None:
+    def record_broken(
+        self, upstream: LocalUpstream, fingerprint: bytes
+    ) -> "asyncio.Task[None]":
         """Record that the connection of a running request broke.
 
         :param upstream: the process that was running the request.
         :param fingerprint: fingerprint of the request.
+        :return: the check of the upstream, which reports a crash before it ends.
         """
         if len(self._broken) < MAX_BROKEN:
             self._broken[fingerprint] = None
         if self._check is None:
             loop = asyncio.get_running_loop()
             self._check = loop.create_task(self._check_upstream(upstream))
+        return self._check
 
     async def _check_upstream(self, upstream: LocalUpstream) -> None:
         try:
--- a/packages/relay/src/knapweedspring_relay/_gate.py
+++ b/packages/relay/src/knapweedspring_relay/_gate.py
@@ -347,7 +347,10 @@
             return self._report_failure(call, HopOutcome.LATE, "deadline", waited_s)
         except CallError as error:
             if isinstance(error, ConnectionBroke):
-                self._crash_detector.record_broken(upstream, call.fingerprint)
+                check = self._crash_detector.record_broken(upstream, call.fingerprint)
+                if call.kind.is_repeatable:
+                    # The report then tells the entry whether to try another upstream.
+                    await asyncio.wait((check,))
             return self._report_failure(call, HopOutcome.LOST, str(error), waited_s)
         finally:
             self._suspects.end(is_suspect)
--- a/packages/relay/tests/test_crash_detector.py
+++ b/packages/relay/tests/test_crash_detector.py
@@ -32,8 +32,7 @@
 
     async def break_calls(self, *fingerprints):
         for fingerprint in fingerprints:
-            self.detector.record_broken(PROCESS, fingerprint)
-        check = self.detector._check
+            check = self.detector.record_broken(PROCESS, fingerprint)
         await check
 
 
--- a/packages/relay/tests/test_crashing_requests.py
+++ b/packages/relay/tests/test_crashing_requests.py
@@ -185,3 +185,38 @@
                 assert (await deployment.call("/read/popular", index=index))[0] == 200
 
     run(scenario)
+
+
+def test_request_is_refused_again_soon_after_a_restart_of_all_nodes_at_once():
+    """All nodes lose their memory; they count as in touch some time after it."""
+
+    async def scenario():
+        fleet = CrashingFleet(6)
+        async with fleet.deployment as deployment:
+            await fleet.send_crashing(0.05, 2.5, range(6))
+            await asyncio.gather(*(deployment.restart_relay(i) for i in range(6)))
+            await asyncio.sleep(CONTACT_S)
+            n_before = len(fleet.sent_at)
+            await fleet.send_crashing(1.0, 6.0, range(6))
+            assert len(fleet.sent_at) - n_before <= N_ALLOWED
+
+    run(scenario)
+
+
+def test_attempt_that_crashes_the_third_upstream_is_not_retried():
+    async def scenario():
+        fleet = CrashingFleet(6)
+        async with fleet.deployment as deployment:
+            # The first attempt is retried, as long as the cause is not known.
+            assert await fleet.call_crashing(0) == 502
+            assert len(fleet.sent_at) == 2
+            await asyncio.sleep(2.0 * DOWN_S)
+            assert await fleet.call_crashing(1) == 502
+            assert len(fleet.sent_at) == N_CRASHES
+            for index in range(6):
+                assert await fleet.call_crashing(index) == 503
+            assert len(fleet.sent_at) == N_CRASHES
+            # Single answers that break off are retried as before.
+            assert (await deployment.call(index=2))[0] == 200
+
+    run(scenario)
