Refuse a waiting call whose upstream is given up

After a restart, a gate gives its upstream up when no heartbeat confirms it within 2 s. A call that waited in the queue then, more often now that calls wait for the limit, failed with an assertion when it was admitted: the caller got 502 for a request that had not run, and the slot stayed taken. The gate frees the slot and reports closed. The new test: 502 before, 503 and no slot in use after.

--- a/packages/relay/src/knapweedspring_relay/_gate.py
+++ b/packages/relay/src/knapweedspring_relay/_gate.py
@@ -210,7 +210,13 @@
         if waiter.queued.state is not AdmissionState.RUNNING:
             return self._report_refusal(call, waiter.queued.reason, waited_s)
         upstream = self._tracker.current
-        assert upstream is not None
+        if upstream is None:
+            # It was given up while the call waited.
+            self._free_slot(waiter.queued)
+            closed_reason = "no upstream is known"
+            return self._report_failure(
+                call, HopOutcome.CLOSED, closed_reason, waited_s
+            )
         crash_reason = self._suspects.refusal_reason(call, now_s())
         if crash_reason:
             # Crashes became known while the call waited.
--- a/packages/relay/tests/test_rate_limits.py
+++ b/packages/relay/tests/test_rate_limits.py
@@ -8,6 +8,7 @@
 import asyncio
 import itertools
 import time
+from dataclasses import replace
 
 import pytest
 from _deployment import Deployment, answer_of, answer_ok
@@ -15,6 +16,7 @@
 from knapweedspring_relay import CallKind
 from knapweedspring_relay._hop import HopCall
 from knapweedspring_relay._hop_client import HopPool, HopSettings
+from knapweedspring_relay._local_upstream import ASSUMED_SEQUENCE
 from knapweedspring_relay._requests import ForwardedRequest
 
 #: Time after an answer that names a limit from which requests count, in seconds.
@@ -204,3 +206,25 @@
             assert latencies[int(0.99 * len(latencies))] < 1.0
 
     run(scenario)
+
+
+def test_call_that_waits_when_its_upstream_is_given_up_is_refused_as_not_run():
+    """After a restart, an upstream that sends no heartbeat is given up."""
+
+    async def scenario():
+        limited = LimitedUpstream(1.0)
+        async with one_limited(limited, 1) as deployment:
+            relay = deployment.relays[0]
+            for _ in range(2):
+                assert (await deployment.call())[0] == 200
+            waiting = asyncio.ensure_future(deployment.call(x_deadline_ms="1900"))
+            await asyncio.sleep(0.05)
+            assert relay._gate.queue.n_waiting == 1
+            assumed = replace(relay._tracker.current, sequence=ASSUMED_SEQUENCE)
+            relay._tracker._current = assumed
+            relay._drop_unconfirmed()
+            assert (await waiting)[0] == 503
+            assert len(limited.arrivals) == 2
+            assert relay._gate.n_running == 0
+
+    run(scenario)
