--- a/packages/relay/tests/test_crash_exchange.py
+++ b/packages/relay/tests/test_crash_exchange.py
@@ -12,6 +12,7 @@
 
 from knapweedspring_core import Counters
 from knapweedspring_relay import GateEntry, UpstreamState
+from knapweedspring_relay._clock import now_s
 from knapweedspring_relay._crash_exchange import CrashExchange
 from knapweedspring_relay._crash_records import CrashRecord, CrashRecords
 from knapweedspring_relay._hop_client import HopPool, HopSettings
@@ -129,8 +130,8 @@
             request = entry._entry._fingerprinter.fingerprint(CALL)
             # The gate knows two of the crashes, the entry the third.
             for process in PROCESSES[:2]:
-                gate._crashes.merge(CrashRecord(request, (process,), 0.0), 0.0)
-            entry._crashes.merge(CrashRecord(request, (PROCESSES[2],), 0.0), 0.0)
+                gate._crashes.merge(CrashRecord(request, (process,), 0.0), now_s())
+            entry._crashes.merge(CrashRecord(request, (PROCESSES[2],), 0.0), now_s())
             status, answer, _ = await deployment.call(index=1)
             assert status == 503
             assert float(answer.header(b"retry-after")) > 60.0
