--- a/packages/relay/tests/test_crash_exchange.py
+++ b/packages/relay/tests/test_crash_exchange.py
@@ -37,19 +37,26 @@
     """Listener of one node, with its records."""
 
     def __init__(self, index):
+        self.index = index
         self.records = CrashRecords(lambda _: None)
-        self.frames = []
-        self.address = free_address()
+
+    async def start(self, address="127.0.0.1:0"):
         self.listener = HopListener(
-            self.address, None, None, None, self.receive, lambda *_: None
+            address, None, _NoFollowers(), None, self.receive, lambda *_: None
         )
-        self.entry = GateEntry(
-            f"n{index}",
+        await self.listener.start()
+        port = self.listener._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+
+    @property
+    def entry(self):
+        return GateEntry(
+            f"n{self.index}",
             self.address,
             "",
             "dc",
             "svc",
-            f"i-{index}",
+            f"i-{self.index}",
             1,
             20,
             UpstreamState.READY,
@@ -69,12 +76,11 @@
 def test_all_nodes_know_within_the_bound(n_nodes):
     async def scenario():
         nodes = [Node(index) for index in range(n_nodes)]
-        for node in nodes:
-            node.listener._follow_handler = _NoFollowers()
-            await node.listener.start()
-        # One node is not reachable at first.
-        late = nodes[-1].listener
-        late.close()
+        for node in nodes[:-1]:
+            await node.start()
+        # One node is not reachable at first. Its port must not be taken meanwhile.
+        late = nodes[-1]
+        late.address = free_address()
         await asyncio.sleep(0.05)
         directory = Directory()
         entries = {node.entry.node: node.entry for node in nodes}
@@ -85,7 +91,7 @@
         for process in PROCESSES:
             exchange.report(process, (b"cause", b"other"))
         await asyncio.sleep(0.5)
-        await late.start()
+        await late.start(late.address)
         while not all(n.records.is_refused(b"cause", 0.0) for n in nodes):
             assert time.monotonic() < began_at + CONTACT_S
             await asyncio.sleep(0.01)
