--- a/packages/relay/src/knapweedspring_relay/__init__.py
+++ b/packages/relay/src/knapweedspring_relay/__init__.py
@@ -13,8 +13,10 @@
     CallLimits,
     Configuration,
     Destination,
+    Quota,
     Route,
     Service,
+    Workspace,
 )
 from knapweedspring_relay._errors import CallError
 from knapweedspring_relay._headers import CallHeaders
@@ -45,7 +47,9 @@
     RetrySettings,
     ShutdownSettings,
     StoreSettings,
+    WorkspaceSettings,
 )
+from knapweedspring_relay._workspace_keys import digest_key
 
 __all__ = [
     "Answer",
@@ -70,6 +74,7 @@
     "HeartbeatVerdict",
     "LineBuffer",
     "ORIGIN",
+    "Quota",
     "Relay",
     "RelaySettings",
     "RequestHandler",
@@ -84,6 +89,9 @@
     "StoreSettings",
     "StoreUnavailable",
     "UpstreamState",
+    "Workspace",
+    "WorkspaceSettings",
+    "digest_key",
     "encode_request",
     "parse_decimal",
 ]
--- a/packages/relay/src/knapweedspring_relay/_configuration.py
+++ b/packages/relay/src/knapweedspring_relay/_configuration.py
@@ -1,18 +1,24 @@
-"""Declared routes, services and limits, and the lookup of a request's route."""
+"""Declared routes, services, workspaces and limits, and how they are looked up."""
 
 from dataclasses import dataclass
 from enum import StrEnum
 
 __all__ = [
+    "DEFAULT_WORKSPACE_PRIORITY",
     "CallKind",
     "CallLimits",
     "Configuration",
     "Destination",
+    "Quota",
     "Route",
     "RouteTable",
     "Service",
+    "Workspace",
 ]
 
+#: Priority of requests that belong to no workspace; 0 is the highest.
+DEFAULT_WORKSPACE_PRIORITY = 1
+
 
 class CallKind(StrEnum):
     """Whether a request may run more than once."""
@@ -62,6 +68,8 @@
     max_attempts: int
     #: Priority of the requests; 0 is the highest.
     priority: int
+    #: Whether requests need no key of a workspace.
+    is_anonymous: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +84,31 @@
     max_connections: int
 
 
+@dataclass(frozen=True, slots=True)
+class Quota:
+    """Limit on the requests of a workspace, for all nodes together."""
+
+    #: Sustained rate, in requests per second.
+    per_s: float
+    #: Number of requests that may exceed the sustained rate at once.
+    burst: float
+
+
+@dataclass(frozen=True, slots=True)
+class Workspace:
+    """A group of callers that share keys, a priority and a quota."""
+
+    #: Name, which upstreams receive.
+    name: str
+    #: Digests of the keys; see ``digest_key``. The keys themselves are not kept.
+    key_digests: tuple[bytes, ...]
+    #: Priority of the requests, which has precedence over that of the route; 0 is the
+    #: highest.
+    priority: int = DEFAULT_WORKSPACE_PRIORITY
+    #: Limit on the requests; None when there is none.
+    quota: Quota | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class CallLimits:
     """Limits on the size and the time of callers' requests."""
@@ -103,10 +136,12 @@
     services: tuple[Service, ...]
     #: Limits for callers.
     limits: CallLimits
+    #: All workspaces; when there is none, requests need no key.
+    workspaces: tuple[Workspace, ...] = ()
 
 
 class RouteTable:
-    """Finds routes by host and path.
+    """Finds routes by host and path, and workspaces by name and key.
 
     :param configuration: the declarations to index.
     """
@@ -117,12 +152,40 @@
         self._by_host: dict[str, dict[str, Route]] = {}
         for route in configuration.routes:
             self._by_host.setdefault(route.host, {})[route.path_prefix] = route
+        self._workspaces = {w.name: w for w in configuration.workspaces}
+        self._has_quotas = any(w.quota for w in configuration.workspaces)
+        self._workspace_by_digest = {
+            digest: workspace
+            for workspace in configuration.workspaces
+            for digest in workspace.key_digests
+        }
 
     @property
     def configuration(self) -> Configuration:
         """The declarations that the table was made from."""
         return self._configuration
 
+    @property
+    def has_workspaces(self) -> bool:
+        """Whether requests need the key of a workspace."""
+        return bool(self._workspaces)
+
+    @property
+    def has_quotas(self) -> bool:
+        """Whether the requests of a workspace are limited."""
+        return self._has_quotas
+
+    def workspace(self, name: str) -> Workspace | None:
+        """Return a declared workspace; None when there is none of that name."""
+        return self._workspaces.get(name)
+
+    def workspace_of_key(self, digest: bytes) -> Workspace | None:
+        """Return the workspace that holds a key; None when no workspace holds it.
+
+        :param digest: digest of the key.
+        """
+        return self._workspace_by_digest.get(digest)
+
     def service(self, name: str) -> Service | None:
         """Return a declared service; None when there is none of that name."""
         return self._services.get(name)
--- a/packages/relay/src/knapweedspring_relay/_entry.py
+++ b/packages/relay/src/knapweedspring_relay/_entry.py
@@ -12,6 +12,7 @@
     result_without_report,
 )
 from knapweedspring_relay._balancer import AttemptResult, Balancer
+from knapweedspring_relay._call_recorder import CallRecorder
 from knapweedspring_relay._chain_health import LOW_PRIORITY, ChainHealth
 from knapweedspring_relay._clock import now_s
 from knapweedspring_relay._configuration import (
@@ -26,18 +27,20 @@
 from knapweedspring_relay._gate_link import GateLink
 from knapweedspring_relay._gate_result import GateResult
 from knapweedspring_relay._headers import CallHeaders
-from knapweedspring_relay._histograms import LatencyHistograms
-from knapweedspring_relay._hop import HopCall, HopOutcome
+from knapweedspring_relay._hop import ChainOrigin, HopCall, HopOutcome
 from knapweedspring_relay._hop_client import HopPool, RemoteGate
 from knapweedspring_relay._http_server import Exchange, RequestHandler
 from knapweedspring_relay._knowledge import GateEntry
-from knapweedspring_relay._logs import DecisionLog
 from knapweedspring_relay._messages import to_forwarded_request
+from knapweedspring_relay._quotas import Quotas
+from knapweedspring_relay._refusals import Refusals
 from knapweedspring_relay._relaying import relay_answer
 from knapweedspring_relay._request_fingerprint import RequestFingerprinter
 from knapweedspring_relay._request_state import RequestState, stated_deadline_s
-from knapweedspring_relay._requests import ForwardedRequest, Header, Request
+from knapweedspring_relay._requests import ForwardedRequest, Request
 from knapweedspring_relay._retry_budget import RetryBudget
+from knapweedspring_relay._workspace_access import WorkspaceAccess
+from knapweedspring_relay._workspace_keys import Caller
 
 __all__ = ["Entry", "NodeIdentity"]
 
@@ -57,19 +60,11 @@
 #: calls through that entry include those that the upstream makes. Such failures are
 #: not retried: another run would only add load to the failing service.
 DEEPER_FAILURE_RATIO = 0.05
-#: Bounds of Retry-After as shares of the route's goal. Callers' retries are spread out
-#: and come early enough for their answers to be useful.
-RETRY_AFTER_MIN_SHARE = 0.15
-RETRY_AFTER_MAX_SHARE = 0.4
-#: Bounds of Retry-After as shares of the time left, for requests that are refused early
-#: while whole chains fail.
-EARLY_REFUSAL_RETRY_AFTER_MIN_SHARE = 0.2
-EARLY_REFUSAL_RETRY_AFTER_MAX_SHARE = 0.33
-#: Retry-After of a request that is refused because upstreams ended under it, in
-#: seconds. The refusal lasts longer than any caller waits.
-CRASH_RETRY_AFTER_S = 300.0
-#: Retry-After of a node that has no configuration yet, in seconds.
-UNCONFIGURED_RETRY_AFTER_S = 0.5
+#: Longest time that a request waits for a unit of its workspace's quota to come due,
+#: and longest time until the decision while no coordinator answers, as shares of the
+#: route's goal. A short wait serves the caller sooner than a refusal and a return.
+MAX_UNIT_DELAY_SHARE = 0.3
+MAX_UNIT_WAIT_SHARE = 0.6
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,9 +90,10 @@
     :param splitter: distributes requests among a route's destinations.
     :param on_peer_version: called with the configuration version in force at a gate.
     :param crashes: requests that are refused because upstreams ended under them.
-    :param log: decision log.
-    :param counters: counts outcomes.
-    :param latencies: records the time to an answer.
+    :param access: decides whether the key of a request allows its route.
+    :param quotas: limits the requests of workspaces.
+    :param recorder: records how requests ended.
+    :param counters: counts unreachable gates.
     :param rng: samples early refusals and spreads Retry-After values.
     """
 
@@ -113,9 +109,10 @@
         splitter: DestinationSplitter,
         on_peer_version: Callable[[int], None],
         crashes: CrashRecords,
-        log: DecisionLog,
+        access: WorkspaceAccess,
+        quotas: Quotas,
+        recorder: CallRecorder,
         counters: Counters,
-        latencies: LatencyHistograms,
         rng: random.Random,
     ) -> None:
         self._identity = identity
@@ -128,10 +125,12 @@
         self._splitter = splitter
         self._on_peer_version = on_peer_version
         self._crashes = crashes
-        self._log = log
+        self._access = access
+        self._quotas = quotas
+        self._recorder = recorder
         self._counters = counters
-        self._latencies = latencies
         self._rng = rng
+        self._refusals = Refusals(headers, rng)
         self._chain_health = ChainHealth()
         self._fingerprinter = RequestFingerprinter(headers)
 
@@ -165,55 +164,95 @@
         if route is None:
             self._refuse_unrouted(exchange, 404, "no route matches")
             return
-        state = self._new_request_state(request, route, table.configuration.version)
+        access = await self._access.decide(request, table, route)
+        if access.status:
+            self._refuse_unrouted(exchange, access.status, access.reason, access.caller)
+            return
+        state = self._new_request_state(
+            request, route, table.configuration.version, access.caller
+        )
         if self._is_refused_early(state, request.arrived_at):
             self._refuse_early(state, exchange)
             return
+        dropped = self._access.dropped_headers(table)
         try:
-            await self._run_request(state, exchange)
+            if await self._obtain_unit(state, exchange):
+                await self._run_request(state, exchange, dropped)
         except asyncio.CancelledError:
             self._record_request_end(state, exchange, "caller-left", 0)
             raise
 
+    async def _obtain_unit(self, state: RequestState, exchange: Exchange) -> bool:
+        """Obtain a unit of the workspace's quota, or refuse the request.
+
+        :return: whether the request may start.
+        """
+        workspace = state.workspace
+        if workspace is None or workspace.quota is None:
+            return True
+        goal_s = state.route.goal_s
+        decision = await self._quotas.acquire(
+            workspace, MAX_UNIT_DELAY_SHARE * goal_s, MAX_UNIT_WAIT_SHARE * goal_s
+        )
+        state.holds_unit = decision.is_granted
+        if not decision.is_granted:
+            state.last_reason = "the workspace has used its quota"
+            self._refusals.send_over_quota(state, exchange, decision.retry_after_s)
+            self._record_request_end(state, exchange, "over-quota", 429)
+        return decision.is_granted
+
     def _new_request_state(
-        self, request: Request, route: Route, version: int
+        self, request: Request, route: Route, version: int, caller: Caller
     ) -> RequestState:
         stated_s = stated_deadline_s(request.header(self._headers.deadline_ms))
         left_s = min(stated_s, route.timeout_s)
         header = request.header(self._headers.request_id) or b""
         request_id = header.decode("latin-1")
+        workspace = caller.workspace
+        chain_origin = None if workspace else self._chain_origin(request_id)
+        if chain_origin is not None:
+            origin = chain_origin
+        elif workspace is not None:
+            origin = ChainOrigin(route.priority, workspace.name, workspace.priority)
+        else:
+            origin = ChainOrigin(route.priority)
         return RequestState(
             route=route,
             service=self._splitter.choose_service(route),
             request_id=request_id,
             fingerprint=self._fingerprinter.fingerprint(request),
-            chain_priority=self._chain_priority(request_id),
+            origin=origin,
+            is_chain_call=chain_origin is not None,
+            workspace=workspace,
+            key_digest=caller.digest if workspace is not None else b"",
             deadline_at=request.arrived_at + left_s,
             version=version,
         )
 
-    def _chain_priority(self, request_id: str) -> int | None:
-        """Return the root priority of the chain that a request belongs to, if known.
+    def _chain_origin(self, request_id: str) -> ChainOrigin | None:
+        """Return the root of the chain that a request belongs to, if known.
 
         A call made by the upstream beside this node belongs to the chain of the request
-        that the upstream is running.
+        that the upstream is running. Such calls carry no key.
         """
         parent_id = self._headers.parent_of(request_id)
-        return None if parent_id is None else self._gate.root_priority(parent_id)
+        return None if parent_id is None else self._gate.chain_origin(parent_id)
 
     def _is_refused_early(self, state: RequestState, now: float) -> bool:
         """Return whether to refuse a request before it starts.
 
         A call that a running request makes is never refused before it starts.
         """
-        if state.chain_priority is not None:
+        if state.is_chain_call:
             return False
         share = self._chain_health.refused_share(state.route, now)
         return share > 0.0 and self._rng.random() < share
 
-    async def _run_request(self, state: RequestState, exchange: Exchange) -> None:
+    async def _run_request(
+        self, state: RequestState, exchange: Exchange, dropped: frozenset[bytes]
+    ) -> None:
         """Offer the request to gates until its outcome is final."""
-        request = to_forwarded_request(exchange.request, self._headers.set_by_system)
+        request = to_forwarded_request(exchange.request, dropped)
         self._budget.count_request(state.service, now_s())
         while True:
             entry = self._next_gate(state)
@@ -234,6 +273,10 @@
             state.is_refused_for_crashes = True
             state.last_reason = "the request ran on several upstreams that ended"
             return None
+        if self._access.is_withdrawn(state.key_digest):
+            state.is_key_withdrawn = True
+            state.last_reason = "the key was taken away"
+            return None
         entry = self._select_gate(state, now)
         if entry is not None:
             state.n_offers += 1
@@ -348,7 +391,7 @@
             return False
         if self._select_gate(state, now) is None:
             return False
-        is_low_priority = max(route.priority, state.root_priority) >= LOW_PRIORITY
+        is_low_priority = max(route.priority, state.origin.priority) >= LOW_PRIORITY
         return self._budget.try_spend(
             state.service, is_low_priority, state.may_have_run, now
         )
@@ -379,88 +422,41 @@
             return False
 
     def _send_failure_answer(self, state: RequestState, exchange: Exchange) -> None:
-        """Answer 502, 503 or 504 to a request that no upstream answered."""
-        if state.may_have_run:
-            status = 504 if state.last_reason == "deadline" else 502
-            exchange.send_answer(status, self._request_id_header(state))
-        else:
-            self._send_503(state, exchange, self._retry_after_s(state))
-            status = 503
-        outcome = "refused-crash" if state.is_refused_for_crashes else "failed"
+        """Answer a request that no upstream answered."""
+        status = self._refusals.send_failure(state, exchange)
+        outcome = "failed"
+        if state.is_refused_for_crashes:
+            outcome = "refused-crash"
+        elif status == 401:
+            outcome = "key-withdrawn"
         self._record_request_end(state, exchange, outcome, status)
 
     def _refuse_early(self, state: RequestState, exchange: Exchange) -> None:
         """Refuse a request whose chain would probably fail."""
         state.last_reason = "most requests of the route fail at a deeper service"
-        share = self._rng.uniform(
-            EARLY_REFUSAL_RETRY_AFTER_MIN_SHARE, EARLY_REFUSAL_RETRY_AFTER_MAX_SHARE
-        )
-        left_s = max(0.0, state.deadline_at - now_s())
-        self._send_503(state, exchange, share * left_s)
+        self._refusals.send_early_refusal(state, exchange)
         self._record_request_end(state, exchange, "refused-early", 503)
 
-    def _send_503(
-        self, state: RequestState, exchange: Exchange, retry_after_s: float
-    ) -> None:
-        retry_after = (b"retry-after", b"%.3f" % retry_after_s)
-        exchange.send_answer(503, [*self._request_id_header(state), retry_after])
-
-    def _retry_after_s(self, state: RequestState) -> float:
-        if state.is_refused_for_crashes:
-            return CRASH_RETRY_AFTER_S
-        share = self._rng.uniform(RETRY_AFTER_MIN_SHARE, RETRY_AFTER_MAX_SHARE)
-        return share * state.route.goal_s
-
     def _record_request_end(
         self, state: RequestState, exchange: Exchange, outcome: str, status: int
     ) -> None:
-        """Record the end of a request in counters, latencies, log and failure ratio."""
-        now = now_s()
-        latency_s = now - exchange.request.arrived_at
-        failed = outcome != "answered" or status >= 500
-        if outcome not in ("caller-left", "refused-early", "refused-crash"):
-            self._gate.count_entry_call(failed)
-        self._counters.add("calls", f"{outcome}-{status}")
-        self._latencies.record(f"route:{state.route.name}", latency_s)
-        if self._log.admits_call_line(failed):
-            self._log.write_call(
-                failed,
-                "entry:call",
-                request_id=state.request_id,
-                fingerprint=state.fingerprint.hex(),
-                route=state.route.name,
-                configuration=state.version,
-                service=state.service,
-                gate=state.last_node,
-                n_offers=state.n_offers,
-                n_sent=state.n_sent,
-                outcome=outcome,
-                root_priority=state.root_priority,
-                status=status,
-                reason=state.last_reason if failed else "",
-                latency_ms=round(latency_s * 1_000, 1),
-                left_ms=round((state.deadline_at - now) * 1_000),
-            )
+        if state.holds_unit and not state.may_have_run and outcome == "failed":
+            state.holds_unit = False
+            if state.workspace is not None:
+                self._quotas.give_back(state.workspace)
+        self._recorder.record_end(state, exchange.request, outcome, status)
 
-    def _refuse_unrouted(self, exchange: Exchange, status: int, reason: str) -> None:
-        headers: list[Header] = []
-        if status == 503:
-            headers.append((b"retry-after", b"%.3f" % UNCONFIGURED_RETRY_AFTER_S))
-        request_id = exchange.request.header(self._headers.request_id)
-        if request_id is not None:
-            headers.append((self._headers.request_id, request_id))
-        exchange.send_answer(status, headers)
+    def _refuse_unrouted(
+        self,
+        exchange: Exchange,
+        status: int,
+        reason: str,
+        caller: Caller | None = None,
+    ) -> None:
+        request_id = self._refusals.send_unrouted(exchange, status)
         table = self._table()
-        self._counters.add("calls", f"unrouted-{status}")
-        self._log.write_call(
-            True,
-            "entry:call",
-            request_id=(request_id or b"").decode("latin-1"),
-            outcome="unrouted",
-            status=status,
-            reason=reason,
-            configuration=table.configuration.version if table is not None else 0,
-        )
+        version = table.configuration.version if table is not None else 0
+        self._recorder.record_unrouted(request_id, status, reason, version, caller)
 
     def _hop_call(self, state: RequestState, entry: GateEntry, now: float) -> HopCall:
         route = state.route
@@ -470,7 +466,7 @@
             instance=entry.instance,
             left_s=state.deadline_at - now,
             priority=route.priority,
-            root_priority=state.root_priority,
+            root_priority=state.origin.priority,
             kind=route.kind,
             route=route.name,
             caller=self._identity.caller_service,
@@ -478,6 +474,8 @@
             rate_limit=self._balancer.rate_limit(entry),
             fingerprint=state.fingerprint,
             crashes=self._crashes.record_of(state.fingerprint, now),
+            workspace=state.origin.workspace,
+            workspace_priority=state.origin.workspace_priority,
         )
 
     def _link_to(self, entry: GateEntry) -> GateLink:
@@ -485,9 +483,6 @@
             return self._gate
         return RemoteGate(entry, self._pool)
 
-    def _request_id_header(self, state: RequestState) -> list[Header]:
-        return [(self._headers.request_id, state.request_id.encode("latin-1"))]
-
 
 def _abandon_answer(answer: Answer | None) -> None:
     if answer is not None:
--- a/packages/relay/src/knapweedspring_relay/_gate.py
+++ b/packages/relay/src/knapweedspring_relay/_gate.py
@@ -22,7 +22,7 @@
 from knapweedspring_relay._gate_result import GateResult
 from knapweedspring_relay._headers import CallHeaders
 from knapweedspring_relay._histograms import LatencyHistograms
-from knapweedspring_relay._hop import GateReport, HopCall, HopOutcome
+from knapweedspring_relay._hop import ChainOrigin, GateReport, HopCall, HopOutcome
 from knapweedspring_relay._http_client import ConnectionPool
 from knapweedspring_relay._local_upstream import LocalUpstream, UpstreamTracker
 from knapweedspring_relay._logs import DecisionLog
@@ -36,9 +36,9 @@
 #: A call is admitted only if more than this time is left until its deadline, in
 #: seconds.
 MIN_LEFT_S = 0.005
-#: Number of root priorities that are distinguished among calls of the same priority.
-#: Root priorities beyond it count as the lowest of these.
-N_ROOT_PRIORITIES = 8
+#: Number of priorities that are distinguished among routes, and among the roots of
+#: calls of the same route priority. Priorities beyond it count as the lowest of these.
+N_PRIORITIES = 8
 #: Smoothing factor of the moving failure ratio of calls through this node's entry.
 #: After each call, the ratio moves by this share of its distance to the call's outcome
 #: (1 for a failure, else 0), so a larger factor makes the ratio follow changes faster.
@@ -117,7 +117,7 @@
         self._stopping = False
         self._entry_failure_ratio = 0.0
         self._detached_calls: set[asyncio.Task[GateResult]] = set()
-        self._root_priorities: dict[str, int] = {}
+        self._origins: dict[str, ChainOrigin] = {}
 
     @property
     def queue(self) -> AdmissionQueue:
@@ -134,13 +134,13 @@
         """Number of calls that the upstream runs."""
         return self._queue.n_running
 
-    def root_priority(self, request_id: str) -> int | None:
-        """Return the priority at the root of the chain of a running request.
+    def chain_origin(self, request_id: str) -> ChainOrigin | None:
+        """Return the root of the chain of a running request.
 
         :param request_id: id of the request.
-        :return: the priority; None when the upstream is not running the request.
+        :return: the root; None when the upstream is not running the request.
         """
-        return self._root_priorities.get(request_id)
+        return self._origins.get(request_id)
 
     def apply_upstream_state(self, now: float) -> None:
         """Apply the current state of the upstream to the admission queue.
@@ -213,10 +213,8 @@
         if upstream is None:
             # It was given up while the call waited.
             self._free_slot(waiter.queued)
-            closed_reason = "no upstream is known"
-            return self._report_failure(
-                call, HopOutcome.CLOSED, closed_reason, waited_s
-            )
+            reason = "no upstream is known"
+            return self._report_failure(call, HopOutcome.CLOSED, reason, waited_s)
         crash_reason = self._suspects.refusal_reason(call, now_s())
         if crash_reason:
             # Crashes became known while the call waited.
@@ -307,8 +305,10 @@
 
     def _new_waiter(self, call: HopCall, now: float) -> "_AdmissionWaiter":
         max_wait_s = self._policy.max_wait_share * call.left_s
-        root_priority = min(call.root_priority, N_ROOT_PRIORITIES - 1)
-        combined_priority = call.priority * N_ROOT_PRIORITIES + root_priority
+        priority = min(call.priority, N_PRIORITIES - 1)
+        root_priority = min(call.root_priority, N_PRIORITIES - 1)
+        route_rank = priority * N_PRIORITIES + root_priority
+        combined_priority = call.workspace_priority * N_PRIORITIES**2 + route_rank
         request = AdmissionRequest(
             combined_priority, call.route, now + call.left_s, max_wait_s
         )
@@ -340,7 +340,7 @@
         """Send an admitted call and free its slot, whatever the outcome."""
         answer: Answer | None = None
         is_suspect = self._suspects.begin(call)
-        self._root_priorities[call.request_id] = call.root_priority
+        self._origins[call.request_id] = call.origin
         waited_s = queued.started_at - queued.entered_at
         try:
             left_s = queued.admission_request.deadline_at - now_s()
@@ -360,7 +360,7 @@
             return self._report_failure(call, HopOutcome.LOST, str(error), waited_s)
         finally:
             self._suspects.end(is_suspect)
-            self._root_priorities.pop(call.request_id, None)
+            self._origins.pop(call.request_id, None)
             if answer is None:
                 self._free_slot(queued)
             elif answer.has_ended:
--- a/packages/relay/src/knapweedspring_relay/_headers.py
+++ b/packages/relay/src/knapweedspring_relay/_headers.py
@@ -31,6 +31,12 @@
     rate_limit: bytes
     #: Present, with the value 1, on the answers of an upstream that leaves.
     leaving: bytes
+    #: Key of the caller's workspace, in the form that ``read_key`` reads.
+    credentials: bytes
+    #: Name of the workspace that holds the caller's key; set by nodes.
+    workspace: bytes
+    #: Returns the key in a value of ``credentials``; None when the value is malformed.
+    read_key: Callable[[bytes], bytes | None]
     #: Returns the id of the request for which an upstream made a call, given the id of
     #: the call; None when the id shows no such request.
     parent_of: Callable[[str], str | None] = _no_parent
@@ -39,5 +45,10 @@
     def set_by_system(self) -> frozenset[bytes]:
         """Headers that nodes set themselves; a caller's values are replaced."""
         return frozenset(
-            {self.deadline_ms, self.expected_instance, self.caller_service}
+            {
+                self.deadline_ms,
+                self.expected_instance,
+                self.caller_service,
+                self.workspace,
+            }
         )
--- a/packages/relay/src/knapweedspring_relay/_hop.py
+++ b/packages/relay/src/knapweedspring_relay/_hop.py
@@ -4,10 +4,24 @@
 
 import msgspec
 
-from knapweedspring_relay._configuration import CallKind
+from knapweedspring_relay._configuration import (
+    DEFAULT_WORKSPACE_PRIORITY,
+    CallKind,
+)
 from knapweedspring_relay._crash_records import CrashRecord
 
-__all__ = ["GateReport", "HopCall", "HopOutcome"]
+__all__ = ["ChainOrigin", "GateReport", "HopCall", "HopOutcome"]
+
+
+class ChainOrigin(msgspec.Struct, frozen=True, gc=False):
+    """The request at the root of a chain of calls."""
+
+    #: Priority of the root's route; 0 is the highest.
+    priority: int
+    #: Name of the workspace of the root; empty when there is none.
+    workspace: str = ""
+    #: Priority of that workspace, which has precedence; 0 is the highest.
+    workspace_priority: int = DEFAULT_WORKSPACE_PRIORITY
 
 
 class HopOutcome(StrEnum):
@@ -60,6 +74,17 @@
     #: Crashes of upstreams that ran the request, as known to the sender; None when it
     #: knows of none.
     crashes: CrashRecord | None = None
+    #: Name of the workspace of the request at the root of the chain; empty when there
+    #: is none. Older nodes do not send it.
+    workspace: str = ""
+    #: Priority of that workspace, which has precedence over the others; 0 is the
+    #: highest.
+    workspace_priority: int = DEFAULT_WORKSPACE_PRIORITY
+
+    @property
+    def origin(self) -> ChainOrigin:
+        """The request at the root of the call's chain."""
+        return ChainOrigin(self.root_priority, self.workspace, self.workspace_priority)
 
 
 class GateReport(msgspec.Struct, frozen=True, array_like=True, gc=False):
--- a/packages/relay/src/knapweedspring_relay/_hop_frames.py
+++ b/packages/relay/src/knapweedspring_relay/_hop_frames.py
@@ -1,5 +1,6 @@
 """Frames between nodes, which multiplex concurrent calls over one connection."""
 
+from abc import ABC, abstractmethod
 from collections.abc import Iterator
 
 import msgspec
@@ -20,11 +21,17 @@
     "Frame",
     "FrameError",
     "FrameReader",
+    "FrameSender",
     "FollowFrame",
     "GoAwayFrame",
     "KnowledgeFrame",
     "PingFrame",
     "PongFrame",
+    "QuotaGrantFrame",
+    "QuotaLeaseAckFrame",
+    "QuotaLeaseFrame",
+    "QuotaRequestFrame",
+    "QuotaReturnFrame",
     "encode_frame",
 ]
 
@@ -144,6 +151,56 @@
     fingerprints: tuple[bytes, ...]
 
 
+class QuotaLeaseFrame(msgspec.Struct, frozen=True, array_like=True, gc=False, tag=13):
+    """Lends the sender's shares of all quotas to the receiver for a short time."""
+
+    #: Name of the sender.
+    node: str
+    #: Whether the shares are taken back instead.
+    is_release: bool = False
+
+
+class QuotaLeaseAckFrame(
+    msgspec.Struct, frozen=True, array_like=True, gc=False, tag=17
+):
+    """Confirms a lease."""
+
+
+class QuotaRequestFrame(msgspec.Struct, frozen=True, array_like=True, gc=False, tag=14):
+    """Asks for units of a workspace's quota, one for each request to start."""
+
+    #: Id of the question, unique on its connection.
+    question: int
+    #: Name of the workspace.
+    workspace: str
+    #: Number of units.
+    n_units: int
+    #: Longest time that a request may wait for its unit, in seconds.
+    max_delay_s: float
+
+
+class QuotaGrantFrame(msgspec.Struct, frozen=True, array_like=True, gc=False, tag=15):
+    """Answers a question for units."""
+
+    #: Id of the question.
+    question: int
+    #: Time after which each granted unit may be used, in seconds.
+    delays_s: tuple[float, ...]
+    #: Time after which a further unit would be granted, in seconds.
+    retry_after_s: float
+    #: Whether the sender knows the workspace and its quota.
+    is_known: bool = True
+
+
+class QuotaReturnFrame(msgspec.Struct, frozen=True, array_like=True, gc=False, tag=16):
+    """Returns units of requests that did not run."""
+
+    #: Name of the workspace.
+    workspace: str
+    #: Number of units.
+    n_units: int
+
+
 Frame = (
     CallFrame
     | AnswerFrame
@@ -157,8 +214,22 @@
     | FollowFrame
     | KnowledgeFrame
     | CrashFrame
+    | QuotaLeaseFrame
+    | QuotaRequestFrame
+    | QuotaGrantFrame
+    | QuotaReturnFrame
+    | QuotaLeaseAckFrame
 )
 
+
+class FrameSender(ABC):
+    """An open connection to another node."""
+
+    @abstractmethod
+    def send(self, frame: Frame) -> None:
+        """Send a frame unless the connection is closed."""
+
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Frame)
 
--- a/packages/relay/src/knapweedspring_relay/_hop_listener.py
+++ b/packages/relay/src/knapweedspring_relay/_hop_listener.py
@@ -22,12 +22,17 @@
     Frame,
     FrameError,
     FrameReader,
+    FrameSender,
     GoAwayFrame,
     PingFrame,
     PongFrame,
+    QuotaLeaseFrame,
+    QuotaRequestFrame,
+    QuotaReturnFrame,
     encode_frame,
 )
-from knapweedspring_relay._knowledge import Follower, FollowHandler
+from knapweedspring_relay._knowledge import FollowHandler
+from knapweedspring_relay._quotas import QuotaHandler
 from knapweedspring_relay._requests import MAX_BODIES_BYTES
 from knapweedspring_relay._sockets import BACKLOG, set_timeouts
 
@@ -46,6 +51,7 @@
     :param address: address to listen on, ``ip:port``.
     :param gate: the gate of this node.
     :param follow_handler: receives the connections of nodes that follow this one.
+    :param quota_handler: receives the quota frames of other nodes.
     :param on_peer_version: called with the configuration version in force at a peer.
     :param on_crash: called with the crash that another node reports.
     :param on_error: called with a call whose handling failed and the exception.
@@ -56,6 +62,7 @@
         address: str,
         gate: LocalGate,
         follow_handler: FollowHandler,
+        quota_handler: QuotaHandler,
         on_peer_version: Callable[[int], None],
         on_crash: Callable[[CrashFrame], None],
         on_error: Callable[[HopCall, Exception], None],
@@ -63,6 +70,7 @@
         self._address = address
         self._gate = gate
         self._follow_handler = follow_handler
+        self._quota_handler = quota_handler
         self._on_peer_version = on_peer_version
         self._on_crash = on_crash
         self._on_error = on_error
@@ -81,6 +89,11 @@
         """Receives the connections of nodes that follow this one."""
         return self._follow_handler
 
+    @property
+    def quota_handler(self) -> QuotaHandler:
+        """Receives the quota frames of other nodes."""
+        return self._quota_handler
+
     @property
     def n_active(self) -> int:
         """Number of calls whose answers have not been sent completely."""
@@ -175,7 +188,7 @@
         self._n_bytes -= n_bytes
 
 
-class _HopServerConnection(asyncio.Protocol, Follower):
+class _HopServerConnection(asyncio.Protocol, FrameSender):
     """One connection from another node."""
 
     def __init__(self, listener: HopListener, loop: asyncio.AbstractEventLoop) -> None:
@@ -211,6 +224,7 @@
         """Cancel the calls, whose outcomes can no longer be sent."""
         self._listener.remove_connection(self)
         self._listener.follow_handler.remove(self)
+        self._listener.quota_handler.remove(self)
         for task in self._tasks.values():
             task.cancel()
 
@@ -245,6 +259,8 @@
             self._listener.report_crash(frame)
         elif isinstance(frame, FollowFrame):
             self._listener.follow_handler.add(self, frame)
+        elif isinstance(frame, (QuotaLeaseFrame, QuotaRequestFrame, QuotaReturnFrame)):
+            self._listener.quota_handler.receive(self, frame)
 
     async def _serve_call(self, frame: CallFrame) -> None:
         stream_id = frame.stream
--- a/packages/relay/src/knapweedspring_relay/_knowledge/__init__.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/__init__.py
@@ -12,7 +12,7 @@
     GateEntry,
     UpstreamState,
 )
-from knapweedspring_relay._knowledge._followers import Follower, FollowHandler
+from knapweedspring_relay._knowledge._followers import FollowHandler
 from knapweedspring_relay._knowledge._knowledge import Knowledge
 from knapweedspring_relay._knowledge._object_store import (
     ConfigurationRead,
@@ -26,6 +26,7 @@
 )
 from knapweedspring_relay._knowledge._peer_pages import ControlHandler, PeerPageHandler
 from knapweedspring_relay._knowledge._position import ORIGIN, StorePosition
+from knapweedspring_relay._knowledge._source_selector import SourceSelector
 
 __all__ = [
     "ConfigurationRead",
@@ -37,11 +38,11 @@
     "DirectorySnapshot",
     "EntryRecord",
     "FollowHandler",
-    "Follower",
     "GateEntry",
     "Knowledge",
     "ORIGIN",
     "PeerPageHandler",
+    "SourceSelector",
     "StoreConflict",
     "StoreError",
     "StoreHistoryGone",
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_configuration_sync.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_configuration_sync.py
@@ -62,11 +62,15 @@
         while True:
             step = await self._run_step(step)
 
-    async def read_once(self) -> None:
-        """Read the configuration once, on a node that does not watch the store."""
+    async def read_once(self) -> bool:
+        """Read the configuration once, on a node that does not watch the store.
+
+        :return: whether the store answered.
+        """
         read = await self._store.read_configuration()
         if isinstance(read, Ok):
             self._apply_read(read.ok_value)
+        return isinstance(read, Ok)
 
     async def _run_step(self, step: SyncStep) -> SyncStep:
         if step is SyncStep.READ:
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_followers.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_followers.py
@@ -9,11 +9,11 @@
 
 from knapweedspring_relay._clock import now_s
 from knapweedspring_relay._crash_records import CrashRecords
-from knapweedspring_relay._hop_frames import FollowFrame, Frame, KnowledgeFrame
+from knapweedspring_relay._hop_frames import FollowFrame, FrameSender, KnowledgeFrame
 from knapweedspring_relay._knowledge._peer_snapshot import PeerSnapshot
 from knapweedspring_relay._knowledge._position import StorePosition
 
-__all__ = ["FollowHandler", "Follower", "Followers"]
+__all__ = ["FollowHandler", "Followers"]
 
 #: Time by which a timer may fire before a frame is due, in seconds.
 TIMER_TOLERANCE_S = 0.05
@@ -21,19 +21,11 @@
 _encoder = msgspec.msgpack.Encoder()
 
 
-class Follower(ABC):
-    """A connection from a node that follows this one."""
-
-    @abstractmethod
-    def send(self, frame: Frame) -> None:
-        """Send a frame unless the connection is closed."""
-
-
 class FollowHandler(ABC):
     """Receives the connections of nodes that follow this one."""
 
     @abstractmethod
-    def add(self, follower: Follower, request: FollowFrame) -> None:
+    def add(self, follower: FrameSender, request: FollowFrame) -> None:
         """Send a follower what it lacks, now and after each change.
 
         :param follower: the connection.
@@ -41,7 +33,7 @@
         """
 
     @abstractmethod
-    def remove(self, follower: Follower) -> None:
+    def remove(self, follower: FrameSender) -> None:
         """Remove a follower, if it is one, whose connection has ended."""
 
 
@@ -94,14 +86,14 @@
     ) -> None:
         self._snapshot = snapshot
         self._crashes = crashes
-        self._progress: dict[Follower, _Progress] = {}
+        self._progress: dict[FrameSender, _Progress] = {}
 
     @property
     def n_followers(self) -> int:
         """Number of followers."""
         return len(self._progress)
 
-    def add(self, follower: Follower, request: FollowFrame) -> None:
+    def add(self, follower: FrameSender, request: FollowFrame) -> None:
         """Send a follower what it lacks, now and after each change."""
         position = StorePosition(request.era, request.revision)
         known = _Known(request.version, position, False, -1)
@@ -109,7 +101,7 @@
         self._progress[follower] = progress
         self._send_due(follower, progress, {}, now_s())
 
-    def remove(self, follower: Follower) -> None:
+    def remove(self, follower: FrameSender) -> None:
         """Remove a follower whose connection has ended."""
         self._progress.pop(follower, None)
 
@@ -123,7 +115,7 @@
 
     def _send_due(
         self,
-        follower: Follower,
+        follower: FrameSender,
         progress: _Progress,
         encoded: dict[_Known, _Encoded],
         now: float,
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_knowledge.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_knowledge.py
@@ -14,6 +14,7 @@
 from knapweedspring_relay._knowledge._directory_sync import DirectorySync
 from knapweedspring_relay._knowledge._entry_cleaner import EntryCleaner
 from knapweedspring_relay._knowledge._followers import Followers
+from knapweedspring_relay._knowledge._freshness import KnowledgeFreshness
 from knapweedspring_relay._knowledge._object_store import DeploymentStore
 from knapweedspring_relay._knowledge._own_entry import OwnEntryPublisher
 from knapweedspring_relay._knowledge._peer_pages import PeerPages
@@ -132,6 +133,9 @@
             rng,
             log,
         )
+        self._freshness = KnowledgeFreshness(
+            self._sources, self._directory, self._peers, configuration_sync.read_once
+        )
         self._state.subscribe(self._followers.publish)
 
     @property
@@ -169,6 +173,11 @@
         """Nodes that follow this one."""
         return self._followers
 
+    @property
+    def freshness(self) -> KnowledgeFreshness:
+        """How current the configuration is."""
+        return self._freshness
+
     @property
     def sources(self) -> SourceSync:
         """Where this node's knowledge comes from."""
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_peer_snapshot.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_peer_snapshot.py
@@ -41,6 +41,9 @@
     #: Requests that are refused because upstreams ended while they ran them; empty also
     #: when the reader has received them.
     refused: tuple[CrashRecord, ...] = ()
+    #: Whether the configuration states its workspaces. Nodes of versions that know none
+    #: pass it on without them, which must not open all routes.
+    states_workspaces: bool = False
 
 
 def make_peer_snapshot(
@@ -86,6 +89,7 @@
         is_watching=is_watching,
         gate_address=gate_address,
         refused=refused,
+        states_workspaces=True,
     )
 
 
@@ -108,7 +112,11 @@
     for record in snapshot.refused:
         crashes.merge(record, now)
     if snapshot.configuration is not None:
-        state.apply(snapshot.configuration, "peer")
+        if snapshot.states_workspaces:
+            state.apply(snapshot.configuration, "peer")
+        else:
+            # The whole configuration is read from the store instead.
+            state.observe_version(snapshot.configuration.version)
     if snapshot.version == state.version:
         state.advance(snapshot.configuration_position)
     if snapshot.entries is None:
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_peer_sync.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_peer_sync.py
@@ -61,7 +61,7 @@
         health: StoreHealth,
         node: str,
         on_change: Callable[[], None],
-        read_configuration: Callable[[], Awaitable[None]],
+        read_configuration: Callable[[], Awaitable[bool]],
         rng: random.Random,
         log: DecisionLog,
     ) -> None:
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_source_selector.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_source_selector.py
@@ -15,22 +15,24 @@
 
 
 def rank_watchers(
-    entries: Iterable[GateEntry], data_centre: str
+    entries: Iterable[GateEntry], data_centre: str, role: bytes = b""
 ) -> tuple[GateEntry, ...]:
-    """Return the nodes of a data centre in the order in which they watch the store.
+    """Return the nodes of a data centre in the order in which they take over a role.
 
     The order depends on the nodes' names only, so all nodes agree on it without
     messages, and a node that joins or leaves does not change the order of the others.
 
     :param entries: entries of the directory.
     :param data_centre: the data centre.
+    :param role: name of the role, so that different nodes take over different roles;
+        empty for the watch of the store.
     """
-    local = [entry for entry in entries if entry.data_centre == data_centre]
-    return tuple(sorted(local, key=_rank_key))
 
+    def rank(entry: GateEntry) -> bytes:
+        name = entry.node.encode()
+        return hashlib.blake2b(name, digest_size=8, person=role).digest()
 
-def _rank_key(entry: GateEntry) -> bytes:
-    return hashlib.blake2b(entry.node.encode(), digest_size=8).digest()
+    return tuple(sorted((e for e in entries if e.data_centre == data_centre), key=rank))
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,10 +65,12 @@
 
     :param node: name of this node.
     :param data_centre: this node's data centre.
+    :param role: name of the role; see :func:`rank_watchers`.
     """
 
-    def __init__(self, node: str, data_centre: str) -> None:
+    def __init__(self, node: str, data_centre: str, role: bytes = b"") -> None:
         self._node = node
+        self._role = role
         self._data_centre = data_centre
         self._failures: dict[str, _Failures] = {}
         self._ranked: tuple[GateEntry, ...] = ()
@@ -81,7 +85,7 @@
 
         :param entries: entries of the directory.
         """
-        self._ranked = rank_watchers(entries, self._data_centre)
+        self._ranked = rank_watchers(entries, self._data_centre, self._role)
         known = {entry.node for entry in self._ranked}
         for node in self._failures.keys() - known:
             del self._failures[node]
--- a/packages/relay/src/knapweedspring_relay/_relay.py
+++ b/packages/relay/src/knapweedspring_relay/_relay.py
@@ -4,23 +4,23 @@
 import gc
 import random
 import signal
-import zlib
 from pathlib import Path
 
 from result import Err
 
 from knapweedspring_core import Counters, MetricsPage
 from knapweedspring_relay._adapter import DeploymentAdapter, HeartbeatReceiver
-from knapweedspring_relay._balancer import Balancer
+from knapweedspring_relay._call_path import (
+    PEER_CONNECT_TIMEOUT_S,
+    UNACKNOWLEDGED_S,
+    CallPathObservers,
+    Recording,
+    make_call_path,
+)
 from knapweedspring_relay._clock import now_s, suspension_meter
-from knapweedspring_relay._crash_exchange import CrashExchange
 from knapweedspring_relay._crash_records import CrashRecords
-from knapweedspring_relay._destination_splitter import DestinationSplitter
-from knapweedspring_relay._entry import Entry, NodeIdentity
 from knapweedspring_relay._event_reporter import EventReporter
-from knapweedspring_relay._gate import Gate
 from knapweedspring_relay._histograms import LatencyHistograms
-from knapweedspring_relay._hop_client import HopPool, HopSettings
 from knapweedspring_relay._hop_listener import HopListener
 from knapweedspring_relay._http_client import ConnectionPool, ConnectionSettings
 from knapweedspring_relay._http_server import HttpListener
@@ -39,7 +39,6 @@
 )
 from knapweedspring_relay._logs import DecisionLog, LineBuffer
 from knapweedspring_relay._readiness import MetricsHandler, ReadinessHandler
-from knapweedspring_relay._retry_budget import RetryBudget
 from knapweedspring_relay._settings import RelaySettings
 from knapweedspring_relay._task_supervisor import TaskSupervisor
 from knapweedspring_relay._timers import LoopTimers
@@ -47,17 +46,8 @@
 
 __all__ = ["Relay"]
 
-#: Timeouts for establishing a connection, in seconds: several round trips between data
-#: centres of a region.
-UPSTREAM_CONNECT_TIMEOUT_S = 1.0
-PEER_CONNECT_TIMEOUT_S = 0.4
-#: Idle time after which a connection is not reused, in seconds, unless the server
-#: states a shorter time.
-UPSTREAM_IDLE_S = 4.0
+#: Idle time after which a connection to a peer's page is not reused, in seconds.
 PEER_IDLE_S = 5.0
-#: Time for which sent bytes may stay unacknowledged before a connection counts as
-#: dead, in seconds.
-UNACKNOWLEDGED_S = 1.0
 #: Periods of the timers, in seconds.
 DRAIN_CHECK_PERIOD_S = 0.2
 LOG_FLUSH_PERIOD_S = 0.25
@@ -139,60 +129,17 @@
         return self._knowledge.is_known and self._stop_at is None
 
     def _make_call_path(self) -> None:
-        settings, headers = self._settings, self._adapter.headers
-        self._upstream_pool = ConnectionPool(
-            ConnectionSettings(
-                connect_s=UPSTREAM_CONNECT_TIMEOUT_S,
-                idle_s=UPSTREAM_IDLE_S,
-                unacknowledged_s=UNACKNOWLEDGED_S,
-                request_id_header=headers.request_id,
-            )
-        )
-        self._hop_pool = HopPool(HopSettings(PEER_CONNECT_TIMEOUT_S, UNACKNOWLEDGED_S))
-        self._crash_exchange = CrashExchange(
-            settings.node,
+        self._path = path = make_call_path(
+            self._settings,
+            self._adapter,
+            self._knowledge,
+            self._tracker,
             self._crashes,
-            self._directory,
-            self._hop_pool,
-            self._counters,
-        )
-        self._gate = Gate(
-            tracker=self._tracker,
-            address=settings.upstream_address,
-            pool=self._upstream_pool,
-            headers=headers,
-            drain_s=settings.shutdown.drain_or_default_s,
-            version=lambda: self._declared_state.version,
-            on_leaving=self._apply_leaving,
-            crashes=self._crashes,
-            on_crash=self._handle_crash,
-            log=self._log,
-            counters=self._counters,
-            latencies=self._latencies,
-        )
-        self._budget = RetryBudget(
-            settings.retries.ratio_or_default,
-            settings.retries.slack_or_default,
-            settings.retries.window_or_default_s,
-            self._counters,
-        )
-        self._balancer = Balancer(self._directory, settings.data_centre, self._rng)
-        self._entry = Entry(
-            identity=_node_identity(settings),
-            headers=headers,
-            table=lambda: self._declared_state.table,
-            balancer=self._balancer,
-            gate=self._gate,
-            pool=self._hop_pool,
-            budget=self._budget,
-            splitter=DestinationSplitter(zlib.crc32(settings.node.encode())),
-            on_peer_version=self._declared_state.observe_version,
-            crashes=self._crashes,
-            log=self._log,
-            counters=self._counters,
-            latencies=self._latencies,
-            rng=self._rng,
+            CallPathObservers(self._apply_leaving, self._handle_crash),
+            Recording(self._log, self._counters, self._latencies),
+            self._rng,
         )
+        self._gate, self._entry = path.gate, path.entry
 
     def _make_listeners(self) -> None:
         settings, pages = self._settings, self._knowledge.pages
@@ -203,8 +150,9 @@
             settings.gate_address,
             self._gate,
             self._knowledge.followers,
+            self._path.quotas.handler,
             self._declared_state.observe_version,
-            self._crash_exchange.receive,
+            self._path.crash_exchange.receive,
             self._reporter.report_hop_error,
         )
         self._other_listeners = (
@@ -228,9 +176,14 @@
         page.add_gauge("upstream_rate_limit", lambda: self._gate.rate_limit or 0.0)
         page.add_gauge("crash_suspects", lambda: float(self._crashes.n_suspects))
         page.add_gauge("refused_requests", lambda: float(self._crashes.n_refused))
-        page.add_gauge("hop_connections", lambda: float(self._hop_pool.n_connections))
-        page.add_gauge("hop_bad_frames", lambda: float(self._hop_pool.n_bad_frames))
+        page.add_gauge(
+            "hop_connections", lambda: float(self._path.hop_pool.n_connections)
+        )
+        page.add_gauge(
+            "hop_bad_frames", lambda: float(self._path.hop_pool.n_bad_frames)
+        )
         self._knowledge.register_gauges(page)
+        self._path.quotas.register_gauges(page)
         self._latencies.register(page)
 
     @property
@@ -265,6 +218,7 @@
         )
         self._supervisor.start("own entry", self._run_own_entry)
         self._knowledge.start(self._supervisor, self._timers)
+        self._path.quotas.start(self._timers)
         # Objects created so far live as long as the process, so the collector need
         # not traverse them again; calls create few reference cycles.
         gc.collect()
@@ -333,7 +287,7 @@
         self, process: LocalUpstream, fingerprints: tuple[bytes, ...]
     ) -> None:
         node = self._settings.node
-        self._crash_exchange.report(
+        self._path.crash_exchange.report(
             UpstreamProcess(node, process.instance, process.born_ms), fingerprints
         )
 
@@ -344,7 +298,7 @@
     def _handle_upstream_verdict(self, verdict: HeartbeatVerdict) -> None:
         if verdict is HeartbeatVerdict.CHANGED:
             self._gate.apply_upstream_state(now_s())
-            self._upstream_pool.close_idle(self._settings.upstream_address)
+            self._path.upstream_pool.close_idle(self._settings.upstream_address)
             self._knowledge.own_entry.request_check()
         elif verdict is HeartbeatVerdict.UNCHANGED:
             self._gate.apply_upstream_state(now_s())
@@ -399,16 +353,19 @@
             self._log.write_state("upstream:unconfirmed", after_s=ASSUMED_TIMEOUT_S)
 
     def _handle_directory_change(self) -> None:
-        self._budget.set_n_nodes(self._directory.n_nodes)
+        self._path.budget.set_n_nodes(self._directory.n_nodes)
+        self._path.quotas.update_entries()
 
     def _unreachable_duration_s(self, node: str, now: float) -> float:
-        return self._balancer.unreachable_duration_s(node, now)
+        return self._path.balancer.unreachable_duration_s(node, now)
 
     def _start_timers(self) -> None:
         self._timers.call_every(DRAIN_CHECK_PERIOD_S, self._gate.expire_queued_calls)
         self._timers.call_every(LOG_FLUSH_PERIOD_S, self._log_lines.flush)
         self._timers.call_every(SUSPENSION_CHECK_PERIOD_S, self._check_suspension)
-        self._timers.call_every(HOP_CHECK_PERIOD_S, self._hop_pool.check_connections)
+        self._timers.call_every(
+            HOP_CHECK_PERIOD_S, self._path.hop_pool.check_connections
+        )
         self._timers.call_every(HOUSEKEEPING_PERIOD_S, self._run_housekeeping)
 
     def _check_suspension(self) -> None:
@@ -419,10 +376,10 @@
     def _run_housekeeping(self) -> None:
         for listener in self._http_listeners:
             listener.close_expired()
-        self._upstream_pool.close_expired()
+        self._path.upstream_pool.close_expired()
         self._peer_pool.close_expired()
         for node in self._knowledge.expire_missing(now_s()):
-            self._balancer.remove_node(node)
+            self._path.balancer.remove_node(node)
             self._log.write_state("directory:dropped", entry=node)
         mtime = self._read_mtime()
         if mtime != self._settings_mtime:
@@ -443,13 +400,7 @@
             self._log.write_state("process:reload-refused", reason=str(read.err_value))
             return
         self._settings = settings = read.ok_value
-        self._entry.set_identity(_node_identity(settings))
-        retries = settings.retries
-        self._budget.set_limits(
-            retries.ratio_or_default,
-            retries.slack_or_default,
-            retries.window_or_default_s,
-        )
+        self._path.apply_settings(settings)
         self._log.write_state("process:reloaded", service=settings.service)
 
     async def _shut_down(self) -> None:
@@ -475,8 +426,9 @@
             after_s=round(now_s() - self._stop_at, 2),
         )
         self._supervisor.stop()
-        self._crash_exchange.stop()
+        self._path.crash_exchange.stop()
         self._knowledge.stop()
+        self._path.quotas.stop()
         self._adapter.store.close()
         for listener in self._listeners:
             listener.close()
@@ -487,7 +439,3 @@
     def _is_idle(self) -> bool:
         n_active = self._entry_listener.n_active + self._gate_listener.n_active
         return n_active == 0 and self._gate.n_running == 0
-
-
-def _node_identity(settings: RelaySettings) -> NodeIdentity:
-    return NodeIdentity(settings.service, settings.node)
--- a/packages/relay/src/knapweedspring_relay/_request_state.py
+++ b/packages/relay/src/knapweedspring_relay/_request_state.py
@@ -2,7 +2,8 @@
 
 from dataclasses import dataclass
 
-from knapweedspring_relay._configuration import Route
+from knapweedspring_relay._configuration import Route, Workspace
+from knapweedspring_relay._hop import ChainOrigin
 from knapweedspring_relay._numbers import parse_decimal
 
 __all__ = ["RequestState", "stated_deadline_s"]
@@ -23,9 +24,15 @@
     request_id: str
     #: Fingerprint of the request, equal for attempts with different ids.
     fingerprint: bytes
-    #: Priority of the request at the root of the chain. None when no running request
-    #: is known to have made this request, which then counts as the root itself.
-    chain_priority: int | None
+    #: Root of the chain, which is this request itself unless a running request is known
+    #: to have made it.
+    origin: ChainOrigin
+    #: Whether a running request is known to have made this request.
+    is_chain_call: bool
+    #: Workspace whose key the request carries; None when there is none.
+    workspace: Workspace | None
+    #: Digest of the key; empty when the request carries none.
+    key_digest: bytes
     #: Deadline, on the monotonic clock, in seconds.
     deadline_at: float
     #: Version of the configuration in force when the request arrived.
@@ -38,6 +45,10 @@
     n_offers: int = 0
     #: Number of times that the request was sent to an upstream.
     n_sent: int = 0
+    #: Whether the request holds a unit of its workspace's quota.
+    holds_unit: bool = False
+    #: Whether the key was taken away while the request waited.
+    is_key_withdrawn: bool = False
     #: Whether an upstream may have run the request.
     may_have_run: bool = False
     #: Whether the request is refused because upstreams ended while they ran it.
@@ -47,13 +58,6 @@
     #: Node of the gate that the request was offered to last.
     last_node: str = ""
 
-    @property
-    def root_priority(self) -> int:
-        """Priority of the request at the root of the chain."""
-        if self.chain_priority is None:
-            return self.route.priority
-        return self.chain_priority
-
 
 def stated_deadline_s(value: bytes | None) -> float:
     """Return the caller's time limit, in seconds.
--- a/packages/relay/src/knapweedspring_relay/_settings.py
+++ b/packages/relay/src/knapweedspring_relay/_settings.py
@@ -2,7 +2,16 @@
 
 from dataclasses import dataclass, field
 
-__all__ = ["RelaySettings", "RetrySettings", "ShutdownSettings", "StoreSettings"]
+from knapweedspring_relay._quota_rules import QuotaRules
+from knapweedspring_relay._workspace_access import AccessRules
+
+__all__ = [
+    "RelaySettings",
+    "RetrySettings",
+    "ShutdownSettings",
+    "StoreSettings",
+    "WorkspaceSettings",
+]
 
 #: Defaults for limits that a deployment leaves unset; they equal those of the first two
 #: deployments. The retry ratio is in retries per request, the slack in retries per
@@ -12,6 +21,13 @@
 DEFAULT_RETRY_RATIO = 0.2
 DEFAULT_RETRY_SLACK = 48.0
 DEFAULT_RETRY_WINDOW_S = 10.0
+#: Defaults of the limits on workspaces: window in seconds, tolerated excess as share of
+#: the quota, tolerated excess in requests, and time within which a change of the
+#: configuration must be in force, in seconds.
+DEFAULT_QUOTA_WINDOW_S = 5.0
+DEFAULT_QUOTA_EXCESS = 0.0
+DEFAULT_QUOTA_SLACK = 0.0
+DEFAULT_IN_FORCE_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,6 +85,48 @@
         return DEFAULT_RETRY_WINDOW_S if self.window_s is None else self.window_s
 
 
+@dataclass(frozen=True, slots=True)
+class WorkspaceSettings:
+    """How strictly keys and quotas of workspaces hold; None selects the default."""
+
+    #: Length of the windows in which requests are counted, in seconds.
+    quota_window_s: float | None = None
+    #: Tolerated excess in a window, as share of the quota.
+    quota_excess: float | None = None
+    #: Tolerated excess in a window, in requests.
+    quota_slack: float | None = None
+    #: Time within which a change of the configuration must be in force, in seconds.
+    in_force_s: float | None = None
+    #: Whether a node that has lost touch refuses keys; otherwise it goes on with the
+    #: last configuration.
+    refuses_when_stale: bool | None = None
+    #: Time without touch after which such a node refuses keys, in seconds.
+    stale_after_s: float | None = None
+
+    @property
+    def access_rules(self) -> AccessRules:
+        """How current the configuration must be for a decision on a key."""
+        in_force_s = _or_default(self.in_force_s, DEFAULT_IN_FORCE_S)
+        max_age_s = _or_default(self.stale_after_s, in_force_s)
+        return AccessRules(in_force_s, bool(self.refuses_when_stale), max_age_s)
+
+    def quota_rules(self, n_data_centres: int) -> QuotaRules:
+        """Return how strictly quotas hold.
+
+        :param n_data_centres: number of data centres of the deployment.
+        """
+        return QuotaRules(
+            window_s=_or_default(self.quota_window_s, DEFAULT_QUOTA_WINDOW_S),
+            excess=_or_default(self.quota_excess, DEFAULT_QUOTA_EXCESS),
+            slack=_or_default(self.quota_slack, DEFAULT_QUOTA_SLACK),
+            n_data_centres=n_data_centres,
+        )
+
+
+def _or_default(value: float | None, default: float) -> float:
+    return default if value is None else value
+
+
 @dataclass(frozen=True, slots=True)
 class RelaySettings:
     """All settings of one relay process."""
@@ -105,3 +163,15 @@
     is_first_start: bool | None = None
     #: Limits on the retries of all nodes together.
     retries: RetrySettings = field(default_factory=RetrySettings)
+    #: Names of all data centres of the deployment; None or empty when only that of the
+    #: node is known.
+    data_centres: tuple[str, ...] | None = None
+    #: How strictly keys and quotas of workspaces hold.
+    workspaces: WorkspaceSettings = field(default_factory=WorkspaceSettings)
+
+    @property
+    def quota_rules(self) -> QuotaRules:
+        """How strictly quotas hold."""
+        return self.workspaces.quota_rules(
+            len(self.data_centres or (self.data_centre,))
+        )
--- a/packages/relay/src/knapweedspring_relay/_upstream_caller.py
+++ b/packages/relay/src/knapweedspring_relay/_upstream_caller.py
@@ -69,6 +69,8 @@
             names.caller_service,
             call.caller.encode(),
         )
+        if call.workspace:
+            added_lines += b"%b: %b\r\n" % (names.workspace, call.workspace.encode())
         repeatable = call.kind.is_repeatable
         sent_at = now_s()
         answer = await self._pool.call(
--- a/packages/relay/tests/_deployment.py
+++ b/packages/relay/tests/_deployment.py
@@ -45,6 +45,7 @@
     UpstreamState,
     encode_request,
 )
+from knapweedspring_relay._quotas import QuotaHandler
 
 HEADERS = CallHeaders(
     request_id=b"x-id",
@@ -55,6 +56,9 @@
     caller_service=b"x-caller",
     rate_limit=b"x-limit",
     leaving=b"x-leaving",
+    credentials=b"x-key",
+    workspace=b"x-workspace",
+    read_key=lambda value: value.strip() or None,
     parent_of=lambda request_id: request_id.rpartition("/")[0] or None,
 )
 ROUTES = (
@@ -75,12 +79,23 @@
 )
 
 
-def make_configuration(version=1, routes=ROUTES, limits=None):
+def make_configuration(version=1, routes=ROUTES, limits=None, workspaces=()):
+    services = (Service("svc", "/health", 100),)
     return Configuration(
-        version, routes, (Service("svc", "/health", 100),), limits or CallLimits()
+        version, routes, services, limits or CallLimits(), tuple(workspaces)
     )
 
 
+class IgnoredQuotas(QuotaHandler):
+    """Discards the quota frames of other nodes."""
+
+    def receive(self, sender, frame):
+        pass
+
+    def remove(self, sender):
+        pass
+
+
 #: Ports below the kernel's range for outgoing connections. A port in that range could
 #: be taken by an outgoing connection after it is chosen and before it is used.
 _ports = itertools.count(12_000 + os.getpid() % 1_000 * 16)
--- a/packages/relay/tests/test_calls.py
+++ b/packages/relay/tests/test_calls.py
@@ -22,6 +22,7 @@
 from knapweedspring_relay import CallLimits, UpstreamState
 from knapweedspring_relay._clock import now_s
 from knapweedspring_relay._errors import CallError
+from knapweedspring_relay._hop import ChainOrigin
 
 
 def run(scenario):
@@ -380,7 +381,7 @@
     async def scenario():
         async with Deployment([answer_ok]) as deployment:
             relay = deployment.relays[0]
-            monkeypatch.setattr(relay._balancer, "select_gate", lambda *_: 1 / 0)
+            monkeypatch.setattr(relay._path.balancer, "select_gate", lambda *_: 1 / 0)
             status, _, _ = await deployment.call()
             assert status == 502
             failures = relay._counters.get("handler_failures", "ZeroDivisionError")
@@ -437,7 +438,7 @@
             n_served = len(deployment.upstreams[0].requests)
             assert n_served == 31 - len(refused)
             # A call made by a running request is never refused early.
-            relay._gate._root_priorities["running"] = 2
+            relay._gate._origins["running"] = ChainOrigin(2)
             for index in range(20):
                 status, _, _ = await deployment.call(request_id=b"running/%d" % index)
                 assert status == 200
@@ -478,6 +479,6 @@
                 "view/1": 2,
                 "gone/1": 2,
             }
-            assert not relay._gate._root_priorities
+            assert not relay._gate._origins
 
     run(scenario)
--- a/packages/relay/tests/test_crash_exchange.py
+++ b/packages/relay/tests/test_crash_exchange.py
@@ -8,7 +8,7 @@
 import time
 
 import pytest
-from _deployment import Deployment, answer_ok, free_address
+from _deployment import Deployment, IgnoredQuotas, answer_ok, free_address
 
 from knapweedspring_core import Counters
 from knapweedspring_relay import GateEntry, UpstreamState
@@ -42,7 +42,13 @@
 
     async def start(self, address="127.0.0.1:0"):
         self.listener = HopListener(
-            address, None, _NoFollowers(), None, self.receive, lambda *_: None
+            address,
+            None,
+            _NoFollowers(),
+            IgnoredQuotas(),
+            None,
+            self.receive,
+            lambda *_: None,
         )
         await self.listener.start()
         port = self.listener._server.sockets[0].getsockname()[1]
@@ -115,7 +121,9 @@
             for relay in deployment.relays:
                 for process in PROCESSES:
                     if relay is not ignorant:
-                        relay._crash_exchange.receive(CrashFrame(process, (b"cause",)))
+                        relay._path.crash_exchange.receive(
+                            CrashFrame(process, (b"cause",))
+                        )
             await deployment.wait_until(
                 lambda: ignorant._crashes.n_refused == 1, limit_s=CONTACT_S
             )
--- a/packages/relay/tests/test_deployment_changes.py
+++ b/packages/relay/tests/test_deployment_changes.py
@@ -199,9 +199,9 @@
         async with Deployment([answer_ok, answer_ok]) as deployment:
             relay = deployment.relays[0]
             entry = relay._directory.entries["n1"]
-            relay._balancer.record_attempt_start(entry)
+            relay._path.balancer.record_attempt_start(entry)
             long_ago = now_s() - MIN_UNREACHABLE_S - 1.0
-            relay._balancer.record_attempt_end(
+            relay._path.balancer.record_attempt_end(
                 entry, AttemptResult.UNREACHABLE, None, long_ago
             )
             await relay._knowledge.cleaner.delete_stale_entries()
--- a/packages/relay/tests/test_hop.py
+++ b/packages/relay/tests/test_hop.py
@@ -11,6 +11,7 @@
 
 import msgspec
 import pytest
+from _deployment import IgnoredQuotas
 
 from knapweedspring_relay import CallKind
 from knapweedspring_relay import _hop_client as hop_client
@@ -96,6 +97,7 @@
         "127.0.0.1:0",
         gate,
         IgnoredFollowers(),
+        IgnoredQuotas(),
         lambda _: None,
         lambda _: None,
         lambda *error: errors.append(error),
