Use all slots of cold upstreams that have no warm alternative

Cause: after all VMs lost power, every upstream is cold for 3 s and takes twice as long.

Change: a gate uses all usable slots; it still reports half of them while its upstream is cold, so entries prefer warm upstreams.

test_cold_upstream_gets_half_of_the_usable_slots stated the old decision; the test in its place checks what is reported and what is used. limit is a property now, since it no longer depends on the time.

--- a/packages/relay/src/knapweedspring_relay/_admission.py
+++ b/packages/relay/src/knapweedspring_relay/_admission.py
@@ -16,7 +16,7 @@
 #: Share of the declared slots that calls may use. Health checks and new connections
 #: use slots too, and some upstreams slow down when their last slots are in use.
 USABLE_SLOTS_SHARE = 0.95
-#: Share of the usable slots that calls may use while the upstream is cold, which means
+#: Share of the usable slots that gates report while the upstream is cold, which means
 #: slow after its start.
 COLD_SLOTS_SHARE = 0.5
 #: Smoothing factor of the moving averages of service times.
@@ -113,6 +113,11 @@
         """Number of queued calls."""
         return len(self._waiting)
 
+    @property
+    def limit(self) -> int:
+        """Number of calls that may run at the same time, at least 1."""
+        return max(1, int(self._slots * USABLE_SLOTS_SHARE))
+
     def set_upstream(self, slots: int, cold_ends_at: float) -> None:
         """Set the capacity that the upstream declares.
 
@@ -135,27 +140,18 @@
     def sustained_limit(self, now: float) -> int:
         """Return how many calls run at the same time when the gate is fully used.
 
-        It is lower than :meth:`limit` when the rate limit allows fewer calls.
+        It is lower than :attr:`limit` while the upstream is cold, so that entries
+        prefer warm upstreams, and when the rate limit allows fewer calls.
 
         :param now: monotonic time, in seconds.
         """
-        limit, rate_per_s = self.limit(now), self._pacer.rate_per_s
+        limit, rate_per_s = self.limit, self._pacer.rate_per_s
+        if now < self._cold_ends_at:
+            limit = max(1, int(limit * COLD_SLOTS_SHARE))
         if rate_per_s is None:
             return limit
         return max(1, min(limit, math.ceil(rate_per_s * self._mean_service_s)))
 
-    def limit(self, now: float) -> int:
-        """Return how many calls may run at the same time, at least 1.
-
-        :param now: monotonic time, in seconds.
-        """
-        share = (
-            USABLE_SLOTS_SHARE
-            if now >= self._cold_ends_at
-            else USABLE_SLOTS_SHARE * COLD_SLOTS_SHARE
-        )
-        return max(1, int(self._slots * share))
-
     def mean_service_s(self, route: str) -> float:
         """Return the average service time of a route.
 
@@ -258,7 +254,7 @@
         :param now: monotonic time, in seconds.
         :return: the time in seconds; None when no call waits for the rate limit.
         """
-        if not self._waiting or self._n_running >= self.limit(now):
+        if not self._waiting or self._n_running >= self.limit:
             return None
         return self._pacer.delay_s(now)
 
@@ -291,7 +287,7 @@
             self.expire_call(queued)
 
     def _may_start(self, now: float) -> bool:
-        return self._n_running < self.limit(now) and self._pacer.delay_s(now) == 0.0
+        return self._n_running < self.limit and self._pacer.delay_s(now) == 0.0
 
     def _start_call(self, queued: QueuedCall, now: float) -> None:
         self._n_running += 1
@@ -319,7 +315,7 @@
         It is estimated from the number of calls ahead in the queue.
         """
         n_ahead = bisect.bisect_left(self._waiting, queued.order_key, key=_order_key_of)
-        slot_wait_s = (n_ahead + 1) * self._mean_service_s / self.limit(now)
+        slot_wait_s = (n_ahead + 1) * self._mean_service_s / self.limit
         return max(slot_wait_s, self._pacer.delay_s(now, n_ahead))
 
     def _update_service_time(self, route: str, service_s: float) -> None:
--- a/packages/relay/src/knapweedspring_relay/_relay.py
+++ b/packages/relay/src/knapweedspring_relay/_relay.py
@@ -172,7 +172,7 @@
         page, queue = self._metrics, self._gate.queue
         page.add_gauge("gate_running", lambda: float(queue.n_running))
         page.add_gauge("gate_waiting", lambda: float(queue.n_waiting))
-        page.add_gauge("gate_limit", lambda: float(queue.limit(now_s())))
+        page.add_gauge("gate_limit", lambda: float(queue.limit))
         page.add_gauge("upstream_rate_limit", lambda: self._gate.rate_limit or 0.0)
         page.add_gauge("crash_suspects", lambda: float(self._crashes.n_suspects))
         page.add_gauge("refused_requests", lambda: float(self._crashes.n_refused))
