Let shares that were held without use gain units, and check quota frames

Cause: buckets start empty whenever shares change hands. A node's own shares, on the other hand, counted as held since the clock's zero after a restart, so they could start full.

Change: a node counts its shares as held from its start, or from the end of the lease it sent last, and tells a new coordinator for how long they were unused; they have gained units meanwhile. Frames with numbers that are not finite or negative end their connection; before, an infinite delay would have granted any number of units.

--- a/packages/relay/src/knapweedspring_relay/_hop_frames.py
+++ b/packages/relay/src/knapweedspring_relay/_hop_frames.py
@@ -1,5 +1,6 @@
 """Frames between nodes, which multiplex concurrent calls over one connection."""
 
+import math
 from abc import ABC, abstractmethod
 from collections.abc import Iterator
 
@@ -36,6 +37,7 @@
     "QuotaRequestFrame",
     "QuotaReturnFrame",
     "encode_frame",
+    "require_finite",
 ]
 
 #: Bytes of the length prefix of each frame.
@@ -161,6 +163,8 @@
     node: str
     #: Whether the shares are taken back instead.
     is_release: bool = False
+    #: Time for which the sender has held the shares without using them, in seconds.
+    idle_s: float = 0.0
 
 
 class QuotaLeaseAckFrame(
@@ -315,6 +319,16 @@
             self._pending += data[begin:]
 
 
+def require_finite(*numbers: float) -> None:
+    """Check numbers of a frame.
+
+    :param numbers: numbers that must be finite and not negative.
+    :raises FrameError: when one is not.
+    """
+    if not all(math.isfinite(number) and number >= 0 for number in numbers):
+        raise FrameError("a number is not finite or negative")
+
+
 def _decode_frame(content: bytes) -> Frame:
     try:
         return _decoder.decode(content)
--- a/packages/relay/src/knapweedspring_relay/_quotas/_borrowing.py
+++ b/packages/relay/src/knapweedspring_relay/_quotas/_borrowing.py
@@ -8,6 +8,7 @@
     QuotaLoan,
     QuotaLoanFrame,
     QuotaLoanRequestFrame,
+    require_finite,
 )
 from knapweedspring_relay._knowledge import GateEntry, SourceSelector
 from knapweedspring_relay._peer_link import PeerLink
@@ -48,6 +49,8 @@
     def handle_frame(self, frame: Frame) -> None:
         """Pass loans on."""
         if isinstance(frame, QuotaLoanFrame):
+            for loan in frame.loans:
+                require_finite(loan.rate_per_s, loan.depth)
             self._on_loans(self, frame.loans)
 
     def handle_end(self, reason: str) -> None:
--- a/packages/relay/src/knapweedspring_relay/_quotas/_coordinator.py
+++ b/packages/relay/src/knapweedspring_relay/_quotas/_coordinator.py
@@ -108,15 +108,17 @@
         """Number of workspaces of which units were asked for."""
         return len(self._buckets)
 
-    def renew_lease(self, lender: Hashable, now: float) -> None:
+    def renew_lease(self, lender: Hashable, now: float, idle_s: float = 0.0) -> None:
         """Begin or extend the lease of a node.
 
         :param lender: identifies the node.
         :param now: monotonic time, in seconds.
+        :param idle_s: time for which the node held its shares without using them before
+            a new lease, in seconds. They have gained units since.
         """
         self._end_overdue_leases(now)
         known = self._leases.get(lender)
-        begins_at = known.begins_at if known is not None else now
+        begins_at = known.begins_at if known is not None else now - idle_s
         self._leases[lender] = _Lease(begins_at, now + LEASE_S)
         if known is None:
             self._update_buckets(self._buckets, now)
--- a/packages/relay/src/knapweedspring_relay/_quotas/_coordinator_link.py
+++ b/packages/relay/src/knapweedspring_relay/_quotas/_coordinator_link.py
@@ -7,6 +7,7 @@
     QuotaGrantFrame,
     QuotaLeaseAckFrame,
     QuotaLeaseFrame,
+    require_finite,
 )
 from knapweedspring_relay._peer_link import PeerLink
 
@@ -49,10 +50,13 @@
         """Whether a lease may be sent: the previous one has been confirmed."""
         return self._is_open and not self._awaits_ack
 
-    def lend(self) -> None:
-        """Send a lease; shares are lent until it ends or is released."""
+    def lend(self, idle_s: float) -> None:
+        """Send a lease; shares are lent until it ends or is released.
+
+        :param idle_s: time for which the shares were held without use, in seconds.
+        """
         self._awaits_ack = True
-        self.send(QuotaLeaseFrame(self._lender))
+        self.send(QuotaLeaseFrame(self._lender, idle_s=idle_s))
 
     def release(self) -> None:
         """Take the shares back and close the connection."""
@@ -69,6 +73,7 @@
             self._awaits_ack = False
             self._has_worked = True
         elif isinstance(frame, QuotaGrantFrame):
+            require_finite(frame.retry_after_s, *frame.delays_s)
             self._on_grant(frame)
 
     def handle_end(self, reason: str) -> None:
--- a/packages/relay/src/knapweedspring_relay/_quotas/_lending.py
+++ b/packages/relay/src/knapweedspring_relay/_quotas/_lending.py
@@ -134,7 +134,9 @@
             self._is_lent_here = True
             self._log_coordinator()
         if self._is_lent_here:
-            self._coordinator.renew_lease(self, now)
+            idle_s = self._own_shares.idle_s(now)
+            self._coordinator.renew_lease(self, now, idle_s)
+            self._own_shares.restart(now + LEASE_S)
 
     def _lend_to(self, entry: GateEntry, now: float) -> None:
         if self._is_lent_here:
@@ -160,8 +162,10 @@
             self._selector.record_success(link.node)
         if link.may_renew and now - self._renewed_at >= RENEWAL_PERIOD_S:
             self._renewed_at = now
+            link.lend(self._own_shares.idle_s(now))
             self._lent_until = now + LEASE_S + TRANSIT_ALLOWANCE_S
-            link.lend()
+            # If no further renewal follows, the shares are held again from then on.
+            self._own_shares.restart(self._lent_until)
 
     def _leave_link(self, now: float) -> None:
         """Release the present link, if there is one."""
--- a/packages/relay/src/knapweedspring_relay/_quotas/_own_shares.py
+++ b/packages/relay/src/knapweedspring_relay/_quotas/_own_shares.py
@@ -15,6 +15,7 @@
     :param rules: returns how strictly quotas hold.
     :param quota: returns the quota of a workspace; None when it has none.
     :param n_nodes: returns the number of nodes of the data centre.
+    :param now: monotonic time, in seconds.
     """
 
     def __init__(
@@ -22,21 +23,30 @@
         rules: Callable[[], QuotaRules],
         quota: Callable[[str], Quota | None],
         n_nodes: Callable[[], int],
+        now: float,
     ) -> None:
         self._rules = rules
         self._quota = quota
         self._n_nodes = n_nodes
-        self._held_since = 0.0
+        # The shares may have been used until the previous process ended.
+        self._held_since = now
         self._buckets: dict[str, TokenBucket] = {}
 
-    def restart(self, now: float) -> None:
-        """Begin without units, since the shares were lent until now.
+    def restart(self, lent_until: float) -> None:
+        """Begin without units, since the shares are lent until a given time.
 
-        :param now: monotonic time, in seconds.
+        :param lent_until: end of the lease, on the monotonic clock, in seconds.
         """
-        self._held_since = now
+        self._held_since = lent_until
         self._buckets.clear()
 
+    def idle_s(self, now: float) -> float:
+        """Return for how long the shares have been held without use, in seconds.
+
+        :param now: monotonic time, in seconds.
+        """
+        return 0.0 if self._buckets else max(0.0, now - self._held_since)
+
     def try_take(self, workspace: str, now: float) -> bool:
         """Take a unit if one is left; a workspace without a quota always has one.
 
@@ -50,7 +60,7 @@
         limits = self._rules().data_centre_limits(quota).scaled(share)
         bucket = self._buckets.get(workspace)
         if bucket is None:
-            n_units = limits.rate_per_s * (now - self._held_since)
+            n_units = limits.rate_per_s * max(0.0, now - self._held_since)
             bucket = TokenBucket(limits.rate_per_s, limits.depth, now, n_units)
             self._buckets[workspace] = bucket
         else:
--- a/packages/relay/src/knapweedspring_relay/_quotas/_quota_server.py
+++ b/packages/relay/src/knapweedspring_relay/_quotas/_quota_server.py
@@ -12,6 +12,7 @@
     QuotaLoanRequestFrame,
     QuotaRequestFrame,
     QuotaReturnFrame,
+    require_finite,
 )
 from knapweedspring_relay._logs import DecisionLog
 from knapweedspring_relay._quotas._coordinator import QuotaCoordinator
@@ -33,6 +34,7 @@
 
         :param sender: the connection, for the answer.
         :param frame: the frame.
+        :raises FrameError: when a number of the frame cannot be used.
         """
 
     @abstractmethod
@@ -55,16 +57,20 @@
         """Handle a frame of another node; see :class:`QuotaHandler`."""
         now = now_s()
         if isinstance(frame, QuotaRequestFrame):
+            require_finite(frame.n_units, frame.max_delay_s)
             sender.send(self._answer(frame, now))
         elif isinstance(frame, QuotaReturnFrame):
+            require_finite(frame.n_units)
             self._coordinator.give_back(frame.workspace, frame.n_units, now)
         elif isinstance(frame, QuotaLoanRequestFrame):
+            require_finite(*(part.rate_per_s for part in frame.wanted))
             loans = self._coordinator.lend(sender, frame.wanted, now)
             sender.send(QuotaLoanFrame(loans))
         elif frame.is_release:
             self._coordinator.end_lease(sender, now)
         else:
-            self._coordinator.renew_lease(sender, now)
+            require_finite(frame.idle_s)
+            self._coordinator.renew_lease(sender, now, frame.idle_s)
             sender.send(QuotaLeaseAckFrame())
 
     def remove(self, sender: FrameSender) -> None:
--- a/packages/relay/src/knapweedspring_relay/_quotas/_quotas.py
+++ b/packages/relay/src/knapweedspring_relay/_quotas/_quotas.py
@@ -1,6 +1,7 @@
 """The quotas of one node: its coordinator, its shares and its questions for units."""
 
 from knapweedspring_core import Counters, MetricsPage
+from knapweedspring_relay._clock import now_s
 from knapweedspring_relay._configuration import Quota, Workspace
 from knapweedspring_relay._knowledge import DeclaredState, Directory, SourceSelector
 from knapweedspring_relay._logs import DecisionLog
@@ -50,7 +51,7 @@
         self._selector = SourceSelector(node, data_centre, COORDINATOR_ROLE)
         shared = (lambda: self._rules, self._quota, self._count_nodes)
         self._coordinator = QuotaCoordinator(*shared)
-        own_shares = OwnShares(*shared)
+        own_shares = OwnShares(*shared, now_s())
         self._lending = Lending(
             node, self._selector, self._coordinator, own_shares, log
         )
--- a/packages/relay/tests/quotas/_simulation.py
+++ b/packages/relay/tests/quotas/_simulation.py
@@ -113,8 +113,7 @@
             lambda: self.n_known or simulation.n_local(self.data_centre),
         )
         self.coordinator = QuotaCoordinator(*shared)
-        self.own_shares = OwnShares(*shared)
-        self.own_shares.restart(simulation.now)
+        self.own_shares = OwnShares(*shared, simulation.now)
         self.selector = SourceSelector(self.name, self.data_centre, b"quotas")
         self.selector.set_entries(simulation.entries())
         self.links = []
@@ -165,7 +164,7 @@
         elif isinstance(frame, QuotaLeaseFrame) and frame.is_release:
             self.coordinator.end_lease(link, now)
         elif isinstance(frame, QuotaLeaseFrame):
-            self.coordinator.renew_lease(link, now)
+            self.coordinator.renew_lease(link, now, frame.idle_s)
             link.reply(QuotaLeaseAckFrame())
 
     def request(self):
