--- a/packages/standins/src/knapweedspring_standins/_specification/__init__.py
+++ b/packages/standins/src/knapweedspring_standins/_specification/__init__.py
@@ -24,6 +24,10 @@
     DrainRule,
     DrainSpecification,
 )
+from knapweedspring_standins._specification._quota_shares import (
+    ShareRule,
+    ShareSpecification,
+)
 from knapweedspring_standins._specification._replay import (
     Breach,
     ReplayReport,
@@ -59,6 +63,8 @@
     "RunEvent",
     "RunEventKind",
     "RunOutcome",
+    "ShareRule",
+    "ShareSpecification",
     "Specification",
     "PropagationRule",
     "PropagationSpecification",
--- a/packages/standins/tests/specification/test_specifications.py
+++ b/packages/standins/tests/specification/test_specifications.py
@@ -15,6 +15,8 @@
     Property,
     RetryBudgetSpecification,
     RetryRule,
+    ShareRule,
+    ShareSpecification,
     TicketRule,
     TicketSpecification,
     WriterRule,
@@ -30,6 +32,7 @@
     (WriterSpecification, 2_500),
     (PropagationSpecification, 40_000),
     (DrainSpecification, 8_900),
+    (ShareSpecification, 700),
 ]
 
 #: Names of the properties, each of which fails when some rule is left out.
@@ -42,6 +45,7 @@
 HONEST = "not-run is honest"
 RETRIES = "retries within budget"
 PLACE_RUNS = "runs of a place within budget"
+SHARE_SPENT = "spent within the share"
 
 #: Triples of a specification, a rule that is left out and a property that then fails.
 BROKEN_VARIANTS = [
@@ -88,6 +92,10 @@
     (DrainSpecification, DrainRule.CHILD_CALLS_CONTINUE, NOTHING_CUT),
     (DrainSpecification, DrainRule.DEADLINE_IS_REPORTED, NOTHING_CUT),
     (DrainSpecification, DrainRule.CLOSED_CONNECTION_IS_UNKNOWN, HONEST),
+    (ShareSpecification, ShareRule.WAIT_FOR_END, SHARE_SPENT),
+    (ShareSpecification, ShareRule.TRANSIT_COUNTS, SHARE_SPENT),
+    (ShareSpecification, ShareRule.LEASE_ENDS, SHARE_SPENT),
+    (ShareSpecification, ShareRule.STARTS_EMPTY, SHARE_SPENT),
 ]
 
 #: Triples of a specification, the name of an outcome that it must be able to reach, and
@@ -124,6 +132,11 @@
             and not state.deadline_hit
         ),
     ),
+    (
+        ShareSpecification,
+        "the share is used again by its owner after a lease",
+        lambda state: state.lent_to == 0 and sum(state.spent) == 3,
+    ),
 ]
 
 
@@ -166,6 +179,7 @@
         DrainSpecification: DrainRule,
         WriterSpecification: WriterRule,
         PropagationSpecification: PropagationRule,
+        ShareSpecification: ShareRule,
     }
     left_out = [
         rule for checked, rule, _ in BROKEN_VARIANTS if checked is specification
