Grant nothing while a node knows no other node of its data centre

Cause: a node that starts may have a configuration before the directory. It then took itself for the only node of its data centre and would have used all shares of every quota, on all nodes at once after a loss of all VMs.

Change: while no entry of the data centre is known, its nodes count as so many that a share grants nothing; requests of limited workspaces wait for the directory as they wait for a coordinator. The test fails before the change.

--- a/packages/relay/src/knapweedspring_relay/_quotas/_quotas.py
+++ b/packages/relay/src/knapweedspring_relay/_quotas/_quotas.py
@@ -18,6 +18,9 @@
 
 #: Name of the coordinator's role in the ranking of nodes.
 COORDINATOR_ROLE = b"quotas"
+#: Number of nodes that a data centre is taken to have while no entry of it is known: so
+#: many that a share grants nothing. A node that starts would otherwise use all shares.
+UNKNOWN_N_NODES = 100_000
 #: Period in which leases and questions are checked, in seconds.
 CHECK_PERIOD_S = 0.1
 
@@ -64,7 +67,7 @@
             self._coordinator,
             lambda name: SourceSelector(node, name, COORDINATOR_ROLE),
         )
-        self._n_nodes = 1
+        self._n_nodes = UNKNOWN_N_NODES
 
     @property
     def handler(self) -> QuotaHandler:
@@ -106,8 +109,8 @@
         entries = self._directory.listed_entries()
         self._selector.set_entries(entries)
         self._borrowing.update_entries(entries)
-        local = [e for e in entries if e.data_centre == self._data_centre]
-        self._n_nodes = max(1, len(local))
+        n_local = sum(entry.data_centre == self._data_centre for entry in entries)
+        self._n_nodes = n_local or UNKNOWN_N_NODES
 
     async def acquire(
         self, workspace: Workspace, max_delay_s: float, max_wait_s: float
--- a/packages/relay/tests/quotas/test_quota_frames.py
+++ b/packages/relay/tests/quotas/test_quota_frames.py
@@ -14,6 +14,7 @@
     QuotaReturnFrame,
     encode_frame,
 )
+from knapweedspring_relay._knowledge import Directory
 
 LIMITED = Workspace("w1", (digest_key(b"k1"),), quota=Quota(50.0, 50.0))
 BAD_FRAMES = (
@@ -43,6 +44,23 @@
     asyncio.run(asyncio.wait_for(scenario(), 20))
 
 
+def test_node_that_knows_no_other_node_grants_nothing():
+    """After a restart the configuration may be known before the directory."""
+
+    async def scenario():
+        declared = make_configuration(1, workspaces=(LIMITED,))
+        async with Deployment([answer_ok], declared) as deployment:
+            quotas = deployment.relays[0]._path.quotas
+            quotas._directory = Directory()
+            quotas.update_entries()
+            await asyncio.sleep(0.5)
+            now = asyncio.get_running_loop().time()
+            grant = quotas._coordinator.grant("w1", 10, 0.1, now)
+            assert grant.delays_s == ()
+
+    asyncio.run(asyncio.wait_for(scenario(), 20))
+
+
 def test_unknown_workspace_and_too_many_units_are_answered():
     async def scenario():
         declared = make_configuration(1, workspaces=(LIMITED,))
