Refuse requests that arrive late in a stop and may not end in time

A node got its stop signal at 17.700 s, a caller sent it a catalogue browse at 22.152 s on a connection that was still open, and the process ended at 23.3 s with the request at an upstream: the connection closed without an answer.

Change: from the time at which callers have been sent to other nodes (2.6 s), a request whose deadline lies past the end of the process is refused at once with 503 and Retry-After: it has not run, and its caller finds another node.

The test fails before the change (no request is refused).

--- a/packages/relay/src/knapweedspring_relay/_call_path.py
+++ b/packages/relay/src/knapweedspring_relay/_call_path.py
@@ -12,7 +12,8 @@
 from knapweedspring_relay._crash_exchange import CrashExchange
 from knapweedspring_relay._crash_records import CrashRecords
 from knapweedspring_relay._destination_splitter import DestinationSplitter
-from knapweedspring_relay._entry import Entry, NodeIdentity
+from knapweedspring_relay._entry import Entry
+from knapweedspring_relay._entry_settings import NodeIdentity
 from knapweedspring_relay._gate import Gate
 from knapweedspring_relay._histograms import LatencyHistograms
 from knapweedspring_relay._hop_client import HopPool, HopSettings
--- a/packages/relay/src/knapweedspring_relay/_call_recorder.py
+++ b/packages/relay/src/knapweedspring_relay/_call_recorder.py
@@ -13,7 +13,14 @@
 
 #: Outcomes that say nothing about the services further down the chain.
 OUTCOMES_OF_CALLERS = frozenset(
-    {"caller-left", "refused-early", "refused-crash", "over-quota", "key-withdrawn"}
+    {
+        "caller-left",
+        "refused-early",
+        "refused-crash",
+        "refused-stopping",
+        "over-quota",
+        "key-withdrawn",
+    }
 )
 
 
--- a/packages/relay/src/knapweedspring_relay/_entry.py
+++ b/packages/relay/src/knapweedspring_relay/_entry.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from knapweedspring_core import Counters
 from knapweedspring_relay._answer import Answer
@@ -22,6 +21,7 @@
 )
 from knapweedspring_relay._crash_records import CrashRecords
 from knapweedspring_relay._destination_splitter import DestinationSplitter
+from knapweedspring_relay._entry_settings import NodeIdentity, ShutdownTimes
 from knapweedspring_relay._errors import CallError, ConnectFailed
 from knapweedspring_relay._gate import Gate
 from knapweedspring_relay._gate_link import GateLink
@@ -42,7 +42,7 @@
 from knapweedspring_relay._workspace_access import WorkspaceAccess
 from knapweedspring_relay._workspace_keys import Caller
 
-__all__ = ["Entry", "NodeIdentity"]
+__all__ = ["Entry"]
 
 #: Number of offers of one request that gates may refuse, or not receive because they
 #: are unreachable, before the entry answers the caller with a failure.
@@ -67,16 +67,6 @@
 MAX_UNIT_WAIT_SHARE = 0.6
 
 
-@dataclass(frozen=True, slots=True)
-class NodeIdentity:
-    """Service and name of a node."""
-
-    #: Service on this VM.
-    caller_service: str
-    #: Name of this node.
-    node: str
-
-
 class Entry(RequestHandler):
     """Routes requests, offers them to gates and retries them where that is allowed.
 
@@ -133,6 +123,7 @@
         self._refusals = Refusals(headers, rng)
         self._chain_health = ChainHealth()
         self._fingerprinter = RequestFingerprinter(headers)
+        self._shutdown: ShutdownTimes | None = None
 
     @property
     def limits(self) -> CallLimits:
@@ -147,6 +138,13 @@
         """
         self._identity = identity
 
+    def begin_shutdown(self, times: ShutdownTimes) -> None:
+        """Refuse requests that the process may not live to answer.
+
+        :param times: times of the shutdown.
+        """
+        self._shutdown = times
+
     async def handle(self, exchange: Exchange) -> None:
         """Route a caller's request and answer it.
 
@@ -171,6 +169,12 @@
         state = self._new_request_state(
             request, route, table.configuration.version, access.caller
         )
+        shutdown = self._shutdown
+        if shutdown and shutdown.may_cut(state.deadline_at, request.arrived_at):
+            state.last_reason = "the node is stopping"
+            self._refusals.send_failure(state, exchange)
+            self._record_request_end(state, exchange, "refused-stopping", 503)
+            return
         if self._is_refused_early(state, request.arrived_at):
             self._refuse_early(state, exchange)
             return
--- a/packages/relay/src/knapweedspring_relay/_relay.py
+++ b/packages/relay/src/knapweedspring_relay/_relay.py
@@ -19,6 +19,7 @@
 )
 from knapweedspring_relay._clock import now_s, suspension_meter
 from knapweedspring_relay._crash_records import CrashRecords
+from knapweedspring_relay._entry_settings import ShutdownTimes
 from knapweedspring_relay._event_reporter import EventReporter
 from knapweedspring_relay._histograms import LatencyHistograms
 from knapweedspring_relay._hop_listener import HopListener
@@ -238,6 +239,9 @@
         self._stop_at = now_s()
         self._log.write_state("process:stopping", n_running=self._gate.n_running)
         self._entry_listener.drain()
+        self._entry.begin_shutdown(
+            ShutdownTimes(self._stop_at + MIN_SHUTDOWN_S, self._shutdown_ends_at)
+        )
         self._knowledge.own_entry.request_check()
         self._knowledge.leave()
         self._stopping.set()
@@ -409,8 +413,7 @@
         See ``MIN_SHUTDOWN_S`` and ``SHUTDOWN_MARGIN_S`` for the time allowed.
         """
         assert self._stop_at is not None
-        grace_s = self._settings.shutdown.grace_or_default_s
-        end_at = self._stop_at + max(MIN_SHUTDOWN_S, grace_s - SHUTDOWN_MARGIN_S)
+        end_at = self._shutdown_ends_at
         gate_closes_at = self._stop_at + GATE_CLOSE_DELAY_S
         while now_s() < end_at:
             await asyncio.sleep(0.05)
@@ -436,6 +439,13 @@
         await asyncio.sleep(0.05)
         self._log_lines.flush()
 
+    @property
+    def _shutdown_ends_at(self) -> float:
+        """Time at which the process ends at the latest, once a stop has begun."""
+        grace_s = self._settings.shutdown.grace_or_default_s
+        begins_at = self._stop_at or 0.0
+        return begins_at + max(MIN_SHUTDOWN_S, grace_s - SHUTDOWN_MARGIN_S)
+
     def _is_idle(self) -> bool:
         n_active = self._entry_listener.n_active + self._gate_listener.n_active
         return n_active == 0 and self._gate.n_running == 0
--- a/packages/relay/tests/test_deployment_changes.py
+++ b/packages/relay/tests/test_deployment_changes.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import time
 from dataclasses import replace
 
 from _deployment import (
@@ -15,9 +16,10 @@
     make_configuration,
 )
 
-from knapweedspring_relay import Destination, UpstreamState
+from knapweedspring_relay import Destination, ShutdownSettings, UpstreamState
 from knapweedspring_relay._balancer import AttemptResult
 from knapweedspring_relay._clock import now_s
+from knapweedspring_relay._errors import ConnectFailed
 from knapweedspring_relay._knowledge._entry_cleaner import MIN_UNREACHABLE_S
 
 
@@ -145,6 +147,34 @@
     run(scenario)
 
 
+def test_requests_that_arrive_late_in_a_stop_are_refused_and_not_cut():
+    """Callers go on using a node for its whole grace time; each gets an answer."""
+
+    async def slow(upstream, request, writer):
+        await asyncio.sleep(0.9)
+        writer.write(answer_of(request))
+
+    async def scenario():
+        async with Deployment([slow, slow]) as deployment:
+            shutdown = ShutdownSettings(5.0, 1.0)
+            deployment.add_relay(0, node="stopping", shutdown=shutdown)
+            await deployment.wait_until(lambda: deployment.relays[2].is_ready)
+            deployment.relays[2].stop()
+            begin, calls = time.monotonic(), []
+            while not deployment.tasks[2].done():
+                calls.append(asyncio.ensure_future(deployment.call(index=2)))
+                await asyncio.sleep(0.1)
+                assert time.monotonic() - begin < 6.0
+            results = await asyncio.gather(*calls, return_exceptions=True)
+            # Connections to a process that has ended cannot be established.
+            results = [r for r in results if not isinstance(r, ConnectFailed)]
+            assert {result[0] for result in results} == {200, 503}
+            refused = [answer for status, answer, _ in results if status == 503]
+            assert all(answer.header(b"retry-after") for answer in refused)
+
+    run(scenario)
+
+
 def test_upstream_that_drained_before_a_restart_is_restored_as_draining():
     async def scenario():
         async with Deployment([answer_ok]) as deployment:
