Keep tests that run at the same time from using the same ports

Cause: a test process chooses ports from its process id, 16 ports apart for neighbouring ids (3372 and 3373 here), but uses hundreds in turn. Both runs were at the same test at the same time, and one bound a port between the other's choice and use. Ruled out: load (twelve runs of these tests, four at a time with other ids, pass).

Change: neighbouring ids are 997 ports apart.

--- a/packages/relay/tests/_deployment.py
+++ b/packages/relay/tests/_deployment.py
@@ -97,8 +97,10 @@
 
 
 #: Ports below the kernel's range for outgoing connections. A port in that range could
-#: be taken by an outgoing connection after it is chosen and before it is used.
-_ports = itertools.count(12_000 + os.getpid() % 1_000 * 16)
+#: be taken by an outgoing connection after it is chosen and before it is used. Runs of
+#: the tests that start together have neighbouring process ids; the stride keeps them
+#: from using the same ports at the same time.
+_ports = itertools.count(12_000 + os.getpid() * 997 % 16_000)
 
 
 def free_address():
