--- a/review/3/case.py
+++ b/review/3/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import os
 import sys
 import time
 from pathlib import Path
@@ -18,7 +19,7 @@
 MEMORY_BYTES = 300_000_000
 WATCH_PERIOD_S = 0.02
 RESTART_DELAY_S = 0.5
-PAGE_BYTES = 4_096
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 #: Dose of the site file for ``garble``: share of the answers that are spoiled.
 SPOILED_SHARE = 0.03
 #: Times for which a lookup and an order run, and their deadline, in seconds.
