--- a/review/others.py
+++ b/review/others.py
@@ -11,7 +11,8 @@
 from pathlib import Path
 
 from stand_ins import (
-    Deployment, Server, ask, call, encode_answer, route, run_case,
+    HOST, Deployment, Server, ask, call, configuration, encode_answer, read_head, route,
+    run_case,
 )
 
 FOLDER = Path(__file__).resolve().parent
@@ -207,7 +208,123 @@
             f"{n_served} of 6 orders are served"] if n_taken else []
 
 
-TRIALS = {f.__name__: f for f in (drain, upgrade, rejections, paused, slots)}
+class SlowServer(Server):
+    """A server that sends the last part of a download half a second later."""
+
+    async def answer(self, request, reader, writer):
+        rid = request.headers.get("knapweedspring-request-id", "")
+        data = encode_answer(200, [("Knapweedspring-Request-Id", rid),
+                                   ("Knapweedspring-Server-Seal", "seal")], DOWNLOAD)
+        writer.write(data[:-20_000])
+        await asyncio.sleep(0.5)
+        writer.write(data[-20_000:])
+        await writer.drain()
+        return True
+
+
+DOWNLOAD = b"z" * 100_000
+
+
+async def expect(record, folder, nodes, has_trouble):
+    """MIXED: "100 Continue" is written into an answer that still arrives."""
+    deployment = Deployment(record, folder, nodes)
+    rules = [route("book-bundle", "/bundle/", "download", "orders", 5.0, 2)]
+    await deployment.start(rules, MACHINES, SlowServer, 20, None)
+    n_changed = 0
+    host, port = nodes[2].entry.rsplit(":", 1)
+    for number in range(10):
+        reader, writer = await asyncio.open_connection(host, int(port), limit=1 << 20)
+        start_of_both = (f" /bundle/b HTTP/1.1\r\nHost: {HOST}\r\n"
+                         "Knapweedspring-Deadline-Ms: 5000\r\n")
+        writer.write(f"GET{start_of_both}Knapweedspring-Request-Id: b-{number}\r\n"
+                     "\r\n".encode())
+        await read_head(reader)
+        if has_trouble:
+            writer.write(f"POST{start_of_both}Knapweedspring-Request-Id: p-{number}\r\n"
+                         "Expect: 100-continue\r\nContent-Length: 3\r\n\r\n".encode())
+        body = await reader.readexactly(len(DOWNLOAD))
+        n_changed += body != DOWNLOAD
+        writer.close()
+    await deployment.stop()
+    return [f"MIXED: {n_changed} of 10 downloads have status 200 and other "
+            "bytes"] if n_changed else []
+
+
+async def hide(record, folder, nodes, has_trouble):
+    """Entries of another writer with a gate's address hide the gate.
+
+    They name a service that isn't declared and a later start than the true entries.
+    """
+    deployment = await start(record, folder, nodes)
+    for number, node in enumerate(nodes[:2] if has_trouble else ()):
+        spec = dict(deployment.store.spec_of("knapweedspring-gates", node.name))
+        spec.update(node=f"other-{number}", service="nobody", born_ms=spec["born_ms"] + 1)
+        deployment.store.put("knapweedspring-gates", f"other-{number}", spec)
+    await asyncio.sleep(3.0)
+    outcomes = [await order(nodes, record, f"order-{n}") for n in range(20)]
+    await deployment.stop()
+    n_served = sum(outcome.status == 200 for outcome in outcomes)
+    return [f"{n_served} of 20 orders are served"] if n_served < 20 else []
+
+
+async def watch(record, folder, nodes, has_trouble):
+    """CONFIG: a watch whose answer was lost counts as a working one.
+
+    For 2 s the store answers nothing, and a connection on which an answer is lost
+    returns nothing further. A route moves meanwhile. One data centre.
+    """
+    deployment = Deployment(record, folder, nodes)
+    store, answers = deployment.store, deployment.store.answer
+    silent_until, lost = 0.0, set()
+
+    async def lose(request, reader, writer):
+        kept = []
+        is_kept = await answers(request, reader, _Sink(kept))
+        if time.monotonic() < silent_until:
+            lost.add(writer)
+        if writer in lost:
+            await asyncio.sleep(60.0)
+            return False
+        for data in kept:
+            writer.write(data)
+        await writer.drain()
+        return is_kept
+
+    store.answer = lose
+    await deployment.start([ORDERS], MACHINES, Server, 20, lambda *_: ORDER_S)
+    silent_until = time.monotonic() + 2.0 if has_trouble else 0.0
+    moved = route("spice-order", "/order/", "non_idempotent", "recipes", 5.0, 2)
+    await asyncio.sleep(1.0)
+    store.put("config", "main", configuration(8, [moved], ["orders", "recipes"]))
+    acked_at = time.monotonic()
+    # The store is stable for contact_s, and config_s is over.
+    await asyncio.sleep(8.0)
+    outcomes = [await order(nodes, record, f"order-{n}") for n in range(20)]
+    await deployment.stop()
+    old = {rid for server in deployment.servers[:2] for rid in server.runs}
+    n_old = sum(outcome.rid in old for outcome in outcomes)
+    record.add("orders", at_the_old_service=n_old, after_s=outcomes[0].at - acked_at)
+    return [f"CONFIG: {n_old} of 20 orders sent over 8 s after the ack run at the old "
+            "service"] if n_old else []
+
+
+class _Sink:
+    """Keeps the bytes of an answer that is perhaps not sent."""
+
+    def __init__(self, kept):
+        self._kept = kept
+
+    def write(self, data):
+        self._kept.append(data)
+
+    async def drain(self):
+        pass
+
+
+TRIALS = {
+    trial.__name__: trial
+    for trial in (drain, upgrade, rejections, paused, slots, expect, hide, watch)
+}
 
 if __name__ == "__main__":
     trouble = sys.argv[2] if len(sys.argv) > 2 else "1"
