--- a/review/build.sh
+++ b/review/build.sh
@@ -7,4 +7,4 @@
 import pathlib, sys
 for name in sys.argv[1:]:
     compile(pathlib.Path(name).read_text(encoding="utf-8"), name, "exec")
-' stand_ins.py ./*/case.py
+' stand_ins.py others.py ./*/case.py
--- /dev/null
+++ b/review/others.py
@@ -0,0 +1,214 @@
+"""Faults that the review found and that are not among its five cases.
+
+Usage: ``python3 -B review/others.py NAME [0]``, after the build of the deploy file; 0
+leaves the disruption out. Exits with 1 if the fault shows, with 0 if it does not, and
+with 2 if it could not run. Writes to ``record.txt`` in this folder.
+"""
+
+import asyncio
+import sys
+import time
+from pathlib import Path
+
+from stand_ins import (
+    Deployment, Server, ask, call, encode_answer, route, run_case,
+)
+
+FOLDER = Path(__file__).resolve().parent
+ORDERS = route("spice-order", "/order/", "non_idempotent", "orders", 5.0, 2)
+#: Two machines with orders servers, and one beside which the clients are.
+MACHINES = [("side-1", "orders", "midrand"), ("side-2", "orders", "midrand"),
+            ("side-3", "recipes", "midrand")]
+ORDER_S = 0.1
+UPGRADE_OFFER = [("Connection", "Upgrade, HTTP2-Settings"), ("Upgrade", "h2c"),
+                 ("HTTP2-Settings", "AAMAAABkAARAAAAAAAIAAAAA")]
+
+
+async def start(record, folder, nodes, server_class=Server, slots=20):
+    deployment = Deployment(record, folder, nodes)
+    await deployment.start([ORDERS], MACHINES, server_class, slots, lambda *_: ORDER_S)
+    return deployment
+
+
+async def order(nodes, record, rid, headers=()):
+    return await ask(nodes[2].entry, "POST", f"/order/{rid}", rid, 5.0, record,
+                     b"two boxes", headers)
+
+
+async def drain(record, folder, nodes, has_trouble):
+    """DRAIN: a killed node forgets a departure that it had acknowledged.
+
+    The server leaves by DELETE and serves on; the node beside it is killed. A report
+    that the server sent before arrives 3 s after the departure.
+    """
+    deployment = await start(record, folder, nodes)
+    server, node = deployment.servers[0], nodes[0]
+    late_report = server.beat_body()
+    server.stop_beats()
+    record.add("departure", acknowledged=await server.send_departure())
+    left_at = time.monotonic()
+    if has_trouble:
+        node.kill()
+        await asyncio.sleep(0.5)
+        node.start()
+    await asyncio.sleep(max(0.0, left_at + 3.5 - time.monotonic()))
+    record.add("late report", acknowledged=await server.send_beat(late_report))
+    # The restarted machine is in touch again after 3 s.
+    await asyncio.sleep(max(0.0, left_at + 6.0 - time.monotonic()))
+    for number in range(30):
+        await order(nodes, record, f"order-{number}")
+    await deployment.stop()
+    n_reached = len(server.runs)
+    return [f"DRAIN: {n_reached} of 30 orders reach a server over 6 s after the ack of "
+            "its departure"] if n_reached else []
+
+
+class BodyServer(Server):
+    """A server that keeps the bodies of its requests."""
+
+    bodies: dict[str, bytes] = {}
+
+    async def answer(self, request, reader, writer):
+        rid = request.headers.get("knapweedspring-request-id", "")
+        self.bodies[rid] = request.body
+        return await super().answer(request, reader, writer)
+
+
+async def upgrade(record, folder, nodes, has_trouble):
+    """UNASKED: an order whose client offers an upgrade runs with an empty body."""
+    deployment = await start(record, folder, nodes, BodyServer)
+    headers = UPGRADE_OFFER if has_trouble else ()
+    outcomes = [await order(nodes, record, f"order-{n}", headers) for n in range(20)]
+    await deployment.stop()
+    changed = [o for o in outcomes if BodyServer.bodies.get(o.rid) == b""]
+    n_done = sum(outcome.status == 200 for outcome in changed)
+    return [f"UNASKED: {len(changed)} of 20 orders run with an empty body, {n_done} of "
+            "them are answered 200"] if changed else []
+
+
+class WireServer(Server):
+    """A server whose rejections carry no id, as ``fleetbench wire`` prints them.
+
+    It rejects every second order. While the next order runs on the same connection, a
+    second copy of the rejection arrives.
+    """
+
+    copies = False
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self._rejected = set()
+        self._n_orders = 0
+        self._pending = set()
+
+    def rejects(self, rid):
+        self._n_orders += 1
+        if self.copies and self._n_orders % 2 and rid not in self._rejected:
+            self._rejected.add(rid)
+            return True
+        return False
+
+    async def answer(self, request, reader, writer):
+        if writer in self._pending:
+            self._pending.discard(writer)
+            asyncio.get_running_loop().call_later(0.03, self._send_copy, writer)
+        return await super().answer(request, reader, writer)
+
+    def send_rejection(self, writer, rid):
+        self._send(writer, 503, [("Knapweedspring-Not-Executed", "1")])
+        self._pending.add(writer)
+
+    def _send_copy(self, writer):
+        self._record.add("server sends a second copy", server=self.instance)
+        self._send(writer, 503, [("Knapweedspring-Not-Executed", "1")])
+
+
+async def rejections(record, folder, nodes, has_trouble):
+    """TWICE: a late copy of a rejection without id is taken for the next answer."""
+    deployment = await start(record, folder, nodes, WireServer)
+    WireServer.copies = has_trouble
+    outcomes = [await order(nodes, record, f"order-{n}") for n in range(30)]
+    await deployment.stop()
+    runs = [rid for server in deployment.servers for rid in server.runs]
+    twice = [o.rid for o in outcomes if runs.count(o.rid) > 1]
+    return [f"TWICE: {len(twice)} of 30 orders ran twice"] if twice else []
+
+
+class DownloadServer(Server):
+    """A sound server with answers of 150 kB."""
+
+    async def answer(self, request, reader, writer):
+        rid = request.headers.get("knapweedspring-request-id", "")
+        self.finished.append(rid)
+        writer.write(encode_answer(200, [("Knapweedspring-Request-Id", rid),
+                                         ("Knapweedspring-Server-Seal", "seal")],
+                                   b"z" * (150_000 if self.is_large else 15_000)))
+        await writer.drain()
+        return True
+
+    is_large = False
+
+
+async def paused(record, folder, nodes, has_trouble):
+    """Requests that sound servers answered get 504 after an answer of 150 kB."""
+    deployment = await start(record, folder, nodes, DownloadServer)
+    DownloadServer.is_large = has_trouble
+    outcomes = [await order(nodes, record, f"order-{n}") for n in range(12)]
+    await deployment.stop()
+    finished = {rid for server in deployment.servers for rid in server.finished}
+    lost = [o.rid for o in outcomes if o.status != 200 and o.rid in finished]
+    return [f"{len(lost)} of 12 orders that servers answered got no answer before their "
+            "deadline"] if lost else []
+
+
+class EndlessServer(Server):
+    """A server that rejects with a body that has no end, until the caller closes."""
+
+    is_faulty = False
+    n_open = 0
+
+    async def answer(self, request, reader, writer):
+        rid = request.headers.get("knapweedspring-request-id", "")
+        if not self.is_faulty:
+            return await super().answer(request, reader, writer)
+        writer.write(
+            f"HTTP/1.1 503 X\r\nKnapweedspring-Request-Id: {rid}\r\n"
+            "Knapweedspring-Not-Executed: 1\r\nContent-Length: 1000000000\r\n\r\n".encode()
+        )
+        try:
+            while not writer.transport.is_closing():
+                writer.write(b"z" * 8_192)
+                await asyncio.wait_for(writer.drain(), 3.0)
+        except (ConnectionError, TimeoutError):
+            pass
+        # It closes a connection on which nothing is read for 3 s.
+        writer.transport.abort()
+        return False
+
+
+async def slots(record, folder, nodes, has_trouble):
+    """Slots of a gate stay taken after rejections with bodies that have no end."""
+    deployment = await start(record, folder, nodes, EndlessServer, slots=4)
+    EndlessServer.is_faulty = has_trouble
+    for number in range(10):
+        await order(nodes, record, f"bad-{number}")
+    EndlessServer.is_faulty = False
+    await asyncio.sleep(8.0)
+    outcomes = await asyncio.gather(*(order(nodes, record, f"good-{n}") for n in range(6)))
+    n_served = sum(outcome.status == 200 for outcome in outcomes)
+    n_taken = 0
+    for node in nodes[:2]:
+        page = await call(node.settings["metrics_address"], "GET", "/metrics", [], b"")
+        line = [x for x in page.body.decode().splitlines() if x.startswith("gate_running")]
+        n_taken += round(float(line[0].split()[-1]))
+    record.add("8 s later", served=n_served, slots_taken=n_taken)
+    await deployment.stop()
+    return [f"8 s after the last rejection {n_taken} slots of idle servers are taken; "
+            f"{n_served} of 6 orders are served"] if n_taken else []
+
+
+TRIALS = {f.__name__: f for f in (drain, upgrade, rejections, paused, slots)}
+
+if __name__ == "__main__":
+    trouble = sys.argv[2] if len(sys.argv) > 2 else "1"
+    run_case(TRIALS[sys.argv[1]], FOLDER, trouble)
