--- a/review/others.py
+++ b/review/others.py
@@ -6,13 +6,15 @@
 """
 
 import asyncio
+import itertools
+import signal
 import sys
 import time
 from pathlib import Path
 
 from stand_ins import (
-    HOST, Deployment, Server, ask, call, configuration, encode_answer, read_head, route,
-    run_case,
+    HOST, CannotRun, Deployment, Outcome, Server, ask, call, configuration, encode_answer,
+    read_body, read_head, route, run_case,
 )
 
 FOLDER = Path(__file__).resolve().parent
@@ -333,9 +335,135 @@
         pass
 
 
+#: The tenant of the example that ``fleetbench wire`` prints, and the bounds of its
+#: deployment (shifted/LATER.md).
+KEY, PER_S, BURST = "th5mgjy5rcpihhacrudd", 124, 124
+TENANT = {"name": "pulo780", "api_keys": [KEY], "priority": 1, "per_s": PER_S, "burst": BURST}
+WINDOW_S, EXCESS, SLACK = 5.0, 0.1, 20
+QUOTA = (PER_S * WINDOW_S + BURST) * (1 + EXCESS) + SLACK
+QUOTA_SETTINGS = {"quota_window_s": WINDOW_S, "quota_excess": EXCESS, "quota_slack": SLACK,
+                  "in_force_s": 2.5, "refuses_when_stale": False, "stale_after_s": 5}
+#: Latency target and deadline of ``catalogue-browse`` there.
+BROWSE = route("catalogue-browse", "/browse/", "idempotent", "catalogue", 8.0, 2, 2, 2.078)
+#: Requests of the tenant: five times its usual, which is its allotment divided by 1.6.
+DEMAND_PER_S = 400
+#: Time from the first request to the stops, and to the last request, in seconds.
+STOP_AFTER_S, SEND_S = 2.7, 5.6
+#: Time from a stop until the clients of the machine have moved away, in seconds.
+MOVED_AFTER_S = 2.0
+
+
+class TenantServer(Server):
+    """A server that keeps the time at which each request of the tenant arrives."""
+
+    arrivals: dict[str, float] = {}
+
+    async def answer(self, request, reader, writer):
+        if request.headers.get("knapweedspring-tenant-id") == TENANT["name"]:
+            rid = request.headers.get("knapweedspring-request-id", "")
+            self.arrivals.setdefault(rid, time.monotonic())
+        return await super().answer(request, reader, writer)
+
+
+def find_coordinators(nodes):
+    """Return the node in each zone that grants the units, as the nodes' logs name it."""
+    named = {}
+    for node in nodes:
+        for line in node.log_lines():
+            if line.get("message_type") == "quota:coordinator":
+                zone = node.settings["data_centre"]
+                named.setdefault(zone, {})[node.name] = line["coordinator"]
+    if len(named) != len(ZONES) or any(len(set(z.values())) != 1 for z in named.values()):
+        raise CannotRun(f"the nodes name different coordinators: {named}")
+    chosen = {next(iter(names.values())) for names in named.values()}
+    return [node for node in nodes if node.name in chosen]
+
+
+async def quota(record, folder, nodes, has_trouble):
+    """QUOTA: units that a stopping coordinator granted come due beside its successor's.
+
+    Four zones with five machines each. A tenant asks for more than its allotment. The
+    node of each zone that grants its units is stopped, all four at once.
+    """
+    deployment = Deployment(record, folder, nodes)
+    machines = [(f"side-{zone}-{number}", "catalogue", zone)
+                for number in range(5) for zone in ZONES]
+    await deployment.start([BROWSE], machines, TenantServer, 200, lambda *_: ORDER_S,
+                           [TENANT], QUOTA_SETTINGS)
+    stopped = find_coordinators(nodes)
+    sent, tasks = {}, []
+    began_at = time.monotonic()
+    stopped_at = None
+    for number in itertools.count():
+        await asyncio.sleep(max(0.0, began_at + number / DEMAND_PER_S - time.monotonic()))
+        now = time.monotonic()
+        if now > began_at + SEND_S:
+            break
+        if has_trouble and stopped_at is None and now >= began_at + STOP_AFTER_S:
+            stopped_at = now
+            for node in stopped:
+                record.add("SIGTERM", node=node.name)
+                node.signal(signal.SIGTERM)
+        node = nodes[number % len(nodes)]
+        has_moved = stopped_at is not None and now >= stopped_at + MOVED_AFTER_S
+        if has_moved and node in stopped:
+            continue
+        rid = f"browse-{number}"
+        sent[rid] = now
+        tasks.append(asyncio.ensure_future(
+            ask(node.entry, "GET", f"/browse/{rid}", rid, 8.0, record,
+                headers=[("Authorization", f"Bearer {KEY}")])
+        ))
+    await asyncio.gather(*tasks)
+    await deployment.stop()
+    ran = {rid for server in deployment.servers for rid in server.runs}
+    spans = [(sent[rid], at) for rid, at in TenantServer.arrivals.items() if rid in ran]
+    most = max(sum(begin <= sent_at and at <= begin + WINDOW_S for sent_at, at in spans)
+               for begin, _ in spans)
+    record.add("most in a window", n=most, allowed=QUOTA)
+    return [f"QUOTA: {most} requests of the tenant were sent and arrived within "
+            f"{WINDOW_S:.0f} s; {QUOTA:.1f} are allowed"] if most > QUOTA else []
+
+
+async def folded(record, folder, nodes, has_trouble):
+    """DENIED: a head whose end arrives with the body gets 400 because of the body.
+
+    The client sends the empty line of the head 50 ms after the header lines, together
+    with a body that holds a line end followed by a space.
+    """
+    deployment = await start(record, folder, nodes)
+    body = b"box: 2\r\n  blend: braai\r\n  casings: 30 m\r\n"
+    outcomes = []
+    for number in range(40):
+        rid = f"order-{number}"
+        head = (f"POST /order/{rid} HTTP/1.1\r\nHost: {HOST}\r\n"
+                f"Knapweedspring-Request-Id: {rid}\r\nKnapweedspring-Deadline-Ms: 5000\r\n"
+                f"Content-Length: {len(body)}\r\n").encode()
+        host, port = nodes[2].entry.rsplit(":", 1)
+        reader, writer = await asyncio.open_connection(host, int(port))
+        record.add("client sends", id=rid)
+        if has_trouble:
+            writer.write(head)
+            await asyncio.sleep(0.05)
+            writer.write(b"\r\n" + body)
+        else:
+            writer.write(head + b"\r\n" + body)
+        start_line, headers = await read_head(reader)
+        content, _ = await read_body(reader, headers)
+        writer.close()
+        outcomes.append(Outcome(rid, int(start_line.split()[1]), time.monotonic()))
+        record.add("client gets", id=rid, status=outcomes[-1].status, body=content)
+    await deployment.stop()
+    n_denied = sum(outcome.status == 400 for outcome in outcomes)
+    allowed = 5 + len(outcomes) / 500
+    return [f"DENIED: {n_denied} of {len(outcomes)} proper orders are answered 400; "
+            f"{allowed:.2f} are allowed"] if n_denied > allowed else []
+
+
 TRIALS = {
     trial.__name__: trial
-    for trial in (drain, upgrade, rejections, paused, slots, expect, hide, watch)
+    for trial in (drain, upgrade, rejections, paused, slots, expect, hide, watch, quota,
+                  folded)
 }
 
 if __name__ == "__main__":
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -142,7 +142,8 @@
                     return
                 if not await self.answer(Message(start, headers, body), reader, writer):
                     return
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            # The peer has closed, or the run has ended.
             pass
         finally:
             self._writers.discard(writer)
@@ -524,7 +525,8 @@
         self.servers = []
         self._folder = folder
 
-    async def start(self, rules, machines, server_class, slots, work_s):
+    async def start(self, rules, machines, server_class, slots, work_s,
+                    tenants=(), quota_settings=None):
         """Declare the rules, start a node and a server on each machine, and wait.
 
         :param rules: rules of the configuration.
@@ -532,14 +534,20 @@
         :param server_class: class of the servers.
         :param slots: slots of each server.
         :param work_s: see :class:`Server`.
+        :param tenants: tenants of the configuration.
+        :param quota_settings: settings of the nodes about the tenants' allotments.
         """
         await self.store.start()
         services = list(dict.fromkeys(service for _, service, _ in machines))
-        self.store.put("config", "main", configuration(7, rules, services))
+        declared = configuration(7, rules, services)
+        if tenants:
+            declared["tenants"] = list(tenants)
+        self.store.put("config", "main", declared)
         zones = list(dict.fromkeys(zone for _, _, zone in machines))
         for name, service, zone in machines:
             node = Node(self._folder, name, service, self.store.address, zone)
             node.settings["data_centres"] = zones
+            node.settings["workspaces"].update(quota_settings or {})
             server = server_class(node.upstream_port, name, service, node.control,
                                   self.record, slots, work_s)
             self.nodes.append(node)
