Build hdrhistogram from its source where it has no wheel

Change: wheels are preferred instead of required; the compiler that the deploy file already lists builds the source distribution. Versions stay pinned by requirements.lock, and x86-64 still takes the wheel. Result: sh deploy/build.sh in a clean checkout on aarch64 failed after 2 s before and passes in 94 s now, with the call path compiled. Not run on x86-64 in this change.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -3,10 +3,11 @@
 # modules on the call path. Without a C compiler these modules run interpreted.
 set -eu
 
+# Wheels are preferred: hdrhistogram has none for aarch64 and is built from its source there.
 install() { # target folder, requirements file
   stamp=$1.installed
   if [ ! -e "$stamp" ] || [ -n "$(find requirements.lock "$2" -newer "$stamp")" ]; then
-    python3 -m pip install -q --disable-pip-version-check --only-binary :all: --upgrade \
+    python3 -m pip install -q --disable-pip-version-check --prefer-binary --upgrade \
       --target "$1" -r "$2" -c requirements.lock && touch "$stamp"
   fi
 }
