Show which call on which connection a refusal of an upstream answers

Cause: the lines of the gate could not tell a true refusal from the copy of an earlier one: they did not show the connection of the answer, nor whether it carried the id of its request. Change: `shed` lines of the gate have `connection`, `connection_call` and `has_request_id`; the metrics page has the connections opened to the upstream and the answers skipped because they belonged to another request. The waiter of a queued call has a module of its own. No decision changes.

--- a/packages/relay/src/knapweedspring_relay/_answer.py
+++ b/packages/relay/src/knapweedspring_relay/_answer.py
@@ -4,6 +4,7 @@
 from collections import deque
 from collections.abc import Callable
 
+from knapweedspring_relay._connection_use import ConnectionUse
 from knapweedspring_relay._errors import BadAnswer, ConnectionBroke
 from knapweedspring_relay._messages import end_to_end_headers, header_lines
 from knapweedspring_relay._numbers import parse_decimal
@@ -45,6 +46,7 @@
         self._n_unread_bytes = 0
         self._complete = False
         self._is_abandoned = False
+        self._use: ConnectionUse | None = None
         self._error: Exception | None = None
         self._waiter: asyncio.Future[None] | None = None
         self._on_read: Callable[[int], None] = lambda _: None
@@ -93,6 +95,15 @@
             return self._length
         return parse_decimal(self._by_name.get(b"content-length"))
 
+    @property
+    def use(self) -> ConnectionUse | None:
+        """Use of the connection that received the answer; None when unknown."""
+        return self._use
+
+    def set_use(self, use: ConnectionUse) -> None:
+        """Set the use of the connection that receives the answer."""
+        self._use = use
+
     def header(self, name: bytes) -> bytes | None:
         """Return the value of a header; None when it is absent.
 
--- a/packages/relay/src/knapweedspring_relay/_gate.py
+++ b/packages/relay/src/knapweedspring_relay/_gate.py
@@ -3,12 +3,14 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 import msgspec
 
 from knapweedspring_core import Counters
 from knapweedspring_relay._admission import AdmissionQueue, AdmissionState, QueuedCall
 from knapweedspring_relay._admission_request import AdmissionRequest
+from knapweedspring_relay._admission_waiter import AdmissionWaiter
 from knapweedspring_relay._answer import Answer
 from knapweedspring_relay._clock import now_s
 from knapweedspring_relay._crash_detector import CrashDetector
@@ -303,7 +305,7 @@
             return "the upstream is draining"
         return ""
 
-    def _new_waiter(self, call: HopCall, now: float) -> "_AdmissionWaiter":
+    def _new_waiter(self, call: HopCall, now: float) -> AdmissionWaiter:
         max_wait_s = self._policy.max_wait_share * call.left_s
         priority = min(call.priority, N_PRIORITIES - 1)
         root_priority = min(call.root_priority, N_PRIORITIES - 1)
@@ -312,9 +314,9 @@
         request = AdmissionRequest(
             combined_priority, call.route, now + call.left_s, max_wait_s
         )
-        return _AdmissionWaiter(request)
+        return AdmissionWaiter(request)
 
-    async def _wait_for_admission(self, waiter: "_AdmissionWaiter", now: float) -> None:
+    async def _wait_for_admission(self, waiter: AdmissionWaiter, now: float) -> None:
         loop = asyncio.get_running_loop()
         # Each call has its own timer: scanning the whole queue for each call would cost
         # more the longer the queue is.
@@ -455,9 +457,19 @@
                 left_ms=round(call.left_s * 1_000),
                 n_running=self._queue.n_running,
                 n_waiting=self._queue.n_waiting,
+                **self._answer_fields(answer),
             )
         return GateResult(self._report_on(call, outcome, reason, waited_s), answer)
 
+    def _answer_fields(self, answer: Answer | None) -> dict[str, Any]:
+        if answer is None or answer.use is None:
+            return {}
+        return {
+            "connection": answer.use.connection,
+            "connection_call": answer.use.call,
+            "has_request_id": answer.header(self._headers.request_id) is not None,
+        }
+
     def _report_on(
         self, call: HopCall, outcome: HopOutcome, reason: str, waited_s: float
     ) -> GateReport:
@@ -479,20 +491,3 @@
         answer = task.result().answer
         if answer is not None:
             answer.abandon()
-
-
-class _AdmissionWaiter:
-    """A queued call whose decision a task can await."""
-
-    def __init__(self, request: AdmissionRequest) -> None:
-        self._decision: asyncio.Future[None] | None = None
-        self.queued = QueuedCall(request, self._wake)
-
-    async def wait_for_decision(self, loop: asyncio.AbstractEventLoop) -> None:
-        """Wait until the call is admitted or refused."""
-        self._decision = loop.create_future()
-        await self._decision
-
-    def _wake(self) -> None:
-        if self._decision is not None and not self._decision.done():
-            self._decision.set_result(None)
--- a/packages/relay/src/knapweedspring_relay/_http_client.py
+++ b/packages/relay/src/knapweedspring_relay/_http_client.py
@@ -8,6 +8,7 @@
 
 from knapweedspring_relay._answer import Answer
 from knapweedspring_relay._clock import now_s
+from knapweedspring_relay._connection_use import ConnectionUse
 from knapweedspring_relay._errors import BadAnswer, ConnectFailed, ConnectionBroke
 from knapweedspring_relay._requests import Header
 from knapweedspring_relay._sockets import set_timeouts
@@ -67,6 +68,8 @@
         self._last_used_at = 0.0
         self._headers: list[Header] = []
         self._n_head_bytes = 0
+        self._number = pool.n_opened + 1
+        self._n_calls = 0
 
     @property
     def address(self) -> str:
@@ -109,6 +112,7 @@
         self._answer = None
         self._skipping = False
         self._n_head_bytes = 0
+        self._n_calls += 1
         result: asyncio.Future[Answer] = self._loop.create_future()
         self._result = result
         if not self.is_open:
@@ -193,8 +197,10 @@
         if not self._matches_request(answer):
             self._skipping = True
             self._must_close = True
+            self._pool.count_skipped_answer()
             return
         self._answer = answer
+        answer.set_use(ConnectionUse(self._number, self._n_calls))
         answer.on_read(self._resume_reading)
         answer.on_abandon(self.abort_connection)
         self._apply_keep_alive(answer)
@@ -311,6 +317,7 @@
         self._settings = settings
         self._idle: dict[str, list[_ClientConnection]] = {}
         self._n_opened = 0
+        self._n_skipped_answers = 0
 
     @property
     def settings(self) -> ConnectionSettings:
@@ -322,6 +329,15 @@
         """Number of connections established so far."""
         return self._n_opened
 
+    @property
+    def n_skipped_answers(self) -> int:
+        """Number of answers that belonged to another request."""
+        return self._n_skipped_answers
+
+    def count_skipped_answer(self) -> None:
+        """Count an answer that belongs to another request."""
+        self._n_skipped_answers += 1
+
     async def call(
         self,
         address: str,
--- a/packages/relay/src/knapweedspring_relay/_relay.py
+++ b/packages/relay/src/knapweedspring_relay/_relay.py
@@ -183,6 +183,11 @@
         page.add_gauge(
             "hop_bad_frames", lambda: float(self._path.hop_pool.n_bad_frames)
         )
+        pool = self._path.upstream_pool
+        page.add_gauge("upstream_connections", lambda: float(pool.n_opened))
+        page.add_gauge(
+            "upstream_answers_skipped", lambda: float(pool.n_skipped_answers)
+        )
         self._knowledge.register_gauges(page)
         self._path.quotas.register_gauges(page)
         self._latencies.register(page)
