Never read the copy of a refusal as the answer to another send

Callers saw: requests that may run once ran twice (TWICE), and requests that ran were answered 503 (REFUSED). Cause: answers on a kept connection were matched by the request's id alone, and error answers without an id were accepted for any request. An upstream may send a refusal again, late. Without an id, the copy was read as the answer to the next request on the connection; with an id, as the answer to the same request, which the entry sends again after a refusal and which came to the same connection. The gate then reported a request as not run while its upstream ran it: it was sent once more (TWICE), or, with the budget or the attempts used up, answered 503 (REFUSED). Class of fault: an identifier that is shared by several sends is taken for the identity of one. Change: AnswerMatcher decides what a connection may carry. A request whose answer reported an error is not sent on that connection again, and a connection is not used again after an answer without an id, or after 64 failed requests, which bounds the ids it keeps. So no answer that arrives later can be mistaken, whenever it arrives.

--- a/packages/relay/src/knapweedspring_relay/_http_client.py
+++ b/packages/relay/src/knapweedspring_relay/_http_client.py
@@ -7,6 +7,7 @@
 import httptools
 
 from knapweedspring_relay._answer import Answer
+from knapweedspring_relay._answer_matcher import AnswerMatcher
 from knapweedspring_relay._clock import now_s
 from knapweedspring_relay._connection_use import ConnectionUse
 from knapweedspring_relay._errors import BadAnswer, ConnectFailed, ConnectionBroke
@@ -58,7 +59,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._result: asyncio.Future[Answer] | None = None
         self._answer: Answer | None = None
-        self._expected_id: bytes | None = None
+        self._matcher = AnswerMatcher()
         self._is_head_request = False
         self._skipping = False
         self._must_close = False
@@ -89,6 +90,13 @@
         """
         return self.is_open and now - self._last_used_at < min(self._idle_s, max_idle_s)
 
+    def allows_request(self, request_id: bytes | None) -> bool:
+        """Return whether the answer to a request could be told from earlier answers.
+
+        :param request_id: id that the answer must carry; None accepts any answer.
+        """
+        return self._matcher.allows_request(request_id)
+
     async def call(
         self,
         data: bytes,
@@ -107,7 +115,7 @@
         :raises ConnectionBroke: when the connection ends before the answer arrives.
         :raises BadAnswer: when the received bytes are not a valid answer.
         """
-        self._expected_id = request_id
+        self._matcher.begin_request(request_id)
         self._is_head_request = is_head_request
         self._answer = None
         self._skipping = False
@@ -194,7 +202,8 @@
         if status < 200:
             return
         answer = Answer(status, self._headers, self._loop)
-        if not self._matches_request(answer):
+        found_id = answer.header(self._pool.settings.request_id_header)
+        if not self._matcher.accepts(status, found_id):
             self._skipping = True
             self._must_close = True
             self._pool.count_skipped_answer()
@@ -204,7 +213,7 @@
         answer.on_read(self._resume_reading)
         answer.on_abandon(self.abort_connection)
         self._apply_keep_alive(answer)
-        if not self._parser.should_keep_alive():
+        if not self._parser.should_keep_alive() or not self._matcher.allows_reuse:
             self._must_close = True
         if self._is_head_request:
             self._must_close = True
@@ -275,15 +284,6 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def _matches_request(self, answer: Answer) -> bool:
-        if self._expected_id is None:
-            return True
-        found = answer.header(self._pool.settings.request_id_header)
-        if found is None:
-            # Error answers may lack the id; other answers must carry it.
-            return answer.status >= 400
-        return found == self._expected_id
-
     def _apply_keep_alive(self, answer: Answer) -> None:
         value = answer.header(b"keep-alive")
         if value is None:
@@ -363,7 +363,7 @@
         :raises ConnectionBroke: when the connection ends before the answer does.
         :raises BadAnswer: when the received bytes are not a valid answer.
         """
-        connection = self._pop_idle(address, max_idle_s)
+        connection = self._pop_idle(address, request_id, max_idle_s)
         if connection is None:
             connection = await self._open_connection(address)
         try:
@@ -416,14 +416,20 @@
             if not idle:
                 del self._idle[address]
 
-    def _pop_idle(self, address: str, max_idle_s: float) -> _ClientConnection | None:
-        idle = self._idle.get(address)
+    def _pop_idle(
+        self, address: str, request_id: bytes | None, max_idle_s: float
+    ) -> _ClientConnection | None:
+        idle = self._idle.get(address, [])
         now = now_s()
-        while idle:
-            connection = idle.pop()
-            if connection.is_fresh(now, max_idle_s):
+        # Removal keeps the order of the connections before the current one.
+        for index in reversed(range(len(idle))):
+            connection = idle[index]
+            if not connection.is_fresh(now, max_idle_s):
+                del idle[index]
+                connection.abort_connection()
+            elif connection.allows_request(request_id):
+                del idle[index]
                 return connection
-            connection.abort_connection()
         return None
 
     async def _open_connection(self, address: str) -> _ClientConnection:
