Send late copies of refusals and endless answers from the stand-in upstream

Cause: no test of the own interface had an upstream that repeats a refusal late or sends without end, so such faults of a node went unnoticed.

--- a/packages/standins/src/knapweedspring_standins/_upstream.py
+++ b/packages/standins/src/knapweedspring_standins/_upstream.py
@@ -63,6 +63,7 @@
         self._slots = SlotQueue(settings.n_slots)
         self._random = random.Random(settings.seed)
         self._attempt_numbers = count(1)
+        self._shed_numbers = count(1)
         self._connections = _ConnectionCount(settings.n_connections)
         self._server = _UpstreamServer(self)
         self._n_in_flight = 0
@@ -165,6 +166,13 @@
         """Return the id of a new attempt."""
         return f"{self._address}/{next(self._attempt_numbers)}"
 
+    def is_shed(self) -> bool:
+        """Return whether the faults in force shed the request that has arrived."""
+        faults = self._faults
+        if faults.shed_every:
+            return next(self._shed_numbers) % faults.shed_every == 0
+        return faults.shed
+
     def service_time_s(self) -> float:
         """Return a random time in seconds that one request occupies its slot."""
         settings = self._settings
@@ -279,6 +287,8 @@
 
     def __init__(self, server: "_UpstreamServer", *args: Any, **kwargs: Any) -> None:
         super().__init__(server, *args, **kwargs)
+        #: Copy of a refusal, sent after the next request; empty for none.
+        self.late_copy = b""
         self._count = server.upstream.connections
         self._counted = True
         self._allowed = self._count.count_opened()
--- a/packages/standins/src/knapweedspring_standins/_upstream_settings.py
+++ b/packages/standins/src/knapweedspring_standins/_upstream_settings.py
@@ -1,8 +1,20 @@
 """Settings of an upstream stand-in at its start, and its faults at run time."""
 
 from dataclasses import dataclass
+from enum import Enum
 
-__all__ = ["CallRule", "UpstreamFaults", "UpstreamSettings"]
+__all__ = ["CallRule", "EndlessPart", "UpstreamFaults", "UpstreamSettings"]
+
+
+class EndlessPart(Enum):
+    """Part of an answer that is sent until the caller closes the connection."""
+
+    #: Headers after the status line.
+    HEAD = "head"
+    #: Chunks of a body without a length.
+    BODY = "body"
+    #: Trailers after the last chunk.
+    TRAILERS = "trailers"
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +48,12 @@
     slow_factor: float = 1.0
     #: Each request is answered 503 before it runs.
     shed: bool = False
+    #: Each n-th request is answered 503 before it runs; 0 for none.
+    shed_every: int = 0
+    #: A copy of each 503 is sent after the next request on its connection has arrived.
+    copies_refusals: bool = False
+    #: Part of the answers that never ends; None for none.
+    endless: EndlessPart | None = None
     #: Load that the load endpoint reports; None for the actual load.
     load_value: float | None = None
     #: Health that the health endpoint reports; None for the actual health.
--- a/packages/standins/src/knapweedspring_standins/_work.py
+++ b/packages/standins/src/knapweedspring_standins/_work.py
@@ -1,5 +1,6 @@
 """Handling of one service request by an upstream stand-in."""
 
+import contextlib
 import time
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any
@@ -8,11 +9,12 @@
 
 from knapweedspring_core import Header
 from knapweedspring_standins._answer import AnswerBody
+from knapweedspring_standins._answer_faults import encode_refusal, send_endless
 from knapweedspring_standins._child_calls import ChildRequest, ChildResult
 from knapweedspring_standins._content import bundle_chunks, bundle_digest
 from knapweedspring_standins._journal import EntryKind, JournalEntry
 from knapweedspring_standins._sockets import is_disconnected, wait_while_connected
-from knapweedspring_standins._upstream_settings import CallRule
+from knapweedspring_standins._upstream_settings import CallRule, EndlessPart
 
 if TYPE_CHECKING:
     from knapweedspring_standins._upstream import Upstream
@@ -87,9 +89,9 @@
         upstream = self._upstream
         upstream.journal.append(self._entry)
         upstream.wait_while_frozen()
-        if upstream.faults.shed:
-            self._record(EntryKind.ABANDONED, status=503, detail="shed")
-            self._answer(b"503 Service Unavailable", b'{"error": "shed"}')
+        self._send_late_copy()
+        if upstream.is_shed():
+            self._shed()
             return
         if not upstream.slots.acquire(self._is_abandoned):
             self._abandon()
@@ -105,6 +107,21 @@
         else:
             self._abandon()
 
+    def _send_late_copy(self) -> None:
+        connection = self._request.http.conn
+        copy, connection.late_copy = connection.late_copy, b""
+        if copy:
+            # The caller may have closed the connection; the handler notices it later.
+            with contextlib.suppress(OSError):
+                self._socket.sendall(copy)
+
+    def _shed(self) -> None:
+        body = b'{"error": "shed"}'
+        if self._upstream.faults.copies_refusals:
+            self._request.http.conn.late_copy = encode_refusal(self._entry.nonce, body)
+        self._record(EntryKind.ABANDONED, status=503, detail="shed")
+        self._answer(b"503 Service Unavailable", body)
+
     def _is_abandoned(self) -> bool:
         return time.monotonic() >= self._deadline_at or is_disconnected(self._socket)
 
@@ -200,8 +217,11 @@
             body = self._body(failed, n_crossed)
             self._answer(b"502 Bad Gateway", body)
             return
+        endless = self._upstream.faults.endless
         n_bytes = self._request.header("X-Echo-Bytes")
-        if n_bytes:
+        if endless is not None:
+            self._send_endless(endless)
+        elif n_bytes:
             self._answer_bundle(int(n_bytes))
         else:
             self._answer(b"200 OK", self._body(failed, n_crossed))
@@ -263,6 +283,12 @@
         http.ensure_headers_sent()
         self._send_chunks(http, chunks, faults.truncate_after)
 
+    def _send_endless(self, part: EndlessPart) -> None:
+        http = self._request.http
+        # The flags keep the server from sending a head and from reading on.
+        http.sent_headers = http.close_connection = True
+        send_endless(self._socket, part)
+
     def _send_chunks(self, http: Any, chunks: Any, limit: int | None) -> None:
         for chunk in chunks:
             if limit is not None and len(chunk) >= limit:
--- a/packages/standins/tests/test_upstream.py
+++ b/packages/standins/tests/test_upstream.py
@@ -18,7 +18,11 @@
 from knapweedspring_standins._content import bundle_digest
 from knapweedspring_standins._journal import EntryKind, parse_page
 from knapweedspring_standins._upstream import Upstream
-from knapweedspring_standins._upstream_settings import CallRule, UpstreamSettings
+from knapweedspring_standins._upstream_settings import (
+    CallRule,
+    EndlessPart,
+    UpstreamSettings,
+)
 
 #: Longest wait for a condition, an answer, a byte or the end of a thread.
 TIMEOUT_S = 20.0
@@ -153,6 +157,41 @@
     assert answer.status == 200
 
 
+def _receive(sock, expected):
+    """Receive until a text has arrived, and return all bytes."""
+    received = b""
+    while expected not in received:
+        received += sock.recv(65_536) or pytest.fail(f"closed after {received!r}")
+    return received
+
+
+def test_copy_of_a_refusal_follows_the_next_request_on_its_connection(start):
+    upstream = start(service_ms=1)
+    set_fault(upstream, {"shed": True, "copies_refusals": True})
+    with socket.create_connection(_host_and_port(upstream), TIMEOUT_S) as sock:
+        sock.sendall(b"GET /x HTTP/1.1\r\nHost: u\r\nX-Nonce: first\r\n\r\n")
+        assert _receive(sock, b'"shed"}').count(b"503 Service") == 1
+        set_fault(upstream, {})
+        assert kinds(upstream, "second") == []
+        sock.sendall(b"GET /x HTTP/1.1\r\nHost: u\r\nX-Nonce: second\r\n\r\n")
+        copy, _, answer = _receive(sock, b'"nonce":"second"').partition(b"HTTP/1.1 200")
+    assert b"503 Service" in copy and b"X-Nonce: first" in copy
+    assert b"X-Nonce: second" in answer
+    assert EntryKind.STARTED in kinds(upstream, "second")
+
+
+@pytest.mark.parametrize("part", list(EndlessPart))
+def test_endless_answer_ends_when_the_caller_closes(start, part):
+    upstream = start(service_ms=1)
+    set_fault(upstream, {"endless": part.value})
+    with socket.create_connection(_host_and_port(upstream), TIMEOUT_S) as sock:
+        sock.sendall(b"GET /x HTTP/1.1\r\nHost: u\r\nX-Nonce: n\r\n\r\n")
+        n_received = 0
+        while n_received < 1_000_000:
+            n_received += len(sock.recv(65_536) or pytest.fail("the answer ended"))
+    wait_until(lambda: upstream.n_in_flight == 0)
+
+
 def test_frozen_request_waits_until_the_fault_ends(start):
     upstream = start(service_ms=1)
     set_fault(upstream, {"freeze": True})
