Decode each object of the store by itself

Too many levels raised RecursionError out of the client, which failed the task again and again. Values of the right type that no later step can use (ports out of range, numbers over 64 bits, texts with line ends) were taken as entries.

Change: objects stay text until each is decoded. The product's package says which entry is usable. Skipped entries are logged once for each reason and counted. A stored object without a readable revision is not written over, since writes and reads would then repeat without a pause. A listing that cannot be continued is an outage, not the end of the listing.

Measured with the table of the test (values x fields x places) on the code before: unreadable whole pages for half surrogate pairs, raw NUL, NaN, Infinity, leading zeros, invalid UTF-8, numbers of 100,000 digits, 1e999; RecursionError for 20,000 levels, in listing, watch, read of one entry and configuration; taken as entries: all odd ports and hosts, numbers over 64 bits or negative, empty or very long texts, line ends, NUL. Held before: null, list, object, bool and fractions in all fields, unknown states, other names, conflicts. All of the table passes now, as do 400 generated objects.

--- a/packages/relay/src/knapweedspring_relay/__init__.py
+++ b/packages/relay/src/knapweedspring_relay/__init__.py
@@ -30,12 +30,15 @@
     DirectorySnapshot,
     EntryRecord,
     GateEntry,
+    SkippedEntry,
     StoreConflict,
     StoreError,
     StoreHistoryGone,
     StorePosition,
     StoreUnavailable,
     UpstreamState,
+    problem_of_entry,
+    problem_of_upstream,
 )
 from knapweedspring_relay._local_upstream import Heartbeat, HeartbeatVerdict
 from knapweedspring_relay._logs import LineBuffer
@@ -82,6 +85,7 @@
     "Route",
     "Service",
     "ShutdownSettings",
+    "SkippedEntry",
     "StoreConflict",
     "StoreError",
     "StoreHistoryGone",
@@ -94,4 +98,6 @@
     "digest_key",
     "encode_request",
     "parse_decimal",
+    "problem_of_entry",
+    "problem_of_upstream",
 ]
--- a/packages/relay/src/knapweedspring_relay/_knowledge/__init__.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/__init__.py
@@ -10,8 +10,13 @@
     Directory,
     DirectorySnapshot,
     GateEntry,
+    SkippedEntry,
     UpstreamState,
 )
+from knapweedspring_relay._knowledge._entry_rules import (
+    problem_of_entry,
+    problem_of_upstream,
+)
 from knapweedspring_relay._knowledge._followers import FollowHandler
 from knapweedspring_relay._knowledge._knowledge import Knowledge
 from knapweedspring_relay._knowledge._object_store import (
@@ -42,6 +47,7 @@
     "Knowledge",
     "ORIGIN",
     "PeerPageHandler",
+    "SkippedEntry",
     "SourceSelector",
     "StoreConflict",
     "StoreError",
@@ -49,4 +55,6 @@
     "StorePosition",
     "StoreUnavailable",
     "UpstreamState",
+    "problem_of_entry",
+    "problem_of_upstream",
 ]
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_directory.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_directory.py
@@ -13,6 +13,7 @@
     "Directory",
     "DirectorySnapshot",
     "GateEntry",
+    "SkippedEntry",
     "UpstreamState",
 ]
 
@@ -65,6 +66,16 @@
         return UpstreamProcess(self.node, self.instance, self.born_ms)
 
 
+@dataclass(frozen=True, slots=True)
+class SkippedEntry:
+    """An entry that cannot be used, for example one of another writer."""
+
+    #: Name of the entry.
+    name: str
+    #: Why it cannot be used, for logs.
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class DirectorySnapshot:
     """All entries as of one position of the store."""
@@ -73,6 +84,8 @@
     position: StorePosition
     #: Entries by node.
     entries: Mapping[str, GateEntry]
+    #: Entries that cannot be used.
+    skipped: tuple[SkippedEntry, ...] = ()
 
 
 class _ServiceLocation(NamedTuple):
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_directory_sync.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_directory_sync.py
@@ -16,6 +16,7 @@
     StoreHistoryGone,
 )
 from knapweedspring_relay._knowledge._position import ORIGIN
+from knapweedspring_relay._knowledge._skipped_entries import SkippedEntryReporter
 from knapweedspring_relay._knowledge._store_health import StoreHealth
 from knapweedspring_relay._knowledge._sync_step import WATCH_WAIT_S, SyncStep
 from knapweedspring_relay._logs import DecisionLog
@@ -38,6 +39,7 @@
     :param directory: directory to which listings and changes are applied.
     :param health: records whether the store answers.
     :param on_change: called after each change of the directory.
+    :param skipped: reports entries that cannot be used.
     :param rng: source of the jitter.
     :param log: decision log.
     :param counters: counts failures.
@@ -49,6 +51,7 @@
         directory: Directory,
         health: StoreHealth,
         on_change: Callable[[], None],
+        skipped: SkippedEntryReporter,
         rng: random.Random,
         log: DecisionLog,
         counters: Counters,
@@ -57,6 +60,7 @@
         self._directory = directory
         self._health = health
         self._on_change = on_change
+        self._skipped = skipped
         self._backoff = Backoff(rng)
         self._log = log
         self._counters = counters
@@ -88,6 +92,8 @@
         if isinstance(listed, Err):
             return listed.err_value
         self._health.observe_era(listed.ok_value.position.era)
+        self._skipped.forget(listed.ok_value.entries)
+        self._skipped.report(listed.ok_value.skipped, "store")
         applied = self._directory.apply_listing(listed.ok_value, now_s())
         self._log.write_state(
             "directory:listed",
@@ -107,6 +113,8 @@
             return watched.err_value
         changes = watched.ok_value
         self._health.observe_era(changes.position.era)
+        self._skipped.forget(entry.node for entry in changes.updated)
+        self._skipped.report(changes.skipped, "store")
         self._directory.apply_changes(
             changes.position, changes.updated, changes.removed, now_s()
         )
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_knowledge.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_knowledge.py
@@ -24,6 +24,7 @@
 )
 from knapweedspring_relay._knowledge._peer_sync import PeerSync
 from knapweedspring_relay._knowledge._position import ORIGIN, StorePosition
+from knapweedspring_relay._knowledge._skipped_entries import SkippedEntryReporter
 from knapweedspring_relay._knowledge._source_sync import LOCAL_PERIOD_S, SourceSync
 from knapweedspring_relay._knowledge._store_health import StoreHealth
 from knapweedspring_relay._knowledge._store_watch import StoreWatch
@@ -88,11 +89,13 @@
         configuration_sync = ConfigurationSync(
             store, self._state, self._health, rng, log, counters
         )
+        skipped = SkippedEntryReporter(log, counters)
         directory_sync = DirectorySync(
             store,
             self._directory,
             self._health,
             self._handle_directory_change,
+            skipped,
             rng,
             log,
             counters,
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_object_store.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_object_store.py
@@ -6,7 +6,11 @@
 from result import Result
 
 from knapweedspring_relay._configuration import Configuration
-from knapweedspring_relay._knowledge._directory import DirectorySnapshot, GateEntry
+from knapweedspring_relay._knowledge._directory import (
+    DirectorySnapshot,
+    GateEntry,
+    SkippedEntry,
+)
 from knapweedspring_relay._knowledge._position import StorePosition
 
 __all__ = [
@@ -70,7 +74,7 @@
     #: Position of the entry's last write; its revision is 0 when the entry does not
     #: exist.
     position: StorePosition
-    #: The entry; None when it does not exist or cannot be decoded.
+    #: The entry; None when it does not exist or cannot be used.
     entry: GateEntry | None
 
 
@@ -82,8 +86,10 @@
     position: StorePosition
     #: Entries that were written.
     updated: tuple[GateEntry, ...]
-    #: Nodes whose entries were deleted or can no longer be decoded.
+    #: Nodes whose entries were deleted or can no longer be used.
     removed: tuple[str, ...]
+    #: Entries that were written and cannot be used.
+    skipped: tuple[SkippedEntry, ...] = ()
 
 
 class DeploymentStore(ABC):
