Limit what an upstream sends besides the body of its answer

Callers saw their kept connections end without an answer (LOST): trailer fields after the last chunk of an answer were collected without limit, since the limit on the head counted only until the head was complete. A node that called a server which sent such fields without end grew from 43 MB to over 300 MB within a second and was killed. The same held for the size and the extensions of a chunk. Trailer fields of an answer that was buffered whole were passed on as headers, too.

Now one limit of 64 KiB counts the bytes that a call receives in a row without a piece of the body: head, interim and skipped answers, chunk sizes and extensions, trailers. Trailer fields are discarded. The pieces of a body that one segment brings are joined, so that a body in chunks of one byte costs one task switch and one write a segment.

The new tests failed before: chunk size, chunk extension, trailer fields and trailer value without end, the trailer that became headers, and other calls that waited up to 0.97 s beside four bodies in chunks of one byte (0.5 s asked).

--- a/packages/relay/src/knapweedspring_relay/_http_client.py
+++ b/packages/relay/src/knapweedspring_relay/_http_client.py
@@ -21,10 +21,11 @@
 MAX_BUFFERED_ANSWER_BYTES = 65_536
 #: Unread bytes of a streamed body above which the connection stops receiving.
 READ_HIGH_WATER_BYTES = 131_072
-#: Limit on the bytes received by a call until the head of its answer is complete. They
-#: include interim answers, and answers that are skipped because they belong to another
-#: request. The connection is aborted when more bytes than this arrive.
-MAX_ANSWER_HEAD_BYTES = 65_536
+#: Limit on the bytes that a call receives in a row without a piece of its answer's
+#: body: head, interim answers, answers that are skipped because they belong to another
+#: request, sizes and extensions of chunks, trailer fields. The connection is aborted
+#: when more bytes than this arrive.
+MAX_FRAMING_BYTES = 65_536
 #: Longest wait for an answer unless the caller sets a timeout, in seconds.
 DEFAULT_TIMEOUT_S = 60.0
 #: Time before the end of the server's idle timeout from which a connection is not used
@@ -68,7 +69,8 @@
         self._idle_s = pool.settings.idle_s
         self._last_used_at = 0.0
         self._headers: list[Header] = []
-        self._n_head_bytes = 0
+        self._body_pieces: list[bytes] = []
+        self._n_framing_bytes = 0
         self._number = pool.n_opened + 1
         self._n_calls = 0
 
@@ -119,7 +121,7 @@
         self._is_head_request = is_head_request
         self._answer = None
         self._skipping = False
-        self._n_head_bytes = 0
+        self._n_framing_bytes = 0
         self._n_calls += 1
         result: asyncio.Future[Answer] = self._loop.create_future()
         self._result = result
@@ -175,11 +177,17 @@
         if self._is_reusable:
             self._return_to_pool()
             return
-        if self._answer is None:
-            self._n_head_bytes += len(data)
-            if self._n_head_bytes > MAX_ANSWER_HEAD_BYTES:
-                self._abort_and_remove()
-                self._fail(BadAnswer("the head of the answer is too long"))
+        if self._body_pieces:
+            self._n_framing_bytes = 0
+            self._receive_body()
+            return
+        if self._result is None:
+            # The answer is complete and the connection is closing.
+            return
+        self._n_framing_bytes += len(data)
+        if self._n_framing_bytes > MAX_FRAMING_BYTES:
+            self._abort_and_remove()
+            self._fail(BadAnswer("the answer is too long besides its body"))
 
     # Parser callbacks.
 
@@ -191,8 +199,9 @@
             self._skipping = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header."""
-        self._headers.append((name.lower(), value))
+        """Collect a header; the fields of a trailer are discarded."""
+        if self._answer is None or self._skipping:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Create the answer, or skip one that belongs to another request."""
@@ -220,15 +229,11 @@
             self._finish_answer(answer)
 
     def on_body(self, piece: bytes) -> None:
-        """Append a piece to the body; deliver the answer once the body is long."""
+        """Collect a piece of the body."""
         answer = self._answer
         if self._skipping or answer is None or answer.is_complete:
             return
-        answer.add(piece)
-        if answer.n_unread_bytes > MAX_BUFFERED_ANSWER_BYTES:
-            self._deliver_answer(answer)
-        if answer.n_unread_bytes > READ_HIGH_WATER_BYTES:
-            self._pause_reading()
+        self._body_pieces.append(piece)
 
     def on_message_complete(self) -> None:
         """Complete the answer."""
@@ -238,9 +243,29 @@
         if self._answer is not None and not self._answer.is_complete:
             self._finish_answer(self._answer)
 
+    # Body of an answer.
+
+    def _receive_body(self) -> None:
+        """Append the received pieces; deliver the answer once the body is long."""
+        answer = self._answer
+        assert answer is not None
+        self._append_pieces(answer)
+        if answer.n_unread_bytes > MAX_BUFFERED_ANSWER_BYTES:
+            self._deliver_answer(answer)
+        if answer.n_unread_bytes > READ_HIGH_WATER_BYTES:
+            self._pause_reading()
+
+    def _append_pieces(self, answer: Answer) -> None:
+        # Joined, so that a body in chunks of one byte causes no task switch and no
+        # write for each of them.
+        if self._body_pieces:
+            pieces, self._body_pieces = self._body_pieces, []
+            answer.add(pieces[0] if len(pieces) == 1 else b"".join(pieces))
+
     # End of an answer or of the connection.
 
     def _finish_answer(self, answer: Answer) -> None:
+        self._append_pieces(answer)
         answer.complete()
         self._deliver_answer(answer)
         assert self._transport is not None
--- a/packages/relay/tests/test_endless_answers.py
+++ b/packages/relay/tests/test_endless_answers.py
@@ -1,4 +1,4 @@
-"""Guards against upstreams that send without end, in a head or in a body.
+"""Guards against upstreams that send without end, in a head, a body or a trailer.
 
 The caller must get a clear end that does not look complete, within its deadline; the
 connection to the upstream must be closed; memory must stay bounded; and other calls
@@ -35,6 +35,10 @@
     )
 
 
+def chunked_head_of(request):
+    return head_of(request, b"transfer-encoding: chunked\r\n\r\n")
+
+
 BEGINNINGS = {
     "status line": lambda request: b"HTTP/1.1 200 ",
     "header name": lambda request: head_of(request, b"x-"),
@@ -49,10 +53,18 @@
     "long body": lambda request: head_of(
         request, b"content-length: %d\r\n\r\n" % 2**60
     ),
+    "chunk size": lambda request: chunked_head_of(request) + b"4\r\nbook\r\n0",
+    "chunk extension": lambda request: chunked_head_of(request) + b"4\r\nbook\r\n4;",
+    "trailer fields": lambda request: chunked_head_of(request) + b"4\r\nbook\r\n0\r\n",
+    "trailer value": lambda request: (
+        chunked_head_of(request) + b"4\r\nbook\r\n0\r\nx-a: "
+    ),
     "other answer": lambda request: b"HTTP/1.1 200 OK\r\nx-id: other\r\n\r\n",
 }
 PIECES = {
     "header lines": b"x-a: 1\r\n",
+    "trailer fields": b"x-a: 1\r\n",
+    "chunk size": b"0",
     "interim answers": b"HTTP/1.1 100 Continue\r\n\r\n",
     "chunked body": b"4\r\nabcd\r\n",
 }
@@ -124,9 +136,20 @@
 
 @pytest.mark.parametrize(
     "kind",
-    ["status line", "header name", "header value", "header lines", "interim answers"],
+    [
+        "status line",
+        "header name",
+        "header value",
+        "header lines",
+        "interim answers",
+        "other answer",
+        "chunk size",
+        "chunk extension",
+        "trailer fields",
+        "trailer value",
+    ],
 )
-def test_endless_head_is_bounded_in_bytes_long_before_the_deadline(kind):
+def test_endless_head_or_trailer_is_bounded_in_bytes_long_before_the_deadline(kind):
     async def scenario():
         script = EndlessUpstream(kind, is_slow=False)
         async with Deployment([script]) as deployment:
@@ -138,7 +161,9 @@
     run(scenario)
 
 
-@pytest.mark.parametrize("kind", ["header lines", "interim answers", "unframed body"])
+@pytest.mark.parametrize(
+    "kind", ["header lines", "interim answers", "unframed body", "trailer fields"]
+)
 def test_many_endless_answers_leave_memory_flat_and_other_calls_fast(kind):
     n_calls, max_growth_bytes, max_latency_s = 200, 64 * 1_048_576, 0.5
 
@@ -164,3 +189,47 @@
             await deployment.wait_until(lambda: script.n_open == 0, 1.0)
 
     run(scenario)
+
+
+# Guards against trailer fields of an upstream that callers receive as headers.
+def test_trailer_of_an_answer_is_not_passed_on_as_headers():
+    async def script(upstream, request, writer):
+        writer.write(chunked_head_of(request) + b"4\r\nbook\r\n0\r\nx-late: 1\r\n\r\n")
+
+    async def scenario():
+        async with Deployment([script]) as deployment:
+            status, answer, body = await deployment.call()
+            assert (status, body) == (200, b"book")
+            assert answer.header(b"x-late") is None
+
+    run(scenario)
+
+
+# Guards against bodies in tiny chunks that keep the event loop from other calls.
+def test_endless_bodies_in_chunks_of_one_byte_do_not_delay_other_calls():
+    n_calls, max_latency_s = 4, 0.5
+
+    async def script(upstream, request, writer):
+        if header_of(request, b"x-plain"):
+            writer.write(answer_of(request))
+            return
+        writer.write(chunked_head_of(request))
+        while not writer.is_closing():
+            writer.write(b"1\r\na\r\n" * 2_048)
+            await writer.drain()
+            await asyncio.sleep(0)
+
+    async def scenario():
+        async with Deployment([script, answer_ok]) as deployment:
+            calls = [
+                asyncio.ensure_future(call_endless(deployment)) for _ in range(n_calls)
+            ]
+            longest_s = 0.0
+            while not all(call.done() for call in calls):
+                begun = time.perf_counter()
+                status, *_ = await deployment.call(x_plain="1")
+                longest_s = max(longest_s, time.perf_counter() - begun)
+                assert status == 200
+            assert longest_s < max_latency_s
+
+    run(scenario)
