Resume reading on a connection whose answer has arrived

Callers got no answer, though the server had answered: an answer above 128 KiB that was complete when it was passed on left its connection paused, and the answer to the next request on that connection never arrived. A streamed body resumed its connection at each piece that was read, however small, so the unread bytes of a body with pieces of unequal sizes had no bound. And an idle connection kept the last answer until its next call.

A connection now resumes when half of the high water mark is unread, at the latest when its answer is complete, and drops the answer then. Reading a complete answer no longer acts on its connection, which may carry the next call. An abandoned answer frees the bytes that it holds.

Of the new tests the one with answers of 150,000 bytes and the one of the unread bytes failed before both changes to this module.

--- a/packages/relay/src/knapweedspring_relay/_answer.py
+++ b/packages/relay/src/knapweedspring_relay/_answer.py
@@ -168,6 +168,8 @@
             self._is_abandoned = True
             self._on_abandon()
             self.fail(ConnectionBroke("the rest of the answer was discarded"))
+            self._pieces.clear()
+            self._n_unread_bytes = 0
 
     def add(self, piece: bytes) -> None:
         """Append a piece of the body."""
--- a/packages/relay/src/knapweedspring_relay/_http_client.py
+++ b/packages/relay/src/knapweedspring_relay/_http_client.py
@@ -21,6 +21,8 @@
 MAX_BUFFERED_ANSWER_BYTES = 65_536
 #: Unread bytes of a streamed body above which the connection stops receiving.
 READ_HIGH_WATER_BYTES = 131_072
+#: Unread bytes of a streamed body below which a connection receives again.
+READ_LOW_WATER_BYTES = 65_536
 #: Limit on the bytes that a call receives in a row without a piece of its answer's
 #: body: head, interim answers, answers that are skipped because they belong to another
 #: request, sizes and extensions of chunks, trailer fields. The connection is aborted
@@ -266,6 +268,8 @@
 
     def _finish_answer(self, answer: Answer) -> None:
         self._append_pieces(answer)
+        # The connection may carry the next call while the body is still being read.
+        answer.on_read(_ignore_read)
         answer.complete()
         self._deliver_answer(answer)
         assert self._transport is not None
@@ -290,6 +294,9 @@
         if self._must_close:
             self._abort_and_remove()
         elif self.is_open:
+            # Kept no longer than its reader needs it.
+            self._answer = None
+            self._resume_reading(0)
             self._last_used_at = now_s()
             self._pool.add_idle(self)
 
@@ -326,6 +333,9 @@
             self._transport.pause_reading()
 
     def _resume_reading(self, n_read_bytes: int) -> None:
+        answer = self._answer
+        if answer is not None and answer.n_unread_bytes > READ_LOW_WATER_BYTES:
+            return
         if self._reading_paused and self.is_open:
             assert self._transport is not None
             self._reading_paused = False
@@ -480,5 +490,9 @@
         result.set_exception(TimeoutError())
 
 
+def _ignore_read(n_read_bytes: int) -> None:
+    """Ignore that a piece of a complete body was read."""
+
+
 def _is_chunked(answer: Answer) -> bool:
     return answer.header(b"transfer-encoding") is not None
--- a/packages/relay/tests/test_endless_answers.py
+++ b/packages/relay/tests/test_endless_answers.py
@@ -13,6 +13,7 @@
 import pytest
 from _deployment import Deployment, answer_of, answer_ok, header_of
 
+from knapweedspring_relay import ConnectionPool, ConnectionSettings
 from knapweedspring_relay._clock import now_s
 from knapweedspring_relay._errors import CallError
 
@@ -205,6 +206,53 @@
     run(scenario)
 
 
+# Guards against a connection that stays paused after an answer that is complete when
+# it is passed on, so that the answer to the next request on it never arrives.
+@pytest.mark.parametrize("n_bytes", [100_000, 150_000, 400_000])
+def test_connection_is_used_again_after_an_answer_above_the_high_water(n_bytes):
+    async def script(upstream, request, writer):
+        writer.write(answer_of(request, b"a" * n_bytes))
+
+    async def scenario():
+        async with Deployment([script]) as deployment:
+            for _ in range(8):
+                status, _, body = await deployment.call()
+                assert (status, len(body)) == (200, n_bytes)
+
+    run(scenario)
+
+
+# Guards against a body whose unread bytes grow while its reader takes small pieces.
+def test_unread_bytes_of_a_body_stay_bounded_while_its_reader_is_slow():
+    n_reads = 40
+
+    async def script(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+        with contextlib.suppress(ConnectionError):
+            while not writer.is_closing():
+                writer.write(b"1\r\na\r\n" * 512 + b"fffe\r\n%b\r\n" % bytes(0xFFFE))
+                await writer.drain()
+
+    async def scenario():
+        server = await asyncio.start_server(script, "127.0.0.1", 0)
+        address = "{}:{}".format(*server.sockets[0].getsockname())
+        pool = ConnectionPool(ConnectionSettings(1.0, 60.0, 2.0))
+        answer = await pool.call(address, b"GET / HTTP/1.1\r\nhost: h\r\n\r\n")
+        largest = 0
+        for _ in range(n_reads):
+            await answer.read()
+            await asyncio.sleep(0.005)
+            largest = max(largest, answer.n_unread_bytes)
+        answer.abandon()
+        assert answer.n_unread_bytes == 0
+        server.close()
+        # The high water mark and what one read of the socket may return.
+        assert largest <= 131_072 + 262_144
+
+    run(scenario)
+
+
 # Guards against bodies in tiny chunks that keep the event loop from other calls.
 def test_endless_bodies_in_chunks_of_one_byte_do_not_delay_other_calls():
     n_calls, max_latency_s = 4, 0.5
