Answer each request that was read before a planned stop ends

Cause: callers of a node that is stopped got no answer when the process ended with their requests waiting: at the entry, at the own gate, or in the queue of another node's gate.

Change: 0.6 s before its end the entry withdraws the requests that outlast the process. A request that was not offered is answered 503; one that waits at a gate is refused by that gate, which alone knows whether it started. Another node is asked by a cancel frame with a new field, and only on connections whose answers say that the gate reads it; the version in service would cancel a running call and send no outcome. Its requests, and those without a confirmation, are answered 502 at the end, never 503. Requests that were read behind another one on a connection are answered too. The times of a stop are fixed when it begins, so that neither a reload nor a second signal changes them.

--- a/packages/relay/src/knapweedspring_relay/_admission.py
+++ b/packages/relay/src/knapweedspring_relay/_admission.py
@@ -215,11 +215,17 @@
 
         :param queued: the call.
         """
+        self.refuse_call(queued, "no slot became free in time")
+
+    def refuse_call(self, queued: QueuedCall, reason: str) -> None:
+        """Refuse a call if it still waits.
+
+        :param queued: the call.
+        :param reason: reason of the refusal.
+        """
         if queued.state is AdmissionState.WAITING:
             self._remove_waiting(queued)
-            queued.record_decision(
-                AdmissionState.REFUSED, "no slot became free in time"
-            )
+            queued.record_decision(AdmissionState.REFUSED, reason)
 
     def refuse_waiting(self, reason: str) -> None:
         """Refuse all queued calls, for example because the upstream drains.
--- a/packages/relay/src/knapweedspring_relay/_entry.py
+++ b/packages/relay/src/knapweedspring_relay/_entry.py
@@ -14,30 +14,32 @@
 from knapweedspring_relay._call_recorder import CallRecorder
 from knapweedspring_relay._chain_health import LOW_PRIORITY, ChainHealth
 from knapweedspring_relay._clock import now_s
-from knapweedspring_relay._configuration import (
-    CallLimits,
-    Route,
-    RouteTable,
-)
+from knapweedspring_relay._configuration import CallLimits, RouteTable
 from knapweedspring_relay._crash_records import CrashRecords
 from knapweedspring_relay._destination_splitter import DestinationSplitter
 from knapweedspring_relay._entry_settings import NodeIdentity, ShutdownTimes
-from knapweedspring_relay._errors import CallError, ConnectFailed
+from knapweedspring_relay._errors import CallError, CallWithdrawn, ConnectFailed
 from knapweedspring_relay._gate import Gate
 from knapweedspring_relay._gate_link import GateLink
 from knapweedspring_relay._gate_result import GateResult
 from knapweedspring_relay._headers import CallHeaders
-from knapweedspring_relay._hop import ChainOrigin, HopCall, HopOutcome
+from knapweedspring_relay._hop import HopCall, HopOutcome
 from knapweedspring_relay._hop_client import HopPool, RemoteGate
 from knapweedspring_relay._http_server import Exchange, RequestHandler
 from knapweedspring_relay._knowledge import GateEntry
 from knapweedspring_relay._messages import to_forwarded_request
+from knapweedspring_relay._pending_requests import (
+    STOPPING_REASON,
+    PendingRequest,
+    PendingRequests,
+)
 from knapweedspring_relay._quotas import Quotas
 from knapweedspring_relay._refusals import Refusals
 from knapweedspring_relay._relaying import relay_answer
 from knapweedspring_relay._request_fingerprint import RequestFingerprinter
-from knapweedspring_relay._request_state import RequestState, stated_deadline_s
-from knapweedspring_relay._requests import ForwardedRequest, Request
+from knapweedspring_relay._request_intake import RequestIntake
+from knapweedspring_relay._request_state import Offer, RequestState
+from knapweedspring_relay._requests import ForwardedRequest
 from knapweedspring_relay._retry_budget import RetryBudget
 from knapweedspring_relay._workspace_access import WorkspaceAccess
 from knapweedspring_relay._workspace_keys import Caller
@@ -112,7 +114,6 @@
         self._gate = gate
         self._pool = pool
         self._budget = budget
-        self._splitter = splitter
         self._on_peer_version = on_peer_version
         self._crashes = crashes
         self._access = access
@@ -123,6 +124,8 @@
         self._refusals = Refusals(headers, rng)
         self._chain_health = ChainHealth()
         self._fingerprinter = RequestFingerprinter(headers)
+        self._intake = RequestIntake(headers, gate, splitter, self._fingerprinter)
+        self._pending = PendingRequests()
         self._shutdown: ShutdownTimes | None = None
 
     @property
@@ -145,11 +148,42 @@
         """
         self._shutdown = times
 
+    def withdraw_requests(self) -> None:
+        """Withdraw requests that no upstream has got and that outlast the process."""
+        if self._shutdown is not None:
+            self._pending.withdraw(self._shutdown.ends_at)
+
+    def end_requests(self) -> None:
+        """Answer the requests that still have no answer when the process ends."""
+        self._pending.end_all()
+
     async def handle(self, exchange: Exchange) -> None:
         """Route a caller's request and answer it.
 
         :param exchange: the request and its connection.
         """
+        pending = self._pending.add(exchange)
+        try:
+            await self._handle_pending(exchange, pending)
+        except asyncio.CancelledError:
+            if not pending.is_ended:
+                if pending.state is not None:
+                    self._record_request_end(pending.state, exchange, "caller-left", 0)
+                raise
+            self._answer_at_end(exchange, pending.state)
+        finally:
+            self._pending.remove(pending)
+
+    def _answer_at_end(self, exchange: Exchange, state: RequestState | None) -> None:
+        """Answer a request that was ended by the shutdown."""
+        if state is None:
+            self._refuse_unrouted(exchange, 503, STOPPING_REASON)
+        else:
+            self._send_failure_answer(state, exchange)
+
+    async def _handle_pending(
+        self, exchange: Exchange, pending: PendingRequest
+    ) -> None:
         request = exchange.request
         table = self._table()
         if table is None:
@@ -166,25 +200,21 @@
         if access.status:
             self._refuse_unrouted(exchange, access.status, access.reason, access.caller)
             return
-        state = self._new_request_state(
+        pending.state = state = self._intake.make_state(
             request, route, table.configuration.version, access.caller
         )
-        shutdown = self._shutdown
-        if shutdown and shutdown.may_cut(state.deadline_at, request.arrived_at):
-            state.last_reason = "the node is stopping"
-            self._refusals.send_failure(state, exchange)
-            self._record_request_end(state, exchange, "refused-stopping", 503)
+        shutdown, arrived_at = self._shutdown, request.arrived_at
+        if shutdown and shutdown.may_cut(state.deadline_at, arrived_at, now_s()):
+            state.is_withdrawn = True
+            state.last_reason = STOPPING_REASON
+            self._send_failure_answer(state, exchange)
             return
         if self._is_refused_early(state, request.arrived_at):
             self._refuse_early(state, exchange)
             return
         dropped = self._access.dropped_headers(table)
-        try:
-            if await self._obtain_unit(state, exchange):
-                await self._run_request(state, exchange, dropped)
-        except asyncio.CancelledError:
-            self._record_request_end(state, exchange, "caller-left", 0)
-            raise
+        if await self._obtain_unit(state, exchange):
+            await self._run_request(state, exchange, dropped)
 
     async def _obtain_unit(self, state: RequestState, exchange: Exchange) -> bool:
         """Obtain a unit of the workspace's quota, or refuse the request.
@@ -205,43 +235,6 @@
             self._record_request_end(state, exchange, "over-quota", 429)
         return decision.is_granted
 
-    def _new_request_state(
-        self, request: Request, route: Route, version: int, caller: Caller
-    ) -> RequestState:
-        stated_s = stated_deadline_s(request.header(self._headers.deadline_ms))
-        left_s = min(stated_s, route.timeout_s)
-        header = request.header(self._headers.request_id) or b""
-        request_id = header.decode("latin-1")
-        workspace = caller.workspace
-        chain_origin = None if workspace else self._chain_origin(request_id)
-        if chain_origin is not None:
-            origin = chain_origin
-        elif workspace is not None:
-            origin = ChainOrigin(route.priority, workspace.name, workspace.priority)
-        else:
-            origin = ChainOrigin(route.priority)
-        return RequestState(
-            route=route,
-            service=self._splitter.choose_service(route),
-            request_id=request_id,
-            fingerprint=self._fingerprinter.fingerprint(request),
-            origin=origin,
-            is_chain_call=chain_origin is not None,
-            workspace=workspace,
-            key_digest=caller.digest if workspace is not None else b"",
-            deadline_at=request.arrived_at + left_s,
-            version=version,
-        )
-
-    def _chain_origin(self, request_id: str) -> ChainOrigin | None:
-        """Return the root of the chain that a request belongs to, if known.
-
-        A call made by the upstream beside this node belongs to the chain of the request
-        that the upstream is running. Such calls carry no key.
-        """
-        parent_id = self._headers.parent_of(request_id)
-        return None if parent_id is None else self._gate.chain_origin(parent_id)
-
     def _is_refused_early(self, state: RequestState, now: float) -> bool:
         """Return whether to refuse a request before it starts.
 
@@ -294,7 +287,7 @@
         A request may have been sent to as many upstreams as its route allows. When all
         of them shed it, none has run it, so it is sent to one of them again.
         """
-        if state.n_offers >= MAX_REFUSED_OFFERS + state.n_sent:
+        if state.is_withdrawn or state.n_offers >= MAX_REFUSED_OFFERS + state.n_sent:
             return None
         if len(state.sent_to) < state.route.max_attempts:
             return self._balancer.select_gate(
@@ -316,8 +309,10 @@
         call = self._hop_call(state, entry, now)
         result, report = AttemptResult.NOTHING, None
         self._balancer.record_attempt_start(entry)
+        link = self._link_to(entry)
+        state.offer = Offer(link, call)
         try:
-            gate_result = await self._link_to(entry).run(call, request)
+            gate_result = await link.run(call, request)
             report = gate_result.report
             result = attempt_result_of(gate_result)
             self._on_peer_version(report.version)
@@ -334,6 +329,8 @@
             state.last_reason = f"gate unreachable: {error}"
             self._counters.add("gates_unreachable", entry.node)
             return None
+        except CallWithdrawn as error:
+            return result_without_report(HopOutcome.REFUSED, str(error))
         except CallError as error:
             result = AttemptResult.UNREACHABLE
             return result_without_report(
@@ -342,6 +339,7 @@
         except TimeoutError:
             return result_without_report(HopOutcome.LATE, "deadline")
         finally:
+            state.offer = None
             self._balancer.record_attempt_end(entry, result, report, now_s())
 
     async def _handle_outcome(
@@ -431,6 +429,8 @@
         outcome = "failed"
         if state.is_refused_for_crashes:
             outcome = "refused-crash"
+        elif state.is_withdrawn and status == 503:
+            outcome = "refused-stopping"
         elif status == 401:
             outcome = "key-withdrawn"
         self._record_request_end(state, exchange, outcome, status)
@@ -444,7 +444,8 @@
     def _record_request_end(
         self, state: RequestState, exchange: Exchange, outcome: str, status: int
     ) -> None:
-        if state.holds_unit and not state.may_have_run and outcome == "failed":
+        is_unused = outcome in ("failed", "refused-stopping")
+        if state.holds_unit and not state.may_have_run and is_unused:
             state.holds_unit = False
             if state.workspace is not None:
                 self._quotas.give_back(state.workspace)
--- a/packages/relay/src/knapweedspring_relay/_errors.py
+++ b/packages/relay/src/knapweedspring_relay/_errors.py
@@ -3,6 +3,7 @@
 __all__ = [
     "BadAnswer",
     "CallError",
+    "CallWithdrawn",
     "ConnectFailed",
     "ConnectionBroke",
     "MessageError",
@@ -52,6 +53,10 @@
         return self._is_refused
 
 
+class CallWithdrawn(CallError):
+    """The call was withdrawn before it was sent."""
+
+
 class ConnectionBroke(CallError):
     """The connection was closed or reset before the answer was complete."""
 
--- a/packages/relay/src/knapweedspring_relay/_gate.py
+++ b/packages/relay/src/knapweedspring_relay/_gate.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
 import msgspec
@@ -21,6 +20,7 @@
     ConnectionBroke,
 )
 from knapweedspring_relay._gate_link import LocalGate
+from knapweedspring_relay._gate_policy import GatePolicy
 from knapweedspring_relay._gate_result import GateResult
 from knapweedspring_relay._headers import CallHeaders
 from knapweedspring_relay._histograms import LatencyHistograms
@@ -33,7 +33,7 @@
 from knapweedspring_relay._upstream_caller import UpstreamCaller
 from knapweedspring_relay._upstream_notices import UpstreamNotices
 
-__all__ = ["Gate", "GatePolicy"]
+__all__ = ["Gate"]
 
 #: A call is admitted only if more than this time is left until its deadline, in
 #: seconds.
@@ -50,19 +50,6 @@
 ENTRY_FAILURE_SMOOTHING = 0.05
 
 
-@dataclass(frozen=True, slots=True)
-class GatePolicy:
-    """How long calls wait at a gate."""
-
-    #: Longest wait of a call, as share of the time left until its deadline. It is long,
-    #: because refusing a call that another upstream makes wastes the work done for the
-    #: request behind it. The gate cannot distinguish such calls from callers' requests.
-    max_wait_share: float = 0.7
-    #: Time after the start of draining in which queued calls are still sent, as share
-    #: of the time for which a draining upstream continues to serve.
-    drain_share: float = 0.4
-
-
 class Gate(LocalGate):
     """Admits calls and sends them to the upstream.
 
@@ -120,6 +107,8 @@
         self._entry_failure_ratio = 0.0
         self._detached_calls: set[asyncio.Task[GateResult]] = set()
         self._origins: dict[str, ChainOrigin] = {}
+        #: Queued calls by the identity of their descriptions.
+        self._waiting_calls: dict[int, QueuedCall] = {}
 
     @property
     def queue(self) -> AdmissionQueue:
@@ -159,6 +148,12 @@
         """Refuse new calls from now on, since the process is about to end."""
         self._stopping = True
 
+    def withdraw(self, call: HopCall) -> None:
+        """Refuse a call if it still waits in the queue; see :class:`GateLink`."""
+        queued = self._waiting_calls.get(id(call))
+        if queued is not None:
+            self._queue.refuse_call(queued, "its node is stopping")
+
     def expire_queued_calls(self) -> None:
         """Refuse queued calls that waited too long or would miss their deadlines.
 
@@ -207,7 +202,7 @@
         self._queue.offer_call(waiter.queued, now)
         if waiter.queued.state is AdmissionState.WAITING:
             self._schedule_next_start(now)
-            await self._wait_for_admission(waiter, now)
+            await self._wait_for_admission(call, waiter, now)
         waited_s = now_s() - now
         if waiter.queued.state is not AdmissionState.RUNNING:
             return self._report_refusal(call, waiter.queued.reason, waited_s)
@@ -316,12 +311,15 @@
         )
         return AdmissionWaiter(request)
 
-    async def _wait_for_admission(self, waiter: AdmissionWaiter, now: float) -> None:
+    async def _wait_for_admission(
+        self, call: HopCall, waiter: AdmissionWaiter, now: float
+    ) -> None:
         loop = asyncio.get_running_loop()
         # Each call has its own timer: scanning the whole queue for each call would cost
         # more the longer the queue is.
         longest_s = self._queue.longest_wait_s(waiter.queued, now)
         timer = loop.call_later(longest_s, self._queue.expire_call, waiter.queued)
+        self._waiting_calls[id(call)] = waiter.queued
         try:
             await waiter.wait_for_decision(loop)
         except asyncio.CancelledError:
@@ -331,6 +329,7 @@
             raise
         finally:
             timer.cancel()
+            del self._waiting_calls[id(call)]
 
     async def _send_admitted_call(
         self,
--- a/packages/relay/src/knapweedspring_relay/_gate_link.py
+++ b/packages/relay/src/knapweedspring_relay/_gate_link.py
@@ -23,9 +23,19 @@
         :param request: the HTTP request to send to the upstream.
         :return: the gate's report and the upstream's answer, if any.
         :raises ConnectFailed: when the gate could not be reached.
+        :raises CallWithdrawn: when the call was withdrawn before it was sent.
         :raises CallError: when the connection to the gate failed after sending.
         """
 
+    def withdraw(self, call: HopCall) -> None:  # noqa: B027
+        """Withdraw an offered call that no upstream has got yet.
+
+        Its outcome is then REFUSED. Nothing changes for a call that was sent to the
+        upstream, or whose gate cannot confirm that it was not.
+
+        :param call: the description that :meth:`run` was called with.
+        """
+
 
 @mypyc_attr(allow_interpreted_subclasses=True)
 class LocalGate(GateLink):
--- a/packages/relay/src/knapweedspring_relay/_hop_client.py
+++ b/packages/relay/src/knapweedspring_relay/_hop_client.py
@@ -28,6 +28,7 @@
 from knapweedspring_relay._knowledge import GateEntry
 from knapweedspring_relay._requests import ForwardedRequest
 from knapweedspring_relay._sockets import set_timeouts
+from knapweedspring_relay._withdrawal import Withdrawal
 
 __all__ = ["HopPool", "HopSettings", "RemoteGate"]
 
@@ -87,6 +88,7 @@
         self._streams: dict[int, _Stream] = {}
         self._last_stream_id = 0
         self._received_go_away = False
+        self._confirms_withdrawals = False
         self._received_at = now_s()
         self._pinged_at: float | None = None
 
@@ -117,18 +119,26 @@
         return transport.get_write_buffer_size() <= MAX_UNSENT_BYTES
 
     async def call(
-        self, call: HopCall, request: ForwardedRequest, timeout_s: float
+        self,
+        call: HopCall,
+        request: ForwardedRequest,
+        timeout_s: float,
+        withdrawal: Withdrawal | None = None,
     ) -> GateResult:
         """Send a call and wait for its outcome.
 
         :param call: description of the call.
         :param request: the request to forward.
         :param timeout_s: longest wait for the outcome, in seconds.
+        :param withdrawal: withdraws the call; None when it is never withdrawn.
         :return: the gate's report, and the upstream's answer if there is one.
         :raises TimeoutError: when no outcome arrives in time.
+        :raises CallWithdrawn: when the call was withdrawn before it was sent.
         :raises ConnectionBroke: when the connection ends before the outcome arrives.
         """
         self._last_stream_id = stream_id = self._last_stream_id + 1
+        if withdrawal is not None:
+            withdrawal.begin_call(lambda: self._withdraw_stream(stream_id))
         result: asyncio.Future[GateResult] = self._loop.create_future()
         if not self._streams:
             # An idle connection receives nothing; measure from its first pending call.
@@ -220,6 +230,7 @@
 
     def _handle_answer(self, frame: AnswerFrame) -> None:
         stream = self._streams.get(frame.stream)
+        self._confirms_withdrawals = frame.confirms_withdrawals
         if stream is None:
             return
         if stream.result.done():
@@ -260,6 +271,17 @@
         else:
             stream.answer.fail(ConnectionBroke("the upstream broke off"))
 
+    def _withdraw_stream(self, stream_id: int) -> None:
+        """Ask the gate to refuse a call that still waits there.
+
+        A gate that is not known to confirm withdrawals would cancel the call even while
+        the upstream runs it.
+        """
+        stream = self._streams.get(stream_id)
+        if stream is None or stream.result.done() or not self._confirms_withdrawals:
+            return
+        self._send_frame(CancelFrame(stream_id, only_waiting=True))
+
     def _cancel_stream(self, stream_id: int) -> None:
         if self._streams.pop(stream_id, None) is not None:
             self._send_frame(CancelFrame(stream_id))
@@ -297,23 +319,29 @@
         return self._n_bad_frames
 
     async def call(
-        self, address: str, call: HopCall, request: ForwardedRequest
+        self,
+        address: str,
+        call: HopCall,
+        request: ForwardedRequest,
+        withdrawal: Withdrawal | None = None,
     ) -> GateResult:
         """Send a call to a gate and wait for its outcome.
 
         :param address: ``ip:port`` of the gate.
         :param call: description of the call.
         :param request: the request to forward.
+        :param withdrawal: withdraws the call; None when it is never withdrawn.
         :return: the gate's report, and the upstream's answer if there is one.
         :raises TimeoutError: when no outcome arrives in time.
         :raises ConnectFailed: when nothing was sent.
+        :raises CallWithdrawn: when the call was withdrawn before it was sent.
         :raises ConnectionBroke: when the connection ends before the outcome arrives.
         """
         connection = self._usable_connection(address)
         if connection is None:
             connection = await self._open_connection(address)
         timeout_s = max(0.0, call.left_s) + OUTCOME_GRACE_S
-        return await connection.call(call, request, timeout_s)
+        return await connection.call(call, request, timeout_s, withdrawal)
 
     async def notify(self, address: str, frame: Frame) -> None:
         """Send a frame that has no answer to a node.
@@ -383,7 +411,7 @@
 
 
 class RemoteGate(GateLink):
-    """Link to the gate of another node.
+    """Link to the gate of another node, for one call.
 
     :param entry: directory entry of the gate.
     :param pool: connections to other nodes.
@@ -392,10 +420,17 @@
     def __init__(self, entry: GateEntry, pool: HopPool) -> None:
         self._entry = entry
         self._pool = pool
+        self._withdrawal = Withdrawal()
 
     async def run(self, call: HopCall, request: ForwardedRequest) -> GateResult:
-        """Send a call to the gate over the network."""
-        return await self._pool.call(self._entry.gate_address, call, request)
+        """Send the call to the gate over the network."""
+        return await self._pool.call(
+            self._entry.gate_address, call, request, self._withdrawal
+        )
+
+    def withdraw(self, call: HopCall) -> None:
+        """Do not send the call, or ask the gate to refuse it if it still waits."""
+        self._withdrawal.request()
 
 
 def _fail_with_timeout(result: "asyncio.Future[GateResult]") -> None:
--- a/packages/relay/src/knapweedspring_relay/_hop_frames.py
+++ b/packages/relay/src/knapweedspring_relay/_hop_frames.py
@@ -79,6 +79,8 @@
     body: bytes = b""
     #: Whether ``body`` is complete; otherwise body frames and an end frame follow.
     is_whole: bool = True
+    #: Whether the gate reads ``CancelFrame.only_waiting``. Older nodes do not send it.
+    confirms_withdrawals: bool = False
 
 
 class BodyFrame(msgspec.Struct, frozen=True, array_like=True, gc=False, tag=3):
@@ -109,10 +111,13 @@
 
 
 class CancelFrame(msgspec.Struct, frozen=True, array_like=True, gc=False, tag=6):
-    """Cancels a call whose answer is no longer needed."""
+    """Cancels a call whose answer is no longer needed, or withdraws a waiting one."""
 
     #: Id of the call's stream.
     stream: int
+    #: Whether the call is only withdrawn if it still waits, and its outcome is awaited.
+    #: Older nodes cancel the call whatever its state and send no outcome.
+    only_waiting: bool = False
 
 
 class PingFrame(msgspec.Struct, frozen=True, array_like=True, gc=False, tag=7):
--- a/packages/relay/src/knapweedspring_relay/_hop_listener.py
+++ b/packages/relay/src/knapweedspring_relay/_hop_listener.py
@@ -150,6 +150,13 @@
         """
         self._on_crash(frame)
 
+    def withdraw_call(self, call: HopCall) -> None:
+        """Withdraw a call if it still waits at the gate.
+
+        :param call: description of the call.
+        """
+        self._gate.withdraw(call)
+
     async def run_call(self, frame: CallFrame) -> GateResult:
         """Pass a call to the gate.
 
@@ -205,6 +212,7 @@
         self._transport: asyncio.Transport | None = None
         self._frames = FrameReader()
         self._tasks: dict[int, asyncio.Task[None]] = {}
+        self._calls: dict[int, HopCall] = {}
         self._windows: dict[int, _SendWindow] = {}
 
     @property
@@ -253,6 +261,12 @@
                 raise FrameError("a number of the call is not finite")
             task = self._loop.create_task(self._serve_call(frame))
             self._tasks[frame.stream] = task
+            self._calls[frame.stream] = frame.call
+        elif isinstance(frame, CancelFrame) and frame.only_waiting:
+            call = self._calls.get(frame.stream)
+            if call is not None:
+                # Later, since the call is offered to the gate when its task starts.
+                self._loop.call_soon(self._listener.withdraw_call, call)
         elif isinstance(frame, CancelFrame):
             cancelled = self._tasks.get(frame.stream)
             if cancelled is not None:
@@ -276,13 +290,18 @@
             gate_result = await self._listener.run_call(frame)
             answer = gate_result.answer
             if answer is None:
-                self.send(AnswerFrame(stream_id, gate_result.report))
+                self.send(
+                    AnswerFrame(
+                        stream_id, gate_result.report, confirms_withdrawals=True
+                    )
+                )
             elif answer.is_complete:
                 self._send_complete(stream_id, gate_result, answer)
             else:
                 await self._send_streamed(stream_id, gate_result, answer)
         finally:
             self._tasks.pop(stream_id, None)
+            self._calls.pop(stream_id, None)
 
     def _send_complete(
         self, stream_id: int, gate_result: GateResult, answer: Answer
@@ -296,6 +315,7 @@
                 answer.encoded_headers,
                 len(body),
                 body,
+                confirms_withdrawals=True,
             )
         )
 
@@ -313,6 +333,7 @@
             length,
             b"",
             False,
+            True,
         )
         self.send(head)
         try:
--- a/packages/relay/src/knapweedspring_relay/_relay.py
+++ b/packages/relay/src/knapweedspring_relay/_relay.py
@@ -19,7 +19,6 @@
 )
 from knapweedspring_relay._clock import now_s, suspension_meter
 from knapweedspring_relay._crash_records import CrashRecords
-from knapweedspring_relay._entry_settings import ShutdownTimes
 from knapweedspring_relay._event_reporter import EventReporter
 from knapweedspring_relay._histograms import LatencyHistograms
 from knapweedspring_relay._hop_listener import HopListener
@@ -39,6 +38,7 @@
     published_upstream,
 )
 from knapweedspring_relay._logs import DecisionLog, LineBuffer
+from knapweedspring_relay._planned_stop import PlannedStop, shutdown_times
 from knapweedspring_relay._readiness import MetricsHandler, ReadinessHandler
 from knapweedspring_relay._settings import RelaySettings
 from knapweedspring_relay._task_supervisor import TaskSupervisor
@@ -61,16 +61,6 @@
 ASSUMED_TIMEOUT_S = 2.0
 #: Container allocations between two runs of the garbage collector.
 GC_THRESHOLD = 20_000
-#: Shortest time from the stop signal to the end of the process, in seconds. Callers are
-#: redirected only after two readiness checks, one per second, that did not return 200;
-#: until then the node serves callers.
-MIN_SHUTDOWN_S = 2.6
-#: Time from the stop signal until calls of other nodes are refused, in seconds; callers
-#: are still served.
-GATE_CLOSE_DELAY_S = 1.6
-#: Time before the end of the grace period at which the process ends even with calls in
-#: flight, in seconds; ``MIN_SHUTDOWN_S`` has precedence.
-SHUTDOWN_MARGIN_S = 0.4
 
 
 class Relay(HeartbeatReceiver):
@@ -102,6 +92,7 @@
         self._timers = LoopTimers(self._reporter.report_timer_error)
         self._stopping = asyncio.Event()
         self._stop_at: float | None = None
+        self._planned_stop: PlannedStop | None = None
         self._settings_mtime = 0.0
         self._peer_pool = ConnectionPool(
             ConnectionSettings(PEER_CONNECT_TIMEOUT_S, PEER_IDLE_S, UNACKNOWLEDGED_S)
@@ -244,8 +235,12 @@
         self._stop_at = now_s()
         self._log.write_state("process:stopping", n_running=self._gate.n_running)
         self._entry_listener.drain()
-        self._entry.begin_shutdown(
-            ShutdownTimes(self._stop_at + MIN_SHUTDOWN_S, self._shutdown_ends_at)
+        times = shutdown_times(
+            self._stop_at, self._settings.shutdown.grace_or_default_s
+        )
+        self._entry.begin_shutdown(times)
+        self._planned_stop = PlannedStop(
+            times, self._entry, self._gate, self._entry_listener, self._gate_listener
         )
         self._knowledge.own_entry.request_check()
         self._knowledge.leave()
@@ -413,24 +408,12 @@
         self._log.write_state("process:reloaded", service=settings.service)
 
     async def _shut_down(self) -> None:
-        """Wait for calls in flight until the process has to end, then close everything.
-
-        See ``MIN_SHUTDOWN_S`` and ``SHUTDOWN_MARGIN_S`` for the time allowed.
-        """
-        assert self._stop_at is not None
-        end_at = self._shutdown_ends_at
-        gate_closes_at = self._stop_at + GATE_CLOSE_DELAY_S
-        while now_s() < end_at:
-            await asyncio.sleep(0.05)
-            now = now_s()
-            if now >= gate_closes_at:
-                self._gate.stop()
-                self._gate_listener.drain()
-            if now >= self._stop_at + MIN_SHUTDOWN_S and self._is_idle():
-                break
+        """Finish the work of the node, then close everything."""
+        assert self._stop_at is not None and self._planned_stop is not None
+        await self._planned_stop.finish_requests()
         self._log.write_state(
             "process:ended",
-            n_cut=self._entry_listener.n_active + self._gate_listener.n_active,
+            n_cut=self._planned_stop.n_unfinished,
             after_s=round(now_s() - self._stop_at, 2),
         )
         self._supervisor.stop()
@@ -443,14 +426,3 @@
         # Gives the connections being closed time to send their remaining bytes.
         await asyncio.sleep(0.05)
         self._log_lines.flush()
-
-    @property
-    def _shutdown_ends_at(self) -> float:
-        """Time at which the process ends at the latest, once a stop has begun."""
-        grace_s = self._settings.shutdown.grace_or_default_s
-        begins_at = self._stop_at or 0.0
-        return begins_at + max(MIN_SHUTDOWN_S, grace_s - SHUTDOWN_MARGIN_S)
-
-    def _is_idle(self) -> bool:
-        n_active = self._entry_listener.n_active + self._gate_listener.n_active
-        return n_active == 0 and self._gate.n_running == 0
--- a/packages/relay/src/knapweedspring_relay/_request_state.py
+++ b/packages/relay/src/knapweedspring_relay/_request_state.py
@@ -3,15 +3,26 @@
 from dataclasses import dataclass
 
 from knapweedspring_relay._configuration import Route, Workspace
-from knapweedspring_relay._hop import ChainOrigin
+from knapweedspring_relay._gate_link import GateLink
+from knapweedspring_relay._hop import ChainOrigin, HopCall
 from knapweedspring_relay._numbers import parse_decimal
 
-__all__ = ["RequestState", "stated_deadline_s"]
+__all__ = ["Offer", "RequestState", "stated_deadline_s"]
 
 #: Time until the deadline of a request that states none, in seconds.
 DEFAULT_DEADLINE_S = 30.0
 
 
+@dataclass(frozen=True, slots=True)
+class Offer:
+    """A call that a gate was offered."""
+
+    #: Link to the gate.
+    link: GateLink
+    #: Description of the call.
+    call: HopCall
+
+
 @dataclass(slots=True)
 class RequestState:
     """State of one request at an entry."""
@@ -49,6 +60,10 @@
     holds_unit: bool = False
     #: Whether the key was taken away while the request waited.
     is_key_withdrawn: bool = False
+    #: Whether the node stops and offers the request to no further gate.
+    is_withdrawn: bool = False
+    #: Offer whose outcome is not known yet; None when there is none.
+    offer: Offer | None = None
     #: Whether an upstream may have run the request.
     may_have_run: bool = False
     #: Whether the request is refused because upstreams ended while they ran it.
--- a/packages/relay/tests/test_hop.py
+++ b/packages/relay/tests/test_hop.py
@@ -17,7 +17,11 @@
 from knapweedspring_relay import _hop_client as hop_client
 from knapweedspring_relay import _hop_listener as hop_listener
 from knapweedspring_relay._answer import Answer
-from knapweedspring_relay._errors import ConnectFailed, ConnectionBroke
+from knapweedspring_relay._errors import (
+    CallWithdrawn,
+    ConnectFailed,
+    ConnectionBroke,
+)
 from knapweedspring_relay._gate_link import LocalGate
 from knapweedspring_relay._gate_result import GateResult
 from knapweedspring_relay._hop import GateReport, HopCall, HopOutcome
@@ -35,6 +39,7 @@
 from knapweedspring_relay._hop_listener import HopListener
 from knapweedspring_relay._knowledge import FollowHandler
 from knapweedspring_relay._requests import ForwardedRequest
+from knapweedspring_relay._withdrawal import Withdrawal
 
 
 def run(scenario):
@@ -181,6 +186,51 @@
     run(scenario)
 
 
+def test_withdrawal_is_passed_on_to_the_gate_and_cancels_nothing():
+    """A withdrawn call that runs at the upstream keeps its answer."""
+
+    async def script(call, request):
+        await asyncio.sleep(0.1 if call.request_id == "r" else 0.0)
+        return complete_answer(b"done")
+
+    async def scenario():
+        async with hop(script) as (pool, address, gate, _, _):
+            await pool.call(address, make_call("first"), make_request())
+            withdrawal, withdrawn = Withdrawal(), []
+            gate.withdraw = lambda call: withdrawn.append(call.request_id)
+            calling = asyncio.ensure_future(
+                pool.call(address, make_call(), make_request(), withdrawal)
+            )
+            await asyncio.sleep(0.02)
+            withdrawal.request()
+            assert (await calling).answer.complete_body() == b"done"
+            assert withdrawn == ["r"]
+            assert gate.n_cancelled == 0
+
+    run(scenario)
+
+
+def test_call_that_is_withdrawn_before_it_is_sent_is_not_sent():
+    async def script(call, request):
+        raise AssertionError("the call was sent")
+
+    async def scenario():
+        async with hop(script) as (pool, address, _, listener, errors):
+            withdrawal = Withdrawal()
+            calling = asyncio.ensure_future(
+                pool.call(address, make_call(), make_request(), withdrawal)
+            )
+            # The connection is being opened.
+            await asyncio.sleep(0)
+            withdrawal.request()
+            with pytest.raises(CallWithdrawn):
+                await calling
+            await asyncio.sleep(0.02)
+            assert (listener.n_active, errors) == (0, [])
+
+    run(scenario)
+
+
 def test_call_without_outcome_in_time_fails_and_is_cancelled_at_the_gate():
     async def script(call, request):
         await asyncio.sleep(5.0)
--- a/packages/relay/tests/test_mixed_versions.py
+++ b/packages/relay/tests/test_mixed_versions.py
@@ -16,6 +16,8 @@
 from knapweedspring_relay._crash_records import CrashRecords
 from knapweedspring_relay._hop import GateReport, HopCall, HopOutcome
 from knapweedspring_relay._hop_frames import (
+    AnswerFrame,
+    CancelFrame,
     FrameError,
     FrameReader,
     QuotaLeaseFrame,
@@ -29,7 +31,13 @@
 )
 
 #: Number of leading fields of each array that the version in service knows.
-N_FIELDS_IN_SERVICE = {HopCall: 13, GateReport: 12, PeerSnapshot: 10}
+N_FIELDS_IN_SERVICE = {
+    HopCall: 13,
+    GateReport: 12,
+    PeerSnapshot: 10,
+    AnswerFrame: 7,
+    CancelFrame: 1,
+}
 #: Fields of objects that the version in service knows.
 FIELDS_IN_SERVICE = {
     Configuration: ("version", "routes", "services", "limits"),
@@ -77,7 +85,8 @@
             defined.append((field.name, field.type, field.default))
         else:
             defined.append((field.name, field.type))
-    return msgspec.defstruct(struct_type.__name__, defined, array_like=True)
+    tag = struct_type.__struct_config__.tag
+    return msgspec.defstruct(struct_type.__name__, defined, array_like=True, tag=tag)
 
 
 def without_new_fields(value):
@@ -103,8 +112,17 @@
     return make_peer_snapshot(state, Directory(), (), 0, ORIGIN, True, "a:1")
 
 
+REPORT = GateReport(HopOutcome.SHED, "r", 1, 2, 3, 0.1, 0.2, 4, "i-0")
+
+
 @pytest.mark.parametrize(
-    "message", [CALL, GateReport(HopOutcome.SHED, "r", 1, 2, 3, 0.1, 0.2, 4, "i-0")]
+    "message",
+    [
+        CALL,
+        REPORT,
+        AnswerFrame(5, REPORT, 200, b"a: b\r\n", 2, b"ok", True, True),
+        CancelFrame(5),
+    ],
 )
 def test_version_in_service_reads_messages_of_this_one(message):
     old_type = in_service(type(message))
@@ -113,6 +131,15 @@
         assert getattr(decoded, field.name) == getattr(message, field.name)
 
 
+def test_this_version_reads_frames_of_the_version_in_service():
+    """An older gate does not confirm withdrawals, and an older cancel is none."""
+    for frame in (AnswerFrame(5, REPORT), CancelFrame(5)):
+        fields = msgspec.msgpack.decode(msgspec.msgpack.encode(frame))
+        content = msgspec.msgpack.encode(fields[: 1 + N_FIELDS_IN_SERVICE[type(frame)]])
+        data = len(content).to_bytes(4, "big") + content
+        assert list(FrameReader().feed(data)) == [frame]
+
+
 def test_this_version_reads_a_call_of_the_version_in_service():
     known = msgspec.structs.astuple(CALL)[: N_FIELDS_IN_SERVICE[HopCall]]
     decoded = msgspec.msgpack.decode(msgspec.msgpack.encode(known), type=HopCall)
