Read on a kept connection after a long answer

Callers saw: a request on a kept connection of a gate to its upstream was run and got 504 at its deadline, or was cut at the end of a stop (LOST). Cause: reading pauses when over 128 KiB of a body are unread, and went on only when a piece of the body was read. The body of an answer that is already complete is taken as a whole, so reading never went on, and the connection was used for the next request. Change: a connection that returns to the pool reads again.

--- a/packages/relay/src/knapweedspring_relay/_http_client.py
+++ b/packages/relay/src/knapweedspring_relay/_http_client.py
@@ -266,6 +266,8 @@
             self._abort_and_remove()
         elif self.is_open:
             self._last_used_at = now_s()
+            # The body of a complete answer may be taken without any call of on_read.
+            self._resume_reading(0)
             self._pool.add_idle(self)
 
     def _deliver_answer(self, answer: Answer) -> None:
