Treat an address with a bad port as one that refuses

Cause: an entry of another writer may name a port out of range. asyncio raises OverflowError there, which no caller expected: the task of a link between nodes ended without a report of its end, and a call failed in its handler. uvloop connects to the port modulo 65,536 instead, so to another process.

Change: addresses are split in one place that refuses such ports with ValueError, which the callers already count as a failed connection. The HTTP client splits inside its `try`, so an address without a port is a failed connection too.

Measured: of the odd addresses in the test, ports -1, 65536, 99999 and of 30 digits failed before in the link between nodes, in the calls between nodes and in the HTTP client, and addresses without a port in the HTTP client; ports that are no number, labels of over 63 characters, NUL and surrogates held before. All end as failed connections now.

--- a/packages/relay/src/knapweedspring_relay/_hop_client.py
+++ b/packages/relay/src/knapweedspring_relay/_hop_client.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from typing import cast
 
+from knapweedspring_relay._addresses import split_address
 from knapweedspring_relay._answer import Answer
 from knapweedspring_relay._clock import now_s
 from knapweedspring_relay._errors import ConnectFailed, ConnectionBroke
@@ -372,11 +373,11 @@
             raise ConnectFailed(f"{address}: {error or 'timed out'}") from error
 
     async def _connect(self, address: str) -> _HopConnection:
-        host, port = address.rsplit(":", 1)
+        host, port = split_address(address)
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(self._settings.connect_s):
             _, connection = await loop.create_connection(
-                lambda: _HopConnection(self, address, loop), host, int(port)
+                lambda: _HopConnection(self, address, loop), host, port
             )
         self._connections.setdefault(address, []).append(connection)
         return connection
--- a/packages/relay/src/knapweedspring_relay/_http_client.py
+++ b/packages/relay/src/knapweedspring_relay/_http_client.py
@@ -6,6 +6,7 @@
 
 import httptools
 
+from knapweedspring_relay._addresses import split_address
 from knapweedspring_relay._answer import Answer
 from knapweedspring_relay._answer_matcher import AnswerMatcher
 from knapweedspring_relay._clock import now_s
@@ -433,12 +434,12 @@
         return None
 
     async def _open_connection(self, address: str) -> _ClientConnection:
-        host, port = address.rsplit(":", 1)
         loop = asyncio.get_running_loop()
         try:
+            host, port = split_address(address)
             async with asyncio.timeout(self._settings.connect_s):
                 _, connection = await loop.create_connection(
-                    lambda: _ClientConnection(self, address, loop), host, int(port)
+                    lambda: _ClientConnection(self, address, loop), host, port
                 )
         except (OSError, TimeoutError, ValueError) as error:
             # Compiled code does not keep the cause of an exception.
--- a/packages/relay/src/knapweedspring_relay/_peer_link.py
+++ b/packages/relay/src/knapweedspring_relay/_peer_link.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from knapweedspring_relay._addresses import split_address
 from knapweedspring_relay._clock import now_s
 from knapweedspring_relay._hop_frames import (
     Frame,
@@ -96,11 +97,11 @@
         """
 
     async def _connect(self) -> None:
-        host, _, port = self._address.rpartition(":")
         loop = asyncio.get_running_loop()
         try:
+            host, port = split_address(self._address)
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                await loop.create_connection(lambda: self, host, int(port))
+                await loop.create_connection(lambda: self, host, port)
         except (OSError, TimeoutError, ValueError) as error:
             self._end(f"not connected: {error or 'timed out'}")
 
@@ -126,7 +127,7 @@
                     self._abort("the other node is stopping")
                 elif not self._has_ended:
                     self.handle_frame(frame)
-        except (FrameError, msgspec.DecodeError) as error:
+        except (FrameError, msgspec.DecodeError, RecursionError) as error:
             self._abort(f"malformed: {error}")
 
     def _abort(self, reason: str) -> None:
