Skip unusable entries that a peer passes on

Cause: a node of the version in service takes entries of other writers with numbers over 64 bits and odd addresses into its directory. Frames and pages with too many levels raised RecursionError.

Pages and frames with too many levels are malformed. The selector of a data centre that no entry names any more is dropped, since odd entries may name a new one each.

Before, as probes of the codecs showed, msgpack refused numbers over 64 bits with OverflowError and a page of 100,000 levels raised RecursionError.

--- a/packages/relay/src/knapweedspring_relay/_hop_frames.py
+++ b/packages/relay/src/knapweedspring_relay/_hop_frames.py
@@ -332,5 +332,5 @@
 def _decode_frame(content: bytes) -> Frame:
     try:
         return _decoder.decode(content)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise FrameError(f"malformed frame: {error}") from error
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_peer_pages.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_peer_pages.py
@@ -27,7 +27,7 @@
     """Decode a peer page; return None when it is malformed."""
     try:
         return _decoder.decode(body)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         return None
 
 
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_peer_snapshot.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_peer_snapshot.py
@@ -9,8 +9,11 @@
     Directory,
     DirectorySnapshot,
     GateEntry,
+    SkippedEntry,
 )
+from knapweedspring_relay._knowledge._entry_rules import problem_of_entry
 from knapweedspring_relay._knowledge._position import StorePosition
+from knapweedspring_relay._knowledge._skipped_entries import SkippedEntryReporter
 
 __all__ = ["PeerSnapshot", "apply_peer_snapshot", "make_peer_snapshot"]
 
@@ -98,14 +101,18 @@
     state: DeclaredState,
     directory: Directory,
     crashes: CrashRecords,
+    skipped: SkippedEntryReporter,
     now: float,
 ) -> bool:
-    """Apply what a peer knows.
+    """Apply what a peer knows, except entries that cannot be used.
+
+    A peer of a version that does not check the entries of other writers passes them on.
 
     :param snapshot: received from the peer.
     :param state: this node's configuration.
     :param directory: this node's directory.
     :param crashes: requests that this node refuses.
+    :param skipped: reports entries that cannot be used.
     :param now: monotonic time, in seconds.
     :return: whether the directory was updated.
     """
@@ -121,11 +128,15 @@
         state.advance(snapshot.configuration_position)
     if snapshot.entries is None:
         return False
+    problems = {entry.node: problem_of_entry(entry) for entry in snapshot.entries}
+    unusable = {node: problem for node, problem in problems.items() if problem}
+    skipped.report([SkippedEntry(*item) for item in unusable.items()], "peer")
+    usable = [entry for entry in snapshot.entries if entry.node not in unusable]
+    skipped.forget(entry.node for entry in usable)
     if snapshot.is_listing:
-        entries = {entry.node: entry for entry in snapshot.entries}
+        entries = {entry.node: entry for entry in usable}
         return directory.apply_listing(
             DirectorySnapshot(snapshot.position, entries), now
         )
-    return directory.apply_changes(
-        snapshot.position, snapshot.entries, snapshot.removed, now
-    )
+    removed = (*snapshot.removed, *unusable)
+    return directory.apply_changes(snapshot.position, usable, removed, now)
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_peer_sync.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_peer_sync.py
@@ -16,6 +16,7 @@
 )
 from knapweedspring_relay._knowledge._peer_snapshot import apply_peer_snapshot
 from knapweedspring_relay._knowledge._position import ORIGIN
+from knapweedspring_relay._knowledge._skipped_entries import SkippedEntryReporter
 from knapweedspring_relay._knowledge._store_health import StoreHealth
 from knapweedspring_relay._logs import DecisionLog
 from knapweedspring_relay._messages import encode_request
@@ -43,6 +44,7 @@
     :param state: the configuration in force.
     :param directory: directory of the gates, whose nodes are queried.
     :param crashes: refused requests.
+    :param skipped: reports entries that cannot be used.
     :param pool: connections to other nodes.
     :param health: state of the store.
     :param node: name of this node.
@@ -57,6 +59,7 @@
         state: DeclaredState,
         directory: Directory,
         crashes: CrashRecords,
+        skipped: SkippedEntryReporter,
         pool: ConnectionPool,
         health: StoreHealth,
         node: str,
@@ -68,6 +71,7 @@
         self._state = state
         self._directory = directory
         self._crashes = crashes
+        self._skipped = skipped
         self._pool = pool
         self._health = health
         self._node = node
@@ -124,7 +128,12 @@
             return False
         self._health.observe_era(snapshot.position.era)
         if apply_peer_snapshot(
-            snapshot, self._state, self._directory, self._crashes, now_s()
+            snapshot,
+            self._state,
+            self._directory,
+            self._crashes,
+            self._skipped,
+            now_s(),
         ):
             self._log.write_state(
                 "directory:from-peer",
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_source_sync.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_source_sync.py
@@ -14,6 +14,7 @@
     apply_peer_snapshot,
 )
 from knapweedspring_relay._knowledge._peer_sync import PeerSync
+from knapweedspring_relay._knowledge._skipped_entries import SkippedEntryReporter
 from knapweedspring_relay._knowledge._source_link import SourceLink
 from knapweedspring_relay._knowledge._source_selector import SourceSelector
 from knapweedspring_relay._knowledge._store_health import StoreHealth
@@ -53,6 +54,7 @@
     :param state: the configuration in force.
     :param directory: directory of the gates.
     :param crashes: refused requests.
+    :param skipped: reports entries that cannot be used.
     :param health: state of the store.
     :param store_watch: watches the store.
     :param peers: reads pages of peers.
@@ -70,6 +72,7 @@
         state: DeclaredState,
         directory: Directory,
         crashes: CrashRecords,
+        skipped: SkippedEntryReporter,
         health: StoreHealth,
         store_watch: StoreWatch,
         peers: PeerSync,
@@ -84,6 +87,7 @@
         self._state = state
         self._directory = directory
         self._crashes = crashes
+        self._skipped = skipped
         self._health = health
         self._store_watch = store_watch
         self._peers = peers
@@ -128,9 +132,11 @@
     def update_entries(self) -> None:
         """Update the rankings after a change of the directory."""
         entries = self._directory.listed_entries()
-        for data_centre in {entry.data_centre for entry in entries}:
-            if data_centre not in self._selectors:
-                self._selectors[data_centre] = SourceSelector(self._node, data_centre)
+        names = {entry.data_centre for entry in entries} | {self._data_centre}
+        for data_centre in self._selectors.keys() - names:
+            del self._selectors[data_centre]
+        for data_centre in names - self._selectors.keys():
+            self._selectors[data_centre] = SourceSelector(self._node, data_centre)
         for selector in self._selectors.values():
             selector.set_entries(entries)
 
@@ -279,7 +285,12 @@
                 self._log.write_state("source:followed", source=link.node)
         self._health.observe_era(snapshot.position.era)
         if apply_peer_snapshot(
-            snapshot, self._state, self._directory, self._crashes, now_s()
+            snapshot,
+            self._state,
+            self._directory,
+            self._crashes,
+            self._skipped,
+            now_s(),
         ):
             self._log.write_state(
                 "directory:from-source",
--- a/packages/relay/tests/test_mixed_versions.py
+++ b/packages/relay/tests/test_mixed_versions.py
@@ -27,6 +27,7 @@
     apply_peer_snapshot,
     make_peer_snapshot,
 )
+from knapweedspring_relay._knowledge._skipped_entries import SkippedEntryReporter
 
 #: Number of leading fields of each array that the version in service knows.
 N_FIELDS_IN_SERVICE = {HopCall: 13, GateReport: 12, PeerSnapshot: 10}
@@ -137,7 +138,8 @@
     assert snapshot.configuration is not None
     state = make_state()
     crashes = CrashRecords(lambda *_: None)
-    apply_peer_snapshot(snapshot, state, Directory(), crashes, 0.0)
+    skipped = SkippedEntryReporter(None, Counters())
+    apply_peer_snapshot(snapshot, state, Directory(), crashes, skipped, 0.0)
     assert state.version == 0
     assert state.newer_exists.is_set()
 
