Let no entry without a declared service hide a gate

Cause: the index of the directory kept one entry for each gate address, the one whose process started last, before it looked at the service.

Change: the directory learns the declared services from the configuration in force, and entries without one of them are not used and do not compete for an address. Before the first configuration all services count.

The new tests of the directory fail before (the directory did not know the services).

--- a/packages/relay/src/knapweedspring_relay/_knowledge/_directory.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_directory.py
@@ -101,7 +101,8 @@
     """Entries of the directory on this node, with look-up by service.
 
     When several entries have the same gate address, only the entry with the newest
-    process is used. So an address that was reassigned leads to the new VM only.
+    process is used. So an address that was reassigned leads to the new VM only. Entries
+    without a declared service are not used, and hide no other entry.
     """
 
     def __init__(self) -> None:
@@ -110,6 +111,8 @@
         self._missing_at: dict[str, float] = {}
         self._departed: dict[UpstreamProcess, None] = {}
         self._leaving: dict[UpstreamProcess, None] = {}
+        #: Names of the declared services; None before the first configuration.
+        self._services: frozenset[str] | None = None
         self._changes = ChangeLog()
         self._by_service: dict[str, tuple[GateEntry, ...]] = {}
         self._by_location: dict[_ServiceLocation, tuple[GateEntry, ...]] = {}
@@ -169,6 +172,16 @@
             self._by_location[location] = found
         return found
 
+    def declare_services(self, names: Iterable[str]) -> None:
+        """Use the entries of the declared services only.
+
+        :param names: names of all services of the configuration in force.
+        """
+        services = frozenset(names)
+        if services != self._services:
+            self._services = services
+            self._rebuild_index()
+
     def record_leaving(self, process: UpstreamProcess) -> None:
         """Stop using a process that its gate reported as leaving.
 
@@ -297,9 +310,14 @@
             corrected[node] = entry
         return corrected
 
+    def _is_declared(self, service: str) -> bool:
+        return bool(service) and (self._services is None or service in self._services)
+
     def _rebuild_index(self) -> None:
         entry_by_address: dict[str, GateEntry] = {}
         for entry in self._entries.values():
+            if not self._is_declared(entry.service):
+                continue
             newest = entry_by_address.get(entry.gate_address)
             if newest is None or entry.born_ms > newest.born_ms:
                 entry_by_address[entry.gate_address] = entry
@@ -307,7 +325,7 @@
         for node in sorted(entry.node for entry in entry_by_address.values()):
             entry = self._entries[node]
             is_ready = entry.state is UpstreamState.READY
-            if entry.service and is_ready and entry.process not in self._leaving:
+            if is_ready and entry.process not in self._leaving:
                 by_service.setdefault(entry.service, []).append(entry)
         self._by_service = {name: tuple(found) for name, found in by_service.items()}
         self._by_location.clear()
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_knowledge.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_knowledge.py
@@ -141,6 +141,7 @@
         self._freshness = KnowledgeFreshness(
             self._sources, self._directory, self._peers, configuration_sync.read_once
         )
+        self._state.subscribe(self._declare_services)
         self._state.subscribe(self._followers.publish)
 
     @property
@@ -245,6 +246,11 @@
             self._settings.gate_address,
         )
 
+    def _declare_services(self) -> None:
+        if self._state.table is not None:
+            services = self._state.table.configuration.services
+            self._directory.declare_services(service.name for service in services)
+
     def _handle_directory_change(self) -> None:
         self._sources.update_entries()
         self._own_entry.compare_stored(
--- a/packages/relay/tests/knowledge/test_directory.py
+++ b/packages/relay/tests/knowledge/test_directory.py
@@ -6,6 +6,8 @@
 
 from dataclasses import replace
 
+import pytest
+
 from knapweedspring_relay._knowledge._directory import (
     MAX_LEAVING,
     MISSING_GRACE_S,
@@ -89,3 +91,32 @@
     for born_ms in range(MAX_LEAVING + 10):
         directory.record_leaving(replace(ENTRY, born_ms=1_000 + born_ms).process)
     assert len(directory._leaving) == MAX_LEAVING
+
+
+def directory_of(*entries):
+    directory = Directory()
+    directory.apply_listing(
+        DirectorySnapshot(at(10), {entry.node: entry for entry in entries}), 0.0
+    )
+    return directory
+
+
+@pytest.mark.parametrize("service", ["nobody", ""])
+def test_entry_without_a_declared_service_hides_no_gate(service):
+    """Another writer's entry with a gate's address made the gate unreachable."""
+    stray = replace(ENTRY, node="stray", service=service, born_ms=ENTRY.born_ms + 1)
+    directory = directory_of(ENTRY, stray)
+    directory.declare_services(["svc"])
+    assert directory.ready_gates("svc") == (ENTRY,)
+    assert directory.ready_gates_in("svc", "dc") == (ENTRY,)
+    assert directory.ready_gates(service) == ()
+
+
+def test_gate_address_of_a_service_that_is_declared_later_is_used_then():
+    newer = replace(ENTRY, node="newer", service="next", born_ms=ENTRY.born_ms + 1)
+    directory = directory_of(ENTRY, newer)
+    directory.declare_services(["svc"])
+    assert directory.ready_gates("svc") == (ENTRY,)
+    directory.declare_services(["svc", "next"])
+    assert directory.ready_gates("svc") == ()
+    assert directory.ready_gates("next") == (newer,)
