Refuse liveness reports with values that no later step can use

Cause: a report may come from another writer. Too many levels raised RecursionError, which ended the handler instead of being answered; a sequence number or a start over 64 bits, or an endless slow phase, was applied. The start and the identity get into this node's entry, which then could not be encoded for the nodes that follow, or not fit into its object in the store.

--- a/packages/relay/src/knapweedspring_relay/__init__.py
+++ b/packages/relay/src/knapweedspring_relay/__init__.py
@@ -38,9 +38,12 @@
     StoreUnavailable,
     UpstreamState,
     problem_of_entry,
-    problem_of_upstream,
 )
-from knapweedspring_relay._local_upstream import Heartbeat, HeartbeatVerdict
+from knapweedspring_relay._local_upstream import (
+    Heartbeat,
+    HeartbeatVerdict,
+    problem_of_heartbeat,
+)
 from knapweedspring_relay._logs import LineBuffer
 from knapweedspring_relay._messages import encode_request
 from knapweedspring_relay._numbers import parse_decimal
@@ -99,5 +102,5 @@
     "encode_request",
     "parse_decimal",
     "problem_of_entry",
-    "problem_of_upstream",
+    "problem_of_heartbeat",
 ]
--- a/packages/relay/src/knapweedspring_relay/_local_upstream.py
+++ b/packages/relay/src/knapweedspring_relay/_local_upstream.py
@@ -3,7 +3,11 @@
 from dataclasses import dataclass, replace
 from enum import StrEnum
 
-from knapweedspring_relay._knowledge import GateEntry, UpstreamState
+from knapweedspring_relay._knowledge import (
+    GateEntry,
+    UpstreamState,
+    problem_of_upstream,
+)
 
 __all__ = [
     "ASSUMED_SEQUENCE",
@@ -11,9 +15,17 @@
     "HeartbeatVerdict",
     "LocalUpstream",
     "UpstreamTracker",
+    "problem_of_heartbeat",
     "published_upstream",
 ]
 
+#: Greatest sequence number: a heartbeat per microsecond would take ages to reach it.
+MAX_SEQUENCE = 2**63 - 1
+#: Longest slow phase after a start, in seconds. A longer one is a mistake, and would
+#: keep the upstream from its share of the requests.
+MAX_COLD_S = 86_400.0
+#: Greatest length of the name of a service, in characters.
+MAX_SERVICE_LENGTH = 256
 #: Maximum number of departed processes that are remembered, so that their late
 #: heartbeats have no effect; beyond it, the first to depart is forgotten.
 MAX_DEPARTED = 64
@@ -45,6 +57,23 @@
     born_ms: int
 
 
+def problem_of_heartbeat(heartbeat: Heartbeat) -> str:
+    """Return why a heartbeat cannot be used; empty when it can.
+
+    :param heartbeat: the heartbeat, whose fields have the declared types.
+    """
+    service = heartbeat.service
+    if not 0 < len(service) <= MAX_SERVICE_LENGTH or not service.isprintable():
+        return "the service is empty, too long or not printable"
+    if not heartbeat.address:
+        return "the address is empty"
+    if not 0 <= heartbeat.sequence <= MAX_SEQUENCE:
+        return "the sequence number is out of range"
+    if not heartbeat.cold_left_s <= MAX_COLD_S:
+        return f"the slow phase is longer than {MAX_COLD_S} s"
+    return problem_of_upstream(heartbeat.instance, heartbeat.born_ms, heartbeat.slots)
+
+
 class HeartbeatVerdict(StrEnum):
     """Effect of a heartbeat, a departure or an answer."""
 
--- a/packages/relay/tests/test_local_upstream.py
+++ b/packages/relay/tests/test_local_upstream.py
@@ -14,6 +14,7 @@
     HeartbeatVerdict,
     LocalUpstream,
     UpstreamTracker,
+    problem_of_heartbeat,
 )
 
 ADDRESS = "10.0.0.1:8301"
@@ -111,3 +112,30 @@
     # A late answer of the process before it.
     assert tracker.apply_leaving(first, 5.0) is HeartbeatVerdict.LATE
     assert tracker.current.is_ready
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"instance": ""},
+        {"instance": "x" * 300},
+        {"instance": "a\r\nb: c"},
+        {"instance": "\ud800"},
+        {"service": ""},
+        {"service": "a\0"},
+        {"address": ""},
+        {"slots": 0},
+        {"slots": 10**9},
+        {"sequence": -1},
+        {"sequence": 2**64},
+        {"born_ms": -1},
+        {"born_ms": 2**64},
+        {"cold_left_s": 1e300},
+        {"cold_left_s": float("inf")},
+        {"cold_left_s": float("nan")},
+    ],
+)
+def test_heartbeat_that_a_later_step_cannot_use_is_not_accepted(changes):
+    """Numbers over 64 bits could not be sent to the nodes that follow."""
+    assert problem_of_heartbeat(BEAT) == ""
+    assert problem_of_heartbeat(replace(BEAT, **changes))
