End a call of the own interface whose answer has no end

On the own interface an upstream that sent interim answers or trailer fields without end kept its call, and the thread that ran it, for as long as it went on: the kernel's timeout starts anew with each received byte, and the libraries limit the length of a line only.

The case of the chunk extension passed before, since the library limits that line.

--- a/packages/node/src/knapweedspring_node/_calls/_outbound.py
+++ b/packages/node/src/knapweedspring_node/_calls/_outbound.py
@@ -15,6 +15,7 @@
 from urllib3.response import HTTPResponse
 from urllib3.util import SKIP_HEADER
 
+from knapweedspring_node._calls._bounded_response import BoundedResponse
 from knapweedspring_node._calls._errors import (
     CallerLeft,
     DeadlinePassed,
@@ -116,6 +117,8 @@
 class _Connection(HTTPConnection):
     """Connection that can send the head and body of a request in one system call."""
 
+    response_class = BoundedResponse
+
     _buffered: list[bytes] | None = None
 
     def start_buffering(self) -> None:
--- a/packages/node/tests/calls/test_outbound.py
+++ b/packages/node/tests/calls/test_outbound.py
@@ -1,4 +1,4 @@
-"""Guards against an answer that belongs to another call.
+"""Guards against answers that belong to another call, or that have no end.
 
 An upstream may send a second copy of an answer on a connection that is kept. Whatever
 arrives before the next request on it must not be read as the answer to that request.
@@ -9,6 +9,10 @@
 import threading
 import time
 
+import pytest
+import urllib3
+
+from knapweedspring_node._calls._errors import PeerBrokeOff
 from knapweedspring_node._calls._outbound import ConnectionPools, OutboundCall
 from knapweedspring_node._calls._request import Body, CallerConnection
 
@@ -108,3 +112,57 @@
 
 def test_copy_that_arrives_after_the_next_request_does_not_reach_it():
     assert make_calls(RepeatingUpstream(repeats_late=True)) == expected_bodies()
+
+
+ANSWER_HEAD = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+
+
+# Guards against an upstream that keeps a call, and its thread, for as long as it sends
+# interim answers or trailer fields.
+@pytest.mark.parametrize(
+    ("begin", "piece"),
+    [
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+        (ANSWER_HEAD + b"2\r\nab\r\n0\r\n", b"x-a: 1\r\n"),
+        (ANSWER_HEAD + b"2\r\nab\r\n2;", b"a"),
+    ],
+    ids=["interim answers", "trailer fields", "chunk extension"],
+)
+def test_answer_without_end_ends_its_call(begin, piece):
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def serve():
+        sock, _ = listener.accept()
+        with sock, contextlib.suppress(OSError):
+            sock.recv(65_536)
+            sock.sendall(begin)
+            while True:
+                sock.sendall(piece * 1_024)
+
+    server = threading.Thread(target=serve, daemon=True)
+    server.start()
+    address = f"127.0.0.1:{listener.getsockname()[1]}"
+    caller, caller_end = socket.socketpair()
+    outcomes = []
+
+    def call():
+        exchanged = ConnectionPools().exchange(make_call(address, "/", caller))
+        if exchanged.is_err():
+            outcomes.append(exchanged.err_value)
+            return
+        answer = exchanged.ok_value
+        try:
+            outcomes.append(b"".join(answer.chunks))
+        except Exception as error:  # noqa: BLE001
+            outcomes.append(error)
+        finally:
+            answer.release(False)
+
+    calling = threading.Thread(target=call, daemon=True)
+    calling.start()
+    calling.join(5.0)
+    listener.close()
+    caller.close()
+    caller_end.close()
+    assert outcomes, "the call has not ended"
+    assert isinstance(outcomes[0], (PeerBrokeOff, urllib3.exceptions.HTTPError))
