Abandon each answer that is not passed on

Callers were refused though all servers were idle: a rejection whose body had no end, or more than fits into the buffer of a connection, kept the slot and the connection of its call for good. The gate passed it to the entry, which retried or refused the request without reading the rest. The gate then waited for credit to send the body, its connection stayed paused, and the slot was never freed.

The gate now abandons the rest of a rejection and reports it without an answer.

--- a/packages/relay/src/knapweedspring_relay/_entry.py
+++ b/packages/relay/src/knapweedspring_relay/_entry.py
@@ -266,7 +266,12 @@
             gate_result = await self._offer_to_gate(state, entry, request)
             if gate_result is None:
                 continue
-            if await self._handle_outcome(state, exchange, gate_result):
+            try:
+                is_final = await self._handle_outcome(state, exchange, gate_result)
+            finally:
+                # An answer that is not passed on keeps its slot until it is abandoned.
+                _abandon_answer(gate_result.answer)
+            if is_final:
                 return
 
     def _next_gate(self, state: RequestState) -> GateEntry | None:
@@ -361,7 +366,6 @@
         if report.outcome is HopOutcome.SHED:
             if self._may_retry(state):
                 return False
-            _abandon_answer(answer)
             self._send_failure_answer(state, exchange)
             return True
         state.may_have_run = True
@@ -370,7 +374,6 @@
             failed_deeper = answer.status >= 500 and not is_own_failure
             self._chain_health.record_outcome(state.route, failed_deeper, now_s())
             if answer.status >= 500 and is_own_failure and self._may_retry(state):
-                answer.abandon()
                 return False
             await self._deliver_answer(state, exchange, answer)
             return True
--- a/packages/relay/src/knapweedspring_relay/_gate.py
+++ b/packages/relay/src/knapweedspring_relay/_gate.py
@@ -403,6 +403,8 @@
                 # Another process listens at the upstream's address.
                 answer.abandon()
                 return self._report_failure(call, HopOutcome.CLOSED, reason, waited_s)
+            # A rejection is not passed on; the rest of its body would keep its slot.
+            answer.abandon()
             return self._report_failure(call, HopOutcome.SHED, reason, waited_s, answer)
         self._latencies.record(f"upstream:{call.service}", service_s)
         self._counters.add("gate_calls", "answered")
@@ -459,7 +461,7 @@
                 n_waiting=self._queue.n_waiting,
                 **self._answer_fields(answer),
             )
-        return GateResult(self._report_on(call, outcome, reason, waited_s), answer)
+        return GateResult(self._report_on(call, outcome, reason, waited_s), None)
 
     def _answer_fields(self, answer: Answer | None) -> dict[str, Any]:
         if answer is None or answer.use is None:
--- a/packages/relay/tests/test_endless_answers.py
+++ b/packages/relay/tests/test_endless_answers.py
@@ -233,6 +233,9 @@
             while not writer.is_closing():
                 writer.write(b"1\r\na\r\n" * 512 + b"fffe\r\n%b\r\n" % bytes(0xFFFE))
                 await writer.drain()
+        writer.close()
+        with contextlib.suppress(ConnectionError):
+            await writer.wait_closed()
 
     async def scenario():
         server = await asyncio.start_server(script, "127.0.0.1", 0)
@@ -246,6 +249,7 @@
             largest = max(largest, answer.n_unread_bytes)
         answer.abandon()
         assert answer.n_unread_bytes == 0
+        await asyncio.sleep(0.05)
         server.close()
         # The high water mark and what one read of the socket may return.
         assert largest <= 131_072 + 262_144
@@ -281,3 +285,41 @@
             assert longest_s < max_latency_s
 
     run(scenario)
+
+
+# Guards against answers that are not passed on and keep their slots and connections:
+# no request was served any more, though the upstreams were idle.
+@pytest.mark.parametrize(
+    "status", [b"503 Busy\r\nx-not-run: 1", b"421 Other", b"500 Failed"]
+)
+def test_answer_that_is_not_passed_on_frees_its_slot_and_connection(status):
+    n_calls = 12
+    n_open = 0
+
+    async def script(upstream, request, writer):
+        nonlocal n_open
+        if header_of(request, b"x-plain"):
+            writer.write(answer_of(request))
+            return
+        n_open += 1
+        head = head_of(request, b"content-length: %d\r\n\r\n" % 10**9)
+        writer.write(head.replace(b"200 OK", status))
+        try:
+            while not writer.is_closing():
+                writer.write(b"a" * PIECE_BYTES)
+                await writer.drain()
+        finally:
+            n_open -= 1
+
+    async def scenario():
+        async with Deployment([script, script]) as deployment:
+            for index in (0, 1):
+                deployment.send_heartbeat(index, 2, slots=4)
+            for _ in range(n_calls):
+                await call_endless(deployment)
+            await deployment.wait_until(lambda: n_open == 0, END_MARGIN_S)
+            assert [relay._gate.n_running for relay in deployment.relays] == [0, 0]
+            status, *_ = await deployment.call(x_plain="1")
+            assert status == 200
+
+    run(scenario)
