Limit what a caller can make a listener hold

One caller could take the memory that the requests of all others need: trailer fields and extensions of chunks counted for no limit, and the fields became headers of the request, such as a second request id. Answers that are buffered whole were written without waiting, so a caller that sent requests and read nothing left them all in the write buffer. Each answered request let a further segment of pipelined requests in, whatever waited already. A body in chunks of two bytes took a list entry and an object for each of them.

The bytes between two bytes of a body now have the same limit as those of an answer (FramingLimit, 64 KiB, 431 beyond it), and trailer fields are discarded. While the write buffer of a connection is full, the listener neither starts the next request on it nor reads from it; it reads on once fewer than eight requests wait. A body is collected in one buffer. Exchange and RequestHandler move to a module of their own.

--- a/packages/relay/src/knapweedspring_relay/_http_client.py
+++ b/packages/relay/src/knapweedspring_relay/_http_client.py
@@ -11,6 +11,7 @@
 from knapweedspring_relay._clock import now_s
 from knapweedspring_relay._connection_use import ConnectionUse
 from knapweedspring_relay._errors import BadAnswer, ConnectFailed, ConnectionBroke
+from knapweedspring_relay._framing_limit import FramingLimit
 from knapweedspring_relay._requests import Header
 from knapweedspring_relay._sockets import set_timeouts
 
@@ -23,11 +24,6 @@
 READ_HIGH_WATER_BYTES = 131_072
 #: Unread bytes of a streamed body below which a connection receives again.
 READ_LOW_WATER_BYTES = 65_536
-#: Limit on the bytes that a call receives in a row without a piece of its answer's
-#: body: head, interim answers, answers that are skipped because they belong to another
-#: request, sizes and extensions of chunks, trailer fields. The connection is aborted
-#: when more bytes than this arrive.
-MAX_FRAMING_BYTES = 65_536
 #: Longest wait for an answer unless the caller sets a timeout, in seconds.
 DEFAULT_TIMEOUT_S = 60.0
 #: Time before the end of the server's idle timeout from which a connection is not used
@@ -72,7 +68,7 @@
         self._last_used_at = 0.0
         self._headers: list[Header] = []
         self._body_pieces: list[bytes] = []
-        self._n_framing_bytes = 0
+        self._framing = FramingLimit()
         self._number = pool.n_opened + 1
         self._n_calls = 0
 
@@ -123,7 +119,7 @@
         self._is_head_request = is_head_request
         self._answer = None
         self._skipping = False
-        self._n_framing_bytes = 0
+        self._framing.reset()
         self._n_calls += 1
         result: asyncio.Future[Answer] = self._loop.create_future()
         self._result = result
@@ -180,14 +176,14 @@
             self._return_to_pool()
             return
         if self._body_pieces:
-            self._n_framing_bytes = 0
+            self._framing.reset()
             self._receive_body()
             return
         if self._result is None:
             # The answer is complete and the connection is closing.
             return
-        self._n_framing_bytes += len(data)
-        if self._n_framing_bytes > MAX_FRAMING_BYTES:
+        # Interim answers and answers to other requests count, too.
+        if not self._framing.allows(len(data)):
             self._abort_and_remove()
             self._fail(BadAnswer("the answer is too long besides its body"))
 
--- a/packages/relay/src/knapweedspring_relay/_http_server.py
+++ b/packages/relay/src/knapweedspring_relay/_http_server.py
@@ -1,22 +1,19 @@
 """HTTP/1.1 server on the event loop: connections, limits and answers."""
 
 import asyncio
-from abc import ABC, abstractmethod
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import cast
 
 import httptools
-from mypy_extensions import mypyc_attr
 
 from knapweedspring_relay._clock import now_s
-from knapweedspring_relay._configuration import CallLimits
 from knapweedspring_relay._errors import MessageError
+from knapweedspring_relay._exchange import AnswerConnection, Exchange, RequestHandler
+from knapweedspring_relay._framing_limit import FramingLimit
 from knapweedspring_relay._messages import (
-    encode_answer_head,
     encode_error_answer,
     has_folded_header,
-    header_lines,
 )
 from knapweedspring_relay._requests import MAX_BODIES_BYTES, Header, Request
 from knapweedspring_relay._sockets import BACKLOG
@@ -34,111 +31,6 @@
 HEADER_SEPARATOR_BYTES = 4
 
 
-class Exchange:
-    """One request and the means to send its answer.
-
-    :param connection: the connection that received the request.
-    :param request: the request.
-    """
-
-    def __init__(self, connection: "_ServerConnection", request: Request) -> None:
-        self._connection = connection
-        self._request = request
-        self._head_sent = False
-        self._chunked = False
-
-    @property
-    def request(self) -> Request:
-        """The request."""
-        return self._request
-
-    @property
-    def head_sent(self) -> bool:
-        """Whether the head of the answer has been sent."""
-        return self._head_sent
-
-    def send_answer(
-        self, status: int, headers: Iterable[Header], body: bytes = b""
-    ) -> None:
-        """Send a complete answer.
-
-        :param status: status code.
-        :param headers: headers without the connection headers.
-        :param body: the body.
-        """
-        self.send_encoded_answer(status, header_lines(headers), body)
-
-    def send_encoded_answer(self, status: int, lines: bytes, body: bytes) -> None:
-        """Send a complete answer whose header lines are encoded already.
-
-        :param status: status code.
-        :param lines: encoded header lines without the connection headers.
-        :param body: the body.
-        """
-        self._head_sent = True
-        keep_alive = self._keep_alive()
-        head = encode_answer_head(status, lines, len(body), keep_alive)
-        if self._request.method == b"HEAD":
-            body = b""
-        self._connection.write(head + body)
-        if not keep_alive:
-            self._connection.close_when_written()
-
-    def start_streamed_answer(
-        self, status: int, lines: bytes, length: int | None
-    ) -> None:
-        """Send the head of an answer whose body is streamed.
-
-        :param status: status code.
-        :param lines: encoded header lines without the connection headers.
-        :param length: length of the body in bytes; None sends it in chunks.
-        """
-        self._head_sent = True
-        self._chunked = length is None
-        head = encode_answer_head(status, lines, length, self._keep_alive())
-        self._connection.write(head)
-
-    async def send_body_piece(self, piece: bytes) -> None:
-        """Send a piece of the body, and wait while the write buffer is full."""
-        if not piece:
-            return
-        if self._chunked:
-            piece = b"%x\r\n%b\r\n" % (len(piece), piece)
-        self._connection.write(piece)
-        await self._connection.wait_writable()
-
-    def finish_streamed_answer(self) -> None:
-        """End a streamed answer."""
-        if self._chunked:
-            self._connection.write(b"0\r\n\r\n")
-        if not self._keep_alive():
-            self._connection.close_when_written()
-
-    def abort(self) -> None:
-        """Abort the connection, so that the answer does not look complete."""
-        self._connection.abort()
-
-    def _keep_alive(self) -> bool:
-        return self._request.keep_alive and not self._connection.closes_after_answer
-
-
-@mypyc_attr(allow_interpreted_subclasses=True)
-class RequestHandler(ABC):
-    """Handles the requests that a listener receives."""
-
-    @abstractmethod
-    async def handle(self, exchange: Exchange) -> None:
-        """Answer a request; cancelled when the caller closes the connection.
-
-        :param exchange: the request and the means to answer it.
-        """
-
-    @property
-    def limits(self) -> CallLimits:
-        """Limits on the requests of callers."""
-        return CallLimits()
-
-
 class HttpListener:
     """Accepts HTTP connections at one address.
 
@@ -246,7 +138,7 @@
         self._n_body_bytes -= n_bytes
 
 
-class _ServerConnection(asyncio.Protocol):
+class _ServerConnection(asyncio.Protocol, AnswerConnection):
     """One connection of a caller; its requests are answered one after another."""
 
     def __init__(self, listener: HttpListener) -> None:
@@ -257,9 +149,11 @@
         self._task: asyncio.Task[None] | None = None
         self._writable_waiter: asyncio.Future[None] | None = None
         self._is_writing_paused = False
+        self._is_reading_paused = False
         self._closing = False
         self._request_error: MessageError | None = None
         self._state_changed_at = now_s()
+        self._framing = FramingLimit()
         self._reset_message()
 
     @property
@@ -275,9 +169,10 @@
     def _reset_message(self) -> None:
         self._target = b""
         self._headers: list[Header] = []
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._n_body_bytes = 0
         self._n_head_bytes = 0
+        self._framing.reset()
         self._in_message = False
         self._in_body = False
         #: Whether the head arrives in parts; its time limit runs from the first part.
@@ -307,7 +202,8 @@
         """Parse the received bytes."""
         if self._closing or self._request_error is not None:
             return
-        if not self._in_body:
+        was_in_body, n_body_bytes = self._in_body, self._n_body_bytes
+        if not was_in_body:
             self._n_head_bytes += len(data)
             if has_folded_header(data):
                 self._reject(MessageError(400, "a header is folded over lines"))
@@ -329,15 +225,21 @@
                     self._is_head_partial = True
                     self._state_changed_at = now_s()
                 self._check_partial_head_size()
+            elif was_in_body and self._in_body:
+                self._check_framing_size(len(data), self._n_body_bytes != n_body_bytes)
 
     def pause_writing(self) -> None:
-        """Make the sender of an answer wait while the write buffer is full."""
+        """Wait with answers and further requests while the write buffer is full."""
         self._is_writing_paused = True
+        self._update_reading()
 
     def resume_writing(self) -> None:
-        """Let the sender of an answer continue."""
+        """Continue with the current answer or the next request."""
         self._is_writing_paused = False
         self._wake_writer()
+        self._update_reading()
+        if self._task is None and (self._requests or self._request_error is not None):
+            self._continue_after_answer()
 
     # Parser callbacks.
 
@@ -350,8 +252,9 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header."""
-        self._headers.append((name.lower(), value))
+        """Collect a header; the fields of a trailer are discarded."""
+        if not self._in_body:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Check the head against the limits."""
@@ -379,7 +282,7 @@
         if not self._listener.reserve_body(len(piece)):
             raise MessageError(503, "too many bodies are held in memory")
         self._n_body_bytes += len(piece)
-        self._body.append(piece)
+        self._body += piece
 
     def on_message_complete(self) -> None:
         """Queue the complete request until earlier requests are answered."""
@@ -387,15 +290,14 @@
             method=self._parser.get_method(),
             target=self._target,
             headers=self._headers,
-            body=b"".join(self._body),
+            body=bytes(self._body),
             arrived_at=self._arrived_at,
             keep_alive=self._parser.should_keep_alive(),
         )
         self._reset_message()
         self._requests.append(request)
-        if len(self._requests) >= MAX_PIPELINED and self._transport is not None:
-            self._transport.pause_reading()
         self._answer_next_request()
+        self._update_reading()
 
     # Answers.
 
@@ -439,6 +341,9 @@
     def _answer_next_request(self) -> None:
         if self._task is not None or not self._requests or self._closing:
             return
+        if self._is_writing_paused:
+            # Answers to a caller that does not read must not pile up.
+            return
         request = self._requests.popleft()
         self._task = self._listener.loop.create_task(self._answer_request(request))
 
@@ -465,15 +370,34 @@
         if self._closing:
             self._transport.close()
         elif self._requests:
-            self._transport.resume_reading()
             self._answer_next_request()
+            self._update_reading()
         elif self._request_error is not None:
             self._answer_error(self._request_error)
 
+    def _update_reading(self) -> None:
+        """Receive only while few requests are queued and answers are read."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        is_paused = self._is_writing_paused or len(self._requests) >= MAX_PIPELINED
+        if is_paused == self._is_reading_paused:
+            return
+        self._is_reading_paused = is_paused
+        if is_paused:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
     def _check_partial_head_size(self) -> None:
         if self._n_head_bytes > self._listener.handler.limits.header_bytes:
             self._reject(MessageError(431, "the head is too long"))
 
+    def _check_framing_size(self, n_bytes: int, has_body_bytes: bool) -> None:
+        if has_body_bytes:
+            self._framing.reset()
+        elif not self._framing.allows(n_bytes):
+            self._reject(MessageError(431, "a chunk's head or the trailer is too long"))
+
     def _reject(self, error: MessageError) -> None:
         self._request_error = error
         if self._task is None and not self._requests:
