--- a/packages/node/src/knapweedspring_node/_calls/_outbound.py
+++ b/packages/node/src/knapweedspring_node/_calls/_outbound.py
@@ -118,6 +118,7 @@
     """Connection that can send the head and body of a request in one system call."""
 
     response_class = LineLimitedResponse
+
     _buffered: list[bytes] | None = None
 
     def start_buffering(self) -> None:
