Refuse queued calls at a stopping gate while they can go elsewhere

Cause: a node that stops left the calls of other nodes in its gate's queue until the process ended. Their entries saw the connection break, had to take the calls for run, and answered 502 to requests that may not be repeated, though no upstream had got them. The new test shows it: 502 in place of 200, with an idle upstream beside another node.

Change: once the gate is closed, it refuses the queued calls that cannot end before the process, from their expected wait and the service time of their route, and the rest when requests are withdrawn. The outcome is "refused", which was not sent, so that entries offer them elsewhere. Calls that run are waited for as before.

--- a/packages/relay/src/knapweedspring_relay/_admission.py
+++ b/packages/relay/src/knapweedspring_relay/_admission.py
@@ -236,6 +236,19 @@
         for queued in waiting:
             queued.record_decision(AdmissionState.REFUSED, reason)
 
+    def refuse_unfinishable(self, ends_at: float, now: float, reason: str) -> None:
+        """Refuse queued calls that are not expected to end in time.
+
+        :param ends_at: time by which calls must end, on the monotonic clock, in
+            seconds.
+        :param now: monotonic time, in seconds.
+        :param reason: reason of the refusals.
+        """
+        for queued in tuple(self._waiting):
+            service_s = self.mean_service_s(queued.admission_request.route)
+            if now + self._expected_wait_s(queued, now) + service_s > ends_at:
+                self.refuse_call(queued, reason)
+
     def admit_waiting_calls(self, now: float) -> None:
         """Admit queued calls while slots are free.
 
--- a/packages/relay/src/knapweedspring_relay/_gate.py
+++ b/packages/relay/src/knapweedspring_relay/_gate.py
@@ -148,6 +148,13 @@
         """Refuse new calls from now on, since the process is about to end."""
         self._stopping = True
 
+    def refuse_unfinishable_calls(self, ends_at: float) -> None:
+        """Refuse queued calls that would still run when the process ends.
+
+        :param ends_at: end of the process, on the monotonic clock, in seconds.
+        """
+        self._queue.refuse_unfinishable(ends_at, now_s(), "the node is stopping")
+
     def withdraw(self, call: HopCall) -> None:
         """Refuse a call if it still waits in the queue; see :class:`GateLink`."""
         queued = self._waiting_calls.get(id(call))
--- a/packages/relay/src/knapweedspring_relay/_planned_stop.py
+++ b/packages/relay/src/knapweedspring_relay/_planned_stop.py
@@ -91,9 +91,11 @@
         if now >= times.gate_closes_at:
             self._gate.stop()
             self._gate_listener.drain()
+            self._gate.refuse_unfinishable_calls(times.ends_at)
         if now >= times.withdrawn_at and not self._has_withdrawn:
             self._has_withdrawn = True
             self._entry.withdraw_requests()
+            self._gate.queue.refuse_waiting("the node is stopping")
         if now >= times.ends_at:
             self._entry.end_requests()
 
--- a/packages/relay/tests/test_admission.py
+++ b/packages/relay/tests/test_admission.py
@@ -178,6 +178,24 @@
 
 
 @pytest.mark.interpreted
+def test_calls_that_cannot_end_before_the_process_are_refused_and_others_stay():
+    """Calls queued at a stopping node were cut, and their callers were told nothing."""
+    queue = make_queue(1)
+    first = make_queued_call()
+    queue.offer_call(first, 0.0)
+    queue.finish_call(first, 1.0, was_served=True)
+    queue.offer_call(make_queued_call(), 1.0)
+    waiting = [make_queued_call(max_wait_s=9.0) for _ in range(3)]
+    for queued in waiting:
+        queue.offer_call(queued, 1.0)
+    # Each takes a second, so they end after 3, 4 and 5 s at the latest.
+    queue.refuse_unfinishable(4.0, 1.0, "stopping")
+    states = [queued.state for queued in waiting]
+    assert states == [AdmissionState.WAITING] * 2 + [AdmissionState.REFUSED]
+    assert waiting[2].reason == "stopping"
+    assert queue.n_waiting == 2
+
+
 def test_work_per_call_does_not_grow_with_the_queue():
     """A surge at a slow upstream makes the queue long, and all queued calls expire."""
 
--- a/packages/relay/tests/test_planned_stop.py
+++ b/packages/relay/tests/test_planned_stop.py
@@ -12,8 +12,10 @@
 from _deployment import (
     ROUTES,
     Deployment,
+    Upstream,
     answer_of,
     answer_ok,
+    free_address,
     make_configuration,
 )
 from result import Ok
@@ -177,6 +179,31 @@
     run(scenario)
 
 
+def test_call_that_waits_at_a_stopping_gate_runs_elsewhere():
+    """It was reported as lost when the process ended, so it could not be sent again."""
+
+    async def scenario():
+        configuration = make_configuration(routes=LONG_ROUTES)
+        scripts, services = [answer_only_fast] * 2, ["front", "svc"]
+        async with Deployment(scripts, configuration, services) as deployment:
+            running, waiting = await fill_gate(deployment, 1, [WRITE])
+            deployment.upstreams.append(Upstream(free_address(), answer_ok))
+            await deployment.upstreams[2].start()
+            deployment.services.append("svc")
+            deployment.add_relay(2)
+            await deployment.wait_until(lambda: deployment.relays[2].is_ready)
+            deployment.send_heartbeat(2)
+            directory = deployment.relays[0]._directory
+            await deployment.wait_until(lambda: len(directory.ready_gates("svc")) == 2)
+            deployment.relays[1].stop()
+            assert (await waiting[0])[0] == 200
+            assert paths_of(deployment.upstreams[2]) == [b"/write/1"]
+            assert paths_of(deployment.upstreams[1]) == [b"/read/fast", b"/read/0"]
+            running.cancel()
+
+    run(scenario)
+
+
 def test_second_signal_and_changed_settings_do_not_shorten_the_stop():
     async def slow(upstream, request, writer):
         await asyncio.sleep(3.2)
