End a stopped process only after the answers in its buffers are sent

Cause: callers that read slowly got truncated answers around a planned stop: the process ended as soon as no request was being answered, while the write buffers of connections of callers and of other nodes still held the ends of answers, and counted none of them in n_cut.

Change: a request or call counts as active until the connection's write buffer is empty.

--- a/packages/relay/src/knapweedspring_relay/_hop_listener.py
+++ b/packages/relay/src/knapweedspring_relay/_hop_listener.py
@@ -218,7 +218,8 @@
     @property
     def n_active(self) -> int:
         """Number of calls whose answers have not been sent completely."""
-        return len(self._tasks)
+        n_unsent = self._transport.get_write_buffer_size() if self._transport else 0
+        return max(len(self._tasks), int(n_unsent > 0))
 
     def send(self, frame: Frame) -> None:
         """Send a frame unless the connection is closed."""
--- a/packages/relay/src/knapweedspring_relay/_http_server.py
+++ b/packages/relay/src/knapweedspring_relay/_http_server.py
@@ -174,7 +174,7 @@
 
     @property
     def n_active(self) -> int:
-        """Number of requests without an answer."""
+        """Number of requests whose answers have not been sent completely."""
         return sum(connection.n_pending for connection in self._connections)
 
     @property
@@ -264,8 +264,9 @@
 
     @property
     def n_pending(self) -> int:
-        """Number of requests without an answer."""
-        return len(self._requests) + (self._task is not None)
+        """Number of requests whose answers have not been sent completely."""
+        n_unsent = self._transport.get_write_buffer_size() if self._transport else 0
+        return len(self._requests) + (self._task is not None or n_unsent > 0)
 
     @property
     def closes_after_answer(self) -> bool:
--- a/packages/relay/tests/test_hop.py
+++ b/packages/relay/tests/test_hop.py
@@ -231,6 +231,29 @@
     run(scenario)
 
 
+def test_call_is_active_until_the_bytes_of_its_answer_are_sent():
+    """A stopping node closed connections with answers in its write buffers."""
+    body = b"b" * 16_000_000
+
+    async def script(call, request):
+        return complete_answer(body)
+
+    async def scenario():
+        async with hop(script) as (_, address, _, listener, _):
+            host, port = address.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(encode_frame(CallFrame(1, make_call(), make_request())))
+            await asyncio.sleep(0.3)
+            # The reader has paused: its limit is far below the size of the answer.
+            assert listener.n_active == 1
+            await reader.readexactly(len(body))
+            await asyncio.sleep(0.1)
+            assert listener.n_active == 0
+            writer.close()
+
+    run(scenario)
+
+
 def test_call_without_outcome_in_time_fails_and_is_cancelled_at_the_gate():
     async def script(call, request):
         await asyncio.sleep(5.0)
--- a/packages/relay/tests/test_planned_stop.py
+++ b/packages/relay/tests/test_planned_stop.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import socket
 import time
 from dataclasses import replace
 
@@ -204,6 +205,46 @@
     run(scenario)
 
 
+def test_process_ends_only_after_unsent_bytes_of_answers():
+    """It ended while its write buffers held the ends of answers."""
+    n_requests, body = 60, b"b" * 100_000
+
+    async def long_answer(upstream, request, writer):
+        writer.write(answer_of(request, body))
+
+    async def scenario():
+        async with Deployment([long_answer]) as deployment:
+            deployment.add_relay(0, node="stopping", shutdown=ShutdownSettings(6.0))
+            await deployment.wait_until(lambda: deployment.relays[1].is_ready)
+            host, port = deployment.settings[1].entry_address.split(":")
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+            sock.setblocking(False)
+            loop = asyncio.get_running_loop()
+            await loop.sock_connect(sock, (host, int(port)))
+            one = b"GET /read/%d HTTP/1.1\r\nhost: h\r\nx-id: %d\r\n\r\n"
+            for i in range(n_requests):
+                await loop.sock_sendall(sock, one % (i, i))
+            upstream = deployment.upstreams[0]
+            await deployment.wait_until(lambda: len(upstream.requests) == n_requests)
+            await asyncio.sleep(0.2)
+            deployment.relays[1].stop()
+            # Requests are answered, and the callers were redirected.
+            await asyncio.sleep(3.2)
+            assert not deployment.tasks[1].done()
+            received = bytearray()
+            while piece := await asyncio.wait_for(loop.sock_recv(sock, 1_000_000), 2):
+                received += piece
+                n_answers = received.count(b"HTTP/1.1 200")
+                if n_answers == n_requests and received.endswith(body):
+                    break
+            assert len(received) > n_requests * len(body)
+            await asyncio.wait_for(deployment.tasks[1], 1)
+            sock.close()
+
+    run(scenario)
+
+
 def test_second_signal_and_changed_settings_do_not_shorten_the_stop():
     async def slow(upstream, request, writer):
         await asyncio.sleep(3.2)
