Pass on no promise that an upstream does not state

Cause: an answer promises that its request has not run only with the header that states it. One with such a status and without the header was passed on as it is, and the status alone is a promise to the caller. Change: such an answer counts as no answer: the request may have run, so the caller gets 502, or the request is sent again where its route allows it.

--- a/packages/relay/src/knapweedspring_relay/_upstream_caller.py
+++ b/packages/relay/src/knapweedspring_relay/_upstream_caller.py
@@ -19,6 +19,9 @@
 #: Time past a call's deadline for which the gate still waits for the upstream's answer,
 #: in seconds.
 LATE_ANSWER_GRACE_S = 0.08
+#: Statuses that promise a caller that its request has not run and never will. An answer
+#: makes this promise only together with the header that states it.
+PROMISE_STATUSES = frozenset({408, 429, 503})
 
 
 class UpstreamCaller:
@@ -89,4 +92,8 @@
         if is_success and answer.header(names.signature) is None:
             answer.abandon()
             raise BadAnswer("the answer is not signed")
+        states_not_run = answer.header(names.not_executed) is not None
+        if answer.status in PROMISE_STATUSES and not states_not_run:
+            answer.abandon()
+            raise BadAnswer("the answer promises a status that it does not state")
         return answer
