Match the answers to ids of any bytes

Callers saw: 504 for a request that its upstream had answered, if its id held bytes above 127 or ended in a blank. Cause: the entry reads an id as latin-1, and the gate compared its UTF-8 encoding with the id of the answer, with the blanks that a header's value does not keep. Change: the gate encodes the id as the entry decoded it; blanks around it don't count. The matcher's description says which connections match no ids.

--- a/packages/relay/src/knapweedspring_relay/_answer_matcher.py
+++ b/packages/relay/src/knapweedspring_relay/_answer_matcher.py
@@ -18,6 +18,9 @@
     the same request, sent again, and a copy without an id from no other answer. So a
     request whose answer reported an error is not sent on the same connection again, and
     a connection is not used again after an answer without an id.
+
+    Connections whose requests carry no id accept every answer: those to the store and
+    to other nodes, which send no answer twice.
     """
 
     def __init__(self) -> None:
@@ -61,8 +64,8 @@
                 return False
             self._has_anonymous_answer = True
             return True
-        if found_id != expected_id:
+        if found_id.strip() != expected_id:
             return False
         if status >= MIN_ERROR_STATUS:
-            self._failed_ids.add(found_id)
+            self._failed_ids.add(expected_id)
         return True
--- a/packages/relay/src/knapweedspring_relay/_upstream_caller.py
+++ b/packages/relay/src/knapweedspring_relay/_upstream_caller.py
@@ -79,7 +79,7 @@
         answer = await self._pool.call(
             self._address,
             encode_forwarded_request(request, added_lines),
-            call.request_id.encode(),
+            call.request_id.encode("latin-1").strip(),
             is_head_request=request.method == b"HEAD",
             max_idle_s=float("inf") if repeatable else NON_REPEATABLE_MAX_IDLE_S,
             timeout_s=max(0.0, left_s) + LATE_ANSWER_GRACE_S,
