Refuse an answer whose head begins with a part of another answer

Cause: the beginning ends inside a header's value or the reason phrase, so the next answer completes it to one head with the status of the refusal. The last of two ids counted, which is that of the waiting request. Change: the head of an answer is in a module of its own. A head that repeats the id, or whose values or reason phrase hold a status line, belongs to no request: the connection is closed, and the call counts as one that may have run. Connections are numbered when they are opened, since connections opened at the same time had one number in the log.

--- a/packages/relay/src/knapweedspring_relay/_connection_use.py
+++ b/packages/relay/src/knapweedspring_relay/_connection_use.py
@@ -9,7 +9,7 @@
 class ConnectionUse:
     """One use of a connection by a call."""
 
-    #: Number of the connection, counted from the start of its pool.
+    #: Number of the connection, in the order of the attempts to open one.
     connection: int
     #: Number of the call on the connection, from 1.
     call: int
--- a/packages/relay/src/knapweedspring_relay/_http_client.py
+++ b/packages/relay/src/knapweedspring_relay/_http_client.py
@@ -1,19 +1,19 @@
 """HTTP/1.1 client on the event loop: connections with one call at a time, and pools."""
 
 import asyncio
-from dataclasses import dataclass
 from typing import cast
 
 import httptools
 
 from knapweedspring_relay._addresses import split_address
 from knapweedspring_relay._answer import Answer
+from knapweedspring_relay._answer_head import AnswerHead
 from knapweedspring_relay._answer_matcher import AnswerMatcher
 from knapweedspring_relay._clock import now_s
+from knapweedspring_relay._connection_settings import ConnectionSettings
 from knapweedspring_relay._connection_use import ConnectionUse
 from knapweedspring_relay._errors import BadAnswer, ConnectFailed, ConnectionBroke
 from knapweedspring_relay._framing_limit import FramingLimit
-from knapweedspring_relay._requests import Header
 from knapweedspring_relay._sockets import set_timeouts
 
 __all__ = ["ConnectionPool", "ConnectionSettings"]
@@ -32,20 +32,6 @@
 IDLE_MARGIN_S = 1.5
 
 
-@dataclass(frozen=True, slots=True)
-class ConnectionSettings:
-    """Timeouts of a pool's connections, and the header that identifies answers."""
-
-    #: Time limit for establishing a connection, in seconds.
-    connect_s: float
-    #: Idle time after which a connection is not used again, in seconds.
-    idle_s: float
-    #: Time for which sent bytes may stay unacknowledged, in seconds.
-    unacknowledged_s: float
-    #: Answer header that holds the id of its request; empty when there is none.
-    request_id_header: bytes = b""
-
-
 class _ClientConnection(asyncio.Protocol):
     """One connection to a server, which carries one call at a time."""
 
@@ -67,10 +53,10 @@
         self._reading_paused = False
         self._idle_s = pool.settings.idle_s
         self._last_used_at = 0.0
-        self._headers: list[Header] = []
+        self._head = AnswerHead(pool.settings.request_id_header)
         self._body_pieces: list[bytes] = []
         self._framing = FramingLimit()
-        self._number = pool.n_opened + 1
+        self._number = pool.next_connection_number()
         self._n_calls = 0
 
     @property
@@ -192,15 +178,19 @@
 
     def on_message_begin(self) -> None:
         """Begin an answer; one that no request waits for is skipped."""
-        self._headers = []
+        self._head.reset()
         if self._result is None or (self._answer and self._answer.is_complete):
             self._must_close = True
             self._skipping = True
 
+    def on_status(self, phrase: bytes) -> None:
+        """Collect the reason phrase."""
+        self._head.add_phrase(phrase)
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header; the fields of a trailer are discarded."""
         if self._answer is None or self._skipping:
-            self._headers.append((name.lower(), value))
+            self._head.add_header(name, value)
 
     def on_headers_complete(self) -> None:
         """Create the answer, or skip one that belongs to another request."""
@@ -209,7 +199,9 @@
         status = self._parser.get_status_code()
         if status < 200:
             return
-        answer = Answer(status, self._headers, self._loop)
+        if self._head.is_merged:
+            raise BadAnswer("the head holds the beginning of another answer")
+        answer = Answer(status, self._head.headers, self._loop)
         found_id = answer.header(self._pool.settings.request_id_header)
         if not self._matcher.accepts(status, found_id):
             self._skipping = True
@@ -293,7 +285,6 @@
         elif self.is_open:
             # Kept no longer than its reader needs it.
             self._answer = None
-            self._resume_reading(0)
             self._last_used_at = now_s()
             # The body of a complete answer may be taken without any call of on_read.
             self._resume_reading(0)
@@ -351,6 +342,7 @@
         self._settings = settings
         self._idle: dict[str, list[_ClientConnection]] = {}
         self._n_opened = 0
+        self._n_numbered = 0
         self._n_skipped_answers = 0
 
     @property
@@ -368,6 +360,11 @@
         """Number of answers that belonged to another request."""
         return self._n_skipped_answers
 
+    def next_connection_number(self) -> int:
+        """Return the number of a connection that is about to be opened."""
+        self._n_numbered += 1
+        return self._n_numbered
+
     def count_skipped_answer(self) -> None:
         """Count an answer that belongs to another request."""
         self._n_skipped_answers += 1
