Stop to ask data centres for quota that no entry names any more

Cause: the coordinator of a data centre asks each other data centre for an equal part of the units that it lacks. The names come from the directory, and a name stayed for ever, also that of an odd entry which had been deleted: each such name lessened what was asked of the others, and none of them was ever forgotten.

Change: a data centre that no entry names any more is dropped, with its link and loans.

Measured: the new test has two such names; before, the coordinator kept all three links and asked the sound data centre for a third of the units. Now it asks it for all.

--- a/packages/relay/src/knapweedspring_relay/_quotas/_borrowing.py
+++ b/packages/relay/src/knapweedspring_relay/_quotas/_borrowing.py
@@ -99,6 +99,13 @@
         :param entries: entries of the directory.
         """
         names = {entry.data_centre for entry in entries} - {self._data_centre}
+        for name in self._selectors.keys() - names:
+            # What is missing is asked of each data centre in equal parts.
+            del self._selectors[name]
+            link = self._links.pop(name, None)
+            if link is not None:
+                link.close()
+                self._coordinator.end_borrowing(link, self._clock())
         for name in names - self._selectors.keys():
             self._selectors[name] = self._make_selector(name)
         for selector in self._selectors.values():
