Log only names that the directory knows

Cause: `directory:changed` listed every name whose entry was deleted or cannot be used. Those of other writers may be of any length, up to the size of an object of the store, so one event made a log line of a megabyte on each node that watches.

--- a/packages/relay/src/knapweedspring_relay/_knowledge/_directory_sync.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_directory_sync.py
@@ -115,6 +115,8 @@
         self._health.observe_era(changes.position.era)
         self._skipped.forget(entry.node for entry in changes.updated)
         self._skipped.report(changes.skipped, "store")
+        # Other names are those of other writers, and may be of any length.
+        removed = [n for n in changes.removed if n in self._directory.entries]
         self._directory.apply_changes(
             changes.position, changes.updated, changes.removed, now_s()
         )
@@ -123,7 +125,7 @@
                 "directory:changed",
                 revision=changes.position.revision,
                 updated=[entry.node for entry in changes.updated],
-                removed=changes.removed,
+                removed=removed,
             )
             self._on_change()
         return None
