Count all bytes of calls that a node holds for other nodes

Twelve orders of 30 MiB from twelve VMs at once took the node beside their server over 300 MB; it was killed, and the requests of others on it ended without an answer (LOST). The limit on bodies counted calls that had arrived only, so frames that were still arriving counted for nothing. It also stopped to count a body when its caller left, while a call that must not be repeated went on and held it; the same at the entry. Calls of callers who left waited in the write buffers of the hop without a limit, and so did answers for a node that does not read.

A long frame now reserves its length before it is received. Without memory its bytes are discarded as they arrive and its call is reported as refused, which is true: nothing of it was sent on, and the entry may offer it to another gate. The wire stays as it is. The reservation passes to the call in the same step and ends when nothing holds the request any more (LocalGate.detached_call). A long frame is decoded in place. A large call is not sent behind more unsent bytes than a frame may have (nothing was sent, so the entry goes on as with an unreachable gate), and a connection whose answers the other node leaves unread receives no further calls. FrameReader moves to a module of its own.

--- a/packages/relay/src/knapweedspring_relay/_entry.py
+++ b/packages/relay/src/knapweedspring_relay/_entry.py
@@ -263,14 +263,20 @@
             if entry is None:
                 self._send_failure_answer(state, exchange)
                 return
-            gate_result = await self._offer_to_gate(state, entry, request)
+            try:
+                gate_result = await self._offer_to_gate(state, entry, request)
+            except asyncio.CancelledError:
+                detached = self._gate.detached_call(request)
+                if detached is not None:
+                    exchange.hold_body_until(detached)
+                raise
             if gate_result is None:
                 continue
             try:
                 is_final = await self._handle_outcome(state, exchange, gate_result)
             finally:
                 # An answer that is not passed on keeps its slot until it is abandoned.
-                _abandon_answer(gate_result.answer)
+                gate_result.abandon_answer()
             if is_final:
                 return
 
@@ -489,8 +495,3 @@
         if entry.node == self._identity.node:
             return self._gate
         return RemoteGate(entry, self._pool)
-
-
-def _abandon_answer(answer: Answer | None) -> None:
-    if answer is not None:
-        answer.abandon()
--- a/packages/relay/src/knapweedspring_relay/_exchange.py
+++ b/packages/relay/src/knapweedspring_relay/_exchange.py
@@ -1,7 +1,9 @@
 """One request of a caller, and the means to answer it."""
 
+import asyncio
 from abc import ABC, abstractmethod
 from collections.abc import Iterable
+from typing import Any
 
 from mypy_extensions import mypyc_attr
 
@@ -49,6 +51,7 @@
         self._request = request
         self._head_sent = False
         self._chunked = False
+        self._body_holder: asyncio.Future[Any] | None = None
 
     @property
     def request(self) -> Request:
@@ -60,6 +63,18 @@
         """Whether the head of the answer has been sent."""
         return self._head_sent
 
+    @property
+    def body_holder(self) -> "asyncio.Future[Any] | None":
+        """What still holds the body after the exchange; None when nothing does."""
+        return self._body_holder
+
+    def hold_body_until(self, holder: "asyncio.Future[Any]") -> None:
+        """Count the body as held until a call that goes on without its caller ends.
+
+        :param holder: the call.
+        """
+        self._body_holder = holder
+
     def send_answer(
         self, status: int, headers: Iterable[Header], body: bytes = b""
     ) -> None:
--- a/packages/relay/src/knapweedspring_relay/_gate.py
+++ b/packages/relay/src/knapweedspring_relay/_gate.py
@@ -21,7 +21,7 @@
     ConnectionBroke,
 )
 from knapweedspring_relay._gate_link import LocalGate
-from knapweedspring_relay._gate_result import GateResult
+from knapweedspring_relay._gate_result import GateResult, abandon_result
 from knapweedspring_relay._headers import CallHeaders
 from knapweedspring_relay._histograms import LatencyHistograms
 from knapweedspring_relay._hop import ChainOrigin, GateReport, HopCall, HopOutcome
@@ -118,7 +118,7 @@
         self._pacing_timer: asyncio.TimerHandle | None = None
         self._stopping = False
         self._entry_failure_ratio = 0.0
-        self._detached_calls: set[asyncio.Task[GateResult]] = set()
+        self._detached_calls: dict[int, asyncio.Task[GateResult]] = {}
         self._origins: dict[str, ChainOrigin] = {}
 
     @property
@@ -230,14 +230,21 @@
         task = asyncio.ensure_future(
             self._send_admitted_call(call, request, waiter.queued, upstream)
         )
-        self._detached_calls.add(task)
-        task.add_done_callback(self._detached_calls.discard)
+        key = id(request)
+        self._detached_calls[key] = task
+        task.add_done_callback(lambda _: self._detached_calls.pop(key, None))
         try:
             return await asyncio.shield(task)
         except asyncio.CancelledError:
-            task.add_done_callback(_abandon_answer)
+            task.add_done_callback(abandon_result)
             raise
 
+    def detached_call(
+        self, request: ForwardedRequest
+    ) -> "asyncio.Future[GateResult] | None":
+        """Return the call that goes on with a request; see :class:`LocalGate`."""
+        return self._detached_calls.get(id(request))
+
     def make_report(
         self,
         outcome: HopOutcome,
@@ -485,11 +492,3 @@
         drain_started_at = upstream.draining_at
         max_wait_s = self._policy.drain_share * self._drain_s
         return drain_started_at is not None and now - drain_started_at > max_wait_s
-
-
-def _abandon_answer(task: "asyncio.Task[GateResult]") -> None:
-    """Abandon an answer that has no caller any more, so that its slot is freed."""
-    if not task.cancelled() and task.exception() is None:
-        answer = task.result().answer
-        if answer is not None:
-            answer.abandon()
--- a/packages/relay/src/knapweedspring_relay/_gate_link.py
+++ b/packages/relay/src/knapweedspring_relay/_gate_link.py
@@ -1,5 +1,6 @@
 """Interfaces of gates: those of other nodes and the gate of this process."""
 
+import asyncio
 from abc import ABC, abstractmethod
 
 from mypy_extensions import mypyc_attr
@@ -41,3 +42,13 @@
         :param reason: reason of the outcome, for logs.
         :param waited_s: time that the call waited at the gate, in seconds.
         """
+
+    def detached_call(
+        self, request: ForwardedRequest
+    ) -> "asyncio.Future[GateResult] | None":
+        """Return the call that goes on with a request whose caller has left.
+
+        :param request: the request.
+        :return: the call; None when the gate no longer holds the request.
+        """
+        return None
--- a/packages/relay/src/knapweedspring_relay/_hop_client.py
+++ b/packages/relay/src/knapweedspring_relay/_hop_client.py
@@ -7,6 +7,10 @@
 from knapweedspring_relay._answer import Answer
 from knapweedspring_relay._clock import now_s
 from knapweedspring_relay._errors import ConnectFailed, ConnectionBroke
+from knapweedspring_relay._frame_reader import (
+    MAX_FRAME_BYTES,
+    FrameReader,
+)
 from knapweedspring_relay._gate_link import GateLink
 from knapweedspring_relay._gate_result import GateResult
 from knapweedspring_relay._hop import HopCall
@@ -19,7 +23,6 @@
     EndFrame,
     Frame,
     FrameError,
-    FrameReader,
     GoAwayFrame,
     PingFrame,
     PongFrame,
@@ -105,6 +108,11 @@
         """Whether no call is pending on the connection."""
         return not self._streams
 
+    @property
+    def n_unsent_bytes(self) -> int:
+        """Bytes that wait in the write buffer."""
+        return self._transport.get_write_buffer_size() if self._transport else 0
+
     @property
     def accepts_calls(self) -> bool:
         """Whether new calls may use the connection."""
@@ -291,6 +299,15 @@
         """Number of open connections."""
         return sum(len(connections) for connections in self._connections.values())
 
+    @property
+    def _n_unsent_bytes(self) -> int:
+        """Bytes that wait in the write buffers, also of calls that were cancelled."""
+        return sum(
+            connection.n_unsent_bytes
+            for connections in self._connections.values()
+            for connection in connections
+        )
+
     @property
     def n_bad_frames(self) -> int:
         """Number of connections aborted because of malformed frames."""
@@ -309,6 +326,11 @@
         :raises ConnectFailed: when nothing was sent.
         :raises ConnectionBroke: when the connection ends before the outcome arrives.
         """
+        n_bytes = len(request.body)
+        if n_bytes > MAX_UNSENT_BYTES and self._n_unsent_bytes + n_bytes > (
+            MAX_FRAME_BYTES
+        ):
+            raise ConnectFailed(f"{address}: too many bytes are still to be sent")
         connection = self._usable_connection(address)
         if connection is None:
             connection = await self._open_connection(address)
--- a/packages/relay/src/knapweedspring_relay/_hop_frames.py
+++ b/packages/relay/src/knapweedspring_relay/_hop_frames.py
@@ -2,7 +2,6 @@
 
 import math
 from abc import ABC, abstractmethod
-from collections.abc import Iterator
 
 import msgspec
 
@@ -21,8 +20,8 @@
     "EndFrame",
     "Frame",
     "FrameError",
-    "FrameReader",
     "FrameSender",
+    "LENGTH_PREFIX_BYTES",
     "FollowFrame",
     "GoAwayFrame",
     "KnowledgeFrame",
@@ -42,9 +41,6 @@
 
 #: Bytes of the length prefix of each frame.
 LENGTH_PREFIX_BYTES = 4
-#: Longest frame in bytes: room for the 32 MiB of bodies that a node holds in memory at
-#: most, and for a head. A longer frame ends the connection.
-MAX_FRAME_BYTES = 36 * 1_048_576
 
 
 class FrameError(RelayError):
@@ -267,7 +263,6 @@
 
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(Frame)
 
 
 def encode_frame(frame: Frame) -> bytes:
@@ -276,49 +271,6 @@
     return len(content).to_bytes(LENGTH_PREFIX_BYTES, "big") + content
 
 
-class FrameReader:
-    """Splits the bytes of a connection into frames."""
-
-    def __init__(self) -> None:
-        self._pending = bytearray()
-        #: Length of the pending frame with its prefix; length of the prefix until the
-        #: frame's length is known.
-        self._n_needed_bytes = LENGTH_PREFIX_BYTES
-
-    @property
-    def n_pending_bytes(self) -> int:
-        """Number of bytes received of an incomplete frame."""
-        return len(self._pending)
-
-    def feed(self, data: bytes) -> Iterator[Frame]:
-        """Add received bytes and yield the frames that are complete.
-
-        :param data: received bytes.
-        :raises FrameError: when the bytes are not valid frames.
-        """
-        if self._pending:
-            self._pending += data
-            if len(self._pending) < self._n_needed_bytes:
-                # Copying the pending bytes for each piece would take quadratic time.
-                return
-            data = bytes(self._pending)
-            self._pending.clear()
-        begin, n_bytes = 0, len(data)
-        self._n_needed_bytes = LENGTH_PREFIX_BYTES
-        while n_bytes - begin >= LENGTH_PREFIX_BYTES:
-            body_at = begin + LENGTH_PREFIX_BYTES
-            length = int.from_bytes(data[begin:body_at], "big")
-            if length > MAX_FRAME_BYTES:
-                raise FrameError(f"frame of {length} bytes exceeds the maximum")
-            if body_at + length > n_bytes:
-                self._n_needed_bytes = LENGTH_PREFIX_BYTES + length
-                break
-            begin = body_at + length
-            yield _decode_frame(data[body_at:begin])
-        if begin < n_bytes:
-            self._pending += data[begin:]
-
-
 def require_finite(*numbers: float) -> None:
     """Check numbers of a frame.
 
@@ -327,10 +279,3 @@
     """
     if not all(math.isfinite(number) and number >= 0 for number in numbers):
         raise FrameError("a number is not finite or negative")
-
-
-def _decode_frame(content: bytes) -> Frame:
-    try:
-        return _decoder.decode(content)
-    except msgspec.DecodeError as error:
-        raise FrameError(f"malformed frame: {error}") from error
--- a/packages/relay/src/knapweedspring_relay/_hop_listener.py
+++ b/packages/relay/src/knapweedspring_relay/_hop_listener.py
@@ -7,9 +7,13 @@
 
 from knapweedspring_relay._answer import Answer
 from knapweedspring_relay._errors import CallError
+from knapweedspring_relay._frame_reader import (
+    FrameBudget,
+    FrameReader,
+)
 from knapweedspring_relay._gate_link import LocalGate
 from knapweedspring_relay._gate_result import GateResult
-from knapweedspring_relay._hop import HopCall, HopOutcome
+from knapweedspring_relay._hop import GateReport, HopCall, HopOutcome
 from knapweedspring_relay._hop_frames import (
     AnswerFrame,
     BodyFrame,
@@ -21,7 +25,6 @@
     FollowFrame,
     Frame,
     FrameError,
-    FrameReader,
     FrameSender,
     GoAwayFrame,
     PingFrame,
@@ -49,6 +52,9 @@
     QuotaReturnFrame,
     QuotaLoanRequestFrame,
 )
+#: Unsent bytes on a connection above which no further calls are received on it: answers
+#: of about fifty streamed bodies.
+WRITE_HIGH_WATER_BYTES = 8 * 1_048_576
 #: Number of bytes of a streamed body that are sent before the receiver grants credit.
 WINDOW_BYTES = 131_072
 
@@ -150,18 +156,30 @@
         """
         self._on_crash(frame)
 
+    def reserve_bytes(self, n_bytes: int) -> bool:
+        """Reserve memory for a call that arrives or runs."""
+        if self._n_body_bytes + n_bytes > MAX_BODIES_BYTES:
+            return False
+        self._n_body_bytes += n_bytes
+        return True
+
+    def release_bytes(self, n_bytes: int) -> None:
+        """Release memory that was reserved for a call."""
+        self._n_body_bytes -= n_bytes
+
+    def report_full_memory(self) -> GateReport:
+        """Return the report on a call for which there is no memory."""
+        reason = "too many bodies are held in memory"
+        return self._gate.make_report(HopOutcome.REFUSED, reason)
+
     async def run_call(self, frame: CallFrame) -> GateResult:
         """Pass a call to the gate.
 
         :param frame: the call and its request.
         :return: the gate's report, and the upstream's answer if there is one.
         """
-        call, n_bytes = frame.call, len(frame.request.body)
+        call = frame.call
         self._on_peer_version(call.version)
-        if self._n_body_bytes + n_bytes > MAX_BODIES_BYTES:
-            reason = "too many bodies are held in memory"
-            return GateResult(self._gate.make_report(HopOutcome.REFUSED, reason), None)
-        self._n_body_bytes += n_bytes
         try:
             return await self._gate.run(call, frame.request)
         except Exception as error:
@@ -169,8 +187,15 @@
             # Reported as lost, since it is unknown whether the upstream ran the call.
             report = self._gate.make_report(HopOutcome.LOST, f"defect: {error!r}")
             return GateResult(report, None)
-        finally:
-            self._n_body_bytes -= n_bytes
+
+    def finish_call(self, frame: CallFrame) -> None:
+        """Release the memory of a call once nothing holds its request any more."""
+        n_bytes = len(frame.request.body)
+        detached = self._gate.detached_call(frame.request)
+        if detached is None:
+            self.release_bytes(n_bytes)
+        else:
+            detached.add_done_callback(lambda _: self.release_bytes(n_bytes))
 
 
 class _SendWindow:
@@ -196,14 +221,14 @@
         self._n_bytes -= n_bytes
 
 
-class _HopServerConnection(asyncio.Protocol, FrameSender):
+class _HopServerConnection(asyncio.Protocol, FrameSender, FrameBudget):
     """One connection from another node."""
 
     def __init__(self, listener: HopListener, loop: asyncio.AbstractEventLoop) -> None:
         self._listener = listener
         self._loop = loop
         self._transport: asyncio.Transport | None = None
-        self._frames = FrameReader()
+        self._frames = FrameReader(self)
         self._tasks: dict[int, asyncio.Task[None]] = {}
         self._windows: dict[int, _SendWindow] = {}
 
@@ -226,16 +251,28 @@
         """Set the kernel's timeouts and register with the listener."""
         self._transport = cast(asyncio.Transport, transport)
         set_timeouts(self._transport, UNACKNOWLEDGED_S)
+        self._transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
         self._listener.add_connection(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the calls, whose outcomes can no longer be sent."""
         self._listener.remove_connection(self)
+        self._frames.close()
         self._listener.follow_handler.remove(self)
         self._listener.quota_handler.remove(self)
         for task in self._tasks.values():
             task.cancel()
 
+    def pause_writing(self) -> None:
+        """Receive no further calls while the other node does not read the answers."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.pause_reading()
+
+    def resume_writing(self) -> None:
+        """Receive calls again."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+
     def data_received(self, data: bytes) -> None:
         """Decode the received bytes and handle their frames."""
         try:
@@ -246,13 +283,31 @@
             if self._transport is not None:
                 self._transport.abort()
 
+    def reserve_bytes(self, n_bytes: int) -> bool:
+        """Reserve memory for a call that arrives."""
+        return self._listener.reserve_bytes(n_bytes)
+
+    def release_bytes(self, n_bytes: int) -> None:
+        """Release memory that was reserved for a call that arrives."""
+        self._listener.release_bytes(n_bytes)
+
+    def refuse_call(self, stream: int) -> None:
+        """Refuse a call for which there is no memory."""
+        self.send(AnswerFrame(stream, self._listener.report_full_memory()))
+
     def _handle_frame(self, frame: Frame) -> None:
         if isinstance(frame, CallFrame):
             numbers = (frame.call.left_s, frame.call.rate_limit or 0.0)
             if not all(math.isfinite(number) for number in numbers):
                 raise FrameError("a number of the call is not finite")
+            n_bytes = len(frame.request.body)
+            if not self._listener.reserve_bytes(n_bytes):
+                self.refuse_call(frame.stream)
+                return
             task = self._loop.create_task(self._serve_call(frame))
             self._tasks[frame.stream] = task
+            if n_bytes:
+                task.add_done_callback(lambda _: self._listener.finish_call(frame))
         elif isinstance(frame, CancelFrame):
             cancelled = self._tasks.get(frame.stream)
             if cancelled is not None:
--- a/packages/relay/src/knapweedspring_relay/_http_server.py
+++ b/packages/relay/src/knapweedspring_relay/_http_server.py
@@ -359,11 +359,20 @@
                 # A server may have run the request; 503 would mean that no server did.
                 exchange.send_answer(502, [])
         finally:
-            self._listener.release_body(len(request.body))
+            self._release_body(exchange)
             self._task = None
             self._state_changed_at = now_s()
             self._continue_after_answer()
 
+    def _release_body(self, exchange: Exchange) -> None:
+        n_bytes, listener = len(exchange.request.body), self._listener
+        if exchange.body_holder is None:
+            listener.release_body(n_bytes)
+        else:
+            exchange.body_holder.add_done_callback(
+                lambda _: listener.release_body(n_bytes)
+            )
+
     def _continue_after_answer(self) -> None:
         if self._transport is None or self._transport.is_closing():
             return
--- a/packages/relay/src/knapweedspring_relay/_peer_link.py
+++ b/packages/relay/src/knapweedspring_relay/_peer_link.py
@@ -7,10 +7,10 @@
 import msgspec
 
 from knapweedspring_relay._clock import now_s
+from knapweedspring_relay._frame_reader import FrameReader
 from knapweedspring_relay._hop_frames import (
     Frame,
     FrameError,
-    FrameReader,
     FrameSender,
     GoAwayFrame,
     encode_frame,
--- a/packages/relay/tests/test_calls.py
+++ b/packages/relay/tests/test_calls.py
@@ -482,3 +482,43 @@
             assert not relay._gate._origins
 
     run(scenario)
+
+
+# Guards against bodies that count for no limit any more once their callers have left,
+# while calls that must not be repeated go on and hold them.
+def test_body_counts_as_held_while_its_call_goes_on_without_the_caller():
+    n_calls, n_bytes = 6, 100_000
+    may_answer = asyncio.Event()
+
+    async def script(upstream, request, writer):
+        await may_answer.wait()
+        writer.write(answer_of(request))
+
+    async def scenario():
+        async with Deployment([script, script]) as deployment:
+            calls = [
+                asyncio.ensure_future(
+                    deployment.call("/write/1", b"POST", bytes(n_bytes))
+                )
+                for _ in range(n_calls)
+            ]
+            await deployment.wait_until(
+                lambda: sum(len(u.requests) for u in deployment.upstreams) == n_calls
+            )
+            for call in calls:
+                call.cancel()
+            await asyncio.sleep(0.1)
+            listeners = [
+                listener
+                for relay in deployment.relays
+                for listener in relay._listeners
+                if hasattr(listener, "_n_body_bytes")
+            ]
+            held = [listener._n_body_bytes for listener in listeners]
+            assert sum(held) == n_calls * n_bytes
+            may_answer.set()
+            await deployment.wait_until(
+                lambda: not any(listener._n_body_bytes for listener in listeners)
+            )
+
+    run(scenario)
--- a/packages/relay/tests/test_mixed_versions.py
+++ b/packages/relay/tests/test_mixed_versions.py
@@ -14,10 +14,10 @@
 from knapweedspring_relay import CallKind, Workspace, digest_key
 from knapweedspring_relay._configuration import Configuration, Route
 from knapweedspring_relay._crash_records import CrashRecords
+from knapweedspring_relay._frame_reader import FrameReader
 from knapweedspring_relay._hop import GateReport, HopCall, HopOutcome
 from knapweedspring_relay._hop_frames import (
     FrameError,
-    FrameReader,
     QuotaLeaseFrame,
     encode_frame,
 )
