--- a/packages/relay/src/knapweedspring_relay/_peer_link.py
+++ b/packages/relay/src/knapweedspring_relay/_peer_link.py
@@ -8,10 +8,10 @@
 
 from knapweedspring_relay._addresses import split_address
 from knapweedspring_relay._clock import now_s
+from knapweedspring_relay._frame_reader import FrameReader
 from knapweedspring_relay._hop_frames import (
     Frame,
     FrameError,
-    FrameReader,
     FrameSender,
     GoAwayFrame,
     encode_frame,
