Keep the tests of the memory of calls between nodes in a file of their own

They move to test_hop_memory.py, and the listener with a scripted gate, which both files use, to _hop_ends.py.

--- a/packages/relay/tests/test_hop.py
+++ b/packages/relay/tests/test_hop.py
@@ -6,22 +6,19 @@
 """
 
 import asyncio
-import contextlib
 import time
 
 import msgspec
 import pytest
-from _deployment import IgnoredQuotas
+from _hop_ends import complete_answer, hop, make_call, make_report, make_request, run
 
-from knapweedspring_relay import CallKind
 from knapweedspring_relay import _hop_client as hop_client
 from knapweedspring_relay import _hop_listener as hop_listener
 from knapweedspring_relay._answer import Answer
 from knapweedspring_relay._errors import ConnectFailed, ConnectionBroke
 from knapweedspring_relay._frame_reader import FrameReader
-from knapweedspring_relay._gate_link import LocalGate
 from knapweedspring_relay._gate_result import GateResult
-from knapweedspring_relay._hop import GateReport, HopCall, HopOutcome
+from knapweedspring_relay._hop import HopOutcome
 from knapweedspring_relay._hop_client import HopPool, HopSettings
 from knapweedspring_relay._hop_frames import (
     AnswerFrame,
@@ -32,84 +29,6 @@
     PingFrame,
     encode_frame,
 )
-from knapweedspring_relay._hop_listener import HopListener
-from knapweedspring_relay._knowledge import FollowHandler
-from knapweedspring_relay._requests import MAX_BODIES_BYTES, ForwardedRequest
-
-
-def run(scenario):
-    asyncio.run(asyncio.wait_for(scenario(), 20))
-
-
-def make_call(request_id="r", left_s=2.0):
-    return HopCall(
-        request_id, "svc", "i", left_s, 1, 1, CallKind.IDEMPOTENT, "route", "caller", 3
-    )
-
-
-def make_request(target=b"/", body=b""):
-    return ForwardedRequest(b"GET", target, b"host: h\r\n", body)
-
-
-def make_report(outcome=HopOutcome.ANSWERED, reason=""):
-    return GateReport(outcome, reason, 0, 0, 1, 0.0, 0.0, 3, "i")
-
-
-class ScriptedGate(LocalGate):
-    """Runs a script for each call instead of calling an upstream."""
-
-    def __init__(self, script):
-        self.script = script
-        self.n_cancelled = 0
-
-    async def run(self, call, request):
-        try:
-            return await self.script(call, request)
-        except asyncio.CancelledError:
-            self.n_cancelled += 1
-            raise
-
-    def make_report(self, outcome, reason="", waited_s=0.0):
-        return make_report(outcome, reason)
-
-
-def complete_answer(body):
-    answer = Answer(200, [(b"x-seal", b"s")], asyncio.get_running_loop())
-    answer.add(body)
-    answer.complete()
-    return GateResult(make_report(), answer)
-
-
-class IgnoredFollowers(FollowHandler):
-    def add(self, follower, request):
-        raise AssertionError("no test follows the listener")
-
-    def remove(self, follower):
-        pass
-
-
-@contextlib.asynccontextmanager
-async def hop(script):
-    """Starts a listener with a scripted gate, and creates a pool that calls it."""
-    errors = []
-    gate = ScriptedGate(script)
-    listener = HopListener(
-        "127.0.0.1:0",
-        gate,
-        IgnoredFollowers(),
-        IgnoredQuotas(),
-        lambda _: None,
-        lambda _: None,
-        lambda *error: errors.append(error),
-    )
-    await listener.start()
-    port = listener._server.sockets[0].getsockname()[1]
-    pool = HopPool(HopSettings(connect_s=0.5, unacknowledged_s=1.0))
-    try:
-        yield pool, f"127.0.0.1:{port}", gate, listener, errors
-    finally:
-        pool.close()
-        listener.close()
 
 
 @pytest.mark.parametrize("step", [1, 3, 7, 1_000])
@@ -407,146 +326,3 @@
             assert errors == []
 
     run(scenario)
-
-
-@contextlib.asynccontextmanager
-async def raw_connections(address, n_connections=1):
-    host, port = address.split(":")
-    peers = [
-        await asyncio.open_connection(host, int(port)) for _ in range(n_connections)
-    ]
-    try:
-        yield peers
-    finally:
-        for _, writer in peers:
-            writer.transport.abort()
-        await asyncio.sleep(0.01)
-
-
-def make_large_frame(stream, n_bytes):
-    call = msgspec.structs.replace(make_call(f"large-{stream}"), left_s=10.0)
-    return encode_frame(CallFrame(stream, call, make_request(body=bytes(n_bytes))))
-
-
-# Guards against calls that are still arriving and count for no limit: twelve of 30 MiB
-# at once took a node beyond its memory, and the requests of others ended with it.
-def test_calls_that_are_still_arriving_are_refused_beyond_the_memory_limit():
-    n_calls, n_bytes = 12, 8 * 1_048_576
-
-    async def script(call, request):
-        return complete_answer(b"done")
-
-    async def scenario():
-        async with (
-            hop(script) as (_, address, _, listener, _),
-            raw_connections(address, n_calls) as peers,
-        ):
-            frames = [make_large_frame(n + 1, n_bytes) for n in range(n_calls)]
-
-            async def send(writer, data):
-                writer.write(data)
-                await writer.drain()
-
-            await asyncio.gather(
-                *(
-                    send(writer, frame[:-10])
-                    for (_, writer), frame in zip(peers, frames, strict=True)
-                )
-            )
-            await asyncio.sleep(0.3)
-            held = [c._frames.n_pending_bytes for c in listener._connections]
-            assert sum(held) <= MAX_BODIES_BYTES
-            outcomes = []
-            for (reader, writer), frame in zip(peers, frames, strict=True):
-                # A small call behind the large one is answered in any case.
-                small = encode_frame(CallFrame(99, make_call(), make_request()))
-                writer.write(frame[-10:] + small)
-                reader_frames, found = FrameReader(), []
-                while len(found) < 2:
-                    found += reader_frames.feed(await reader.read(65_536))
-                by_stream = {answer.stream: answer.report.outcome for answer in found}
-                assert by_stream.pop(99) is HopOutcome.ANSWERED
-                outcomes += by_stream.values()
-            n_answered = outcomes.count(HopOutcome.ANSWERED)
-            assert n_answered >= 2
-            assert outcomes.count(HopOutcome.REFUSED) == n_calls - n_answered
-            assert listener._n_body_bytes == 0
-
-    run(scenario)
-
-
-# Guards against memory of an arriving call that outlives its connection.
-def test_memory_of_an_arriving_call_is_released_with_its_connection():
-    async def scenario():
-        async with (
-            hop(None) as (_, address, _, listener, _),
-            raw_connections(address) as [(_, writer)],
-        ):
-            writer.write(make_large_frame(1, 1_048_576)[:-10])
-            await asyncio.sleep(0.1)
-            assert listener._n_body_bytes > 1_048_576
-            writer.close()
-            await asyncio.sleep(0.1)
-            assert listener._n_body_bytes == 0
-
-    run(scenario)
-
-
-# Guards against large calls that wait to be sent after their callers have left.
-def test_large_call_is_not_sent_behind_too_many_unsent_bytes():
-    n_bytes = 20 * 1_048_576
-
-    async def scenario():
-        async def read_nothing(reader, writer):
-            with contextlib.suppress(asyncio.CancelledError):
-                await asyncio.sleep(0.5)
-            writer.transport.abort()
-
-        server = await asyncio.start_server(read_nothing, "127.0.0.1", 0, limit=1_024)
-        address = "{}:{}".format(*server.sockets[0].getsockname())
-        pool = HopPool(HopSettings(connect_s=0.5, unacknowledged_s=10.0))
-        request = make_request(body=bytes(n_bytes))
-        left = asyncio.ensure_future(pool.call(address, make_call("a"), request))
-        await asyncio.sleep(0.1)
-        left.cancel()
-        await asyncio.sleep(0.05)
-        try:
-            with pytest.raises(ConnectFailed):
-                await pool.call(address, make_call("b", left_s=0.3), request)
-            # A small call is sent on a connection of its own.
-            with pytest.raises(TimeoutError):
-                await pool.call(address, make_call("c", left_s=0.1), make_request())
-        finally:
-            for connection in pool._connections[address]:
-                connection._transport.abort()
-            server.close()
-            await asyncio.sleep(0.3)
-
-    run(scenario)
-
-
-# Guards against answers that pile up for a node that does not read them.
-def test_calls_of_a_node_that_reads_no_answers_are_not_received():
-    n_calls, n_answer_bytes = 1_000, 60_000
-
-    async def script(call, request):
-        return complete_answer(bytes(n_answer_bytes))
-
-    async def scenario():
-        async with (
-            hop(script) as (_, address, _, listener, _),
-            raw_connections(address) as [(_, writer)],
-        ):
-            largest = 0
-            for stream in range(n_calls):
-                writer.write(
-                    encode_frame(CallFrame(stream, make_call(), make_request()))
-                )
-                await asyncio.sleep(0)
-                for connection in listener._connections:
-                    n_unsent = connection._transport.get_write_buffer_size()
-                    largest = max(largest, n_unsent)
-            await asyncio.sleep(0.1)
-            assert largest <= 16 * 1_048_576
-
-    run(scenario)
