Check that a request without its unit is refused before the process ends

Cause: the test of a request that waits for a unit of its quota passed without the fix too: in the test the event loop outlives the node, and the request was refused by the closed gate 3.3 s after the signal, when a real process would have ended.

Change: the test asks for the answer within 2.6 s of the signal, while the node still runs. This is stricter than before.

--- a/packages/relay/tests/test_planned_stop.py
+++ b/packages/relay/tests/test_planned_stop.py
@@ -148,11 +148,13 @@
             key = {"x_key": "k1", **DEADLINE}
             assert (await deployment.call(**key))[0] == 200
             deployment.relays[0].stop()
+            stopped_at = time.monotonic()
             await asyncio.sleep(1.0)
-            begin = time.monotonic()
             status, answer, _ = await deployment.call(**key)
             assert (status, answer.header(b"connection")) == (503, b"close")
-            assert time.monotonic() - begin > 0.5
+            # It waited for its unit, and was refused before the process ended.
+            assert 1.5 < time.monotonic() - stopped_at < 2.6
+            assert not deployment.tasks[0].done()
             assert len(deployment.upstreams[0].requests) == 1
 
     run(scenario)
