Check unsent answers at a stop with a connection that stops reading

Cause: the test had 60 pipelined requests answered into the write buffer of a caller that reads nothing. Since a connection with unread answers receives no further requests, its 60 requests did not all arrive, and it failed before the stop. Change: it waits until the write buffer is full, and asks more after the stop: each request that was passed on has its whole answer, each other one is refused with 503, and the connection ends after the last one.

--- a/packages/relay/tests/test_planned_stop.py
+++ b/packages/relay/tests/test_planned_stop.py
@@ -228,8 +228,10 @@
             for i in range(n_requests):
                 await loop.sock_sendall(sock, one % (i, i))
             upstream = deployment.upstreams[0]
-            await deployment.wait_until(lambda: len(upstream.requests) == n_requests)
-            await asyncio.sleep(0.2)
+            connections = deployment.relays[1]._entry_listener._connections
+            await deployment.wait_until(
+                lambda: any(c._is_writing_paused for c in connections)
+            )
             deployment.relays[1].stop()
             # Requests are answered, and the callers were redirected.
             await asyncio.sleep(3.2)
@@ -237,10 +239,12 @@
             received = bytearray()
             while piece := await asyncio.wait_for(loop.sock_recv(sock, 1_000_000), 2):
                 received += piece
-                n_answers = received.count(b"HTTP/1.1 200")
-                if n_answers == n_requests and received.endswith(body):
-                    break
-            assert len(received) > n_requests * len(body)
+            n_answers = received.count(b"HTTP/1.1 200")
+            assert n_answers == len(upstream.requests)
+            assert received.count(body) == n_answers
+            # Requests that were read behind unread answers are refused, not cut.
+            assert n_answers + received.count(b"HTTP/1.1 503") == n_requests
+            assert received.endswith(b"connection: close\r\n\r\n")
             await asyncio.wait_for(deployment.tasks[1], 1)
             sock.close()
 
