Forget a call that is cancelled as it arrives from another node

Callers of a node that is stopped could see: the stop lasts its whole grace although nothing is left to do. Cause: a cancel frame that arrives in the same read as its call cancels the task before it begins, so the part of the task that removes the call never runs. The call stayed active for as long as the connection. Change: the end of the task removes the call, whether the task began or not. Result: the test failed before (one active call after 0.2 s) and passes; test_hop, test_hop_memory, test_planned_stop and test_deployment_changes pass.

--- a/packages/relay/src/knapweedspring_relay/_hop_listener.py
+++ b/packages/relay/src/knapweedspring_relay/_hop_listener.py
@@ -316,8 +316,7 @@
             task = self._loop.create_task(self._serve_call(frame))
             self._tasks[frame.stream] = task
             self._calls[frame.stream] = frame.call
-            if n_bytes:
-                task.add_done_callback(lambda _: self._listener.finish_call(frame))
+            task.add_done_callback(lambda _: self._finish_call(frame))
         elif isinstance(frame, CancelFrame) and frame.only_waiting:
             call = self._calls.get(frame.stream)
             if call is not None:
@@ -342,22 +341,22 @@
 
     async def _serve_call(self, frame: CallFrame) -> None:
         stream_id = frame.stream
-        try:
-            gate_result = await self._listener.run_call(frame)
-            answer = gate_result.answer
-            if answer is None:
-                self.send(
-                    AnswerFrame(
-                        stream_id, gate_result.report, confirms_withdrawals=True
-                    )
-                )
-            elif answer.is_complete:
-                self._send_complete(stream_id, gate_result, answer)
-            else:
-                await self._send_streamed(stream_id, gate_result, answer)
-        finally:
-            self._tasks.pop(stream_id, None)
-            self._calls.pop(stream_id, None)
+        gate_result = await self._listener.run_call(frame)
+        answer = gate_result.answer
+        if answer is None:
+            self.send(
+                AnswerFrame(stream_id, gate_result.report, confirms_withdrawals=True)
+            )
+        elif answer.is_complete:
+            self._send_complete(stream_id, gate_result, answer)
+        else:
+            await self._send_streamed(stream_id, gate_result, answer)
+
+    def _finish_call(self, frame: CallFrame) -> None:
+        """Forget a call; its task may have been cancelled before it began."""
+        self._tasks.pop(frame.stream, None)
+        self._calls.pop(frame.stream, None)
+        self._listener.finish_call(frame)
 
     def _send_complete(
         self, stream_id: int, gate_result: GateResult, answer: Answer
--- a/packages/relay/tests/test_hop.py
+++ b/packages/relay/tests/test_hop.py
@@ -399,3 +399,24 @@
             assert errors == []
 
     run(scenario)
+
+
+def test_call_that_is_cancelled_as_it_arrives_leaves_nothing_behind():
+    """It stayed active, so that a planned stop waited for it until its end."""
+
+    async def scenario():
+        async def answer(call, request):
+            await asyncio.sleep(1.0)
+            return complete_answer(b"ok")
+
+        async with hop(answer) as (_, address, _, listener, _):
+            frames = CallFrame(1, make_call(), make_request()), CancelFrame(1)
+            host, port = address.split(":")
+            _, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b"".join(encode_frame(frame) for frame in frames))
+            await asyncio.sleep(0.2)
+            assert listener.n_active == 0
+            assert all(not c._calls for c in listener._connections)
+            writer.close()
+
+    run(scenario)
