Mark the right test of the queue as one of interpreted modules

Cause: a new test stood between the marker and the test that replaces a part of the module, so that test also ran against compiled modules, where it raised TypeError, and the new one did not run there. Change: the marker is at its test again; the new test runs in both.

--- a/packages/relay/tests/test_admission.py
+++ b/packages/relay/tests/test_admission.py
@@ -177,7 +177,6 @@
     assert queue.longest_wait_s(second, 0.4) == 1.0
 
 
-@pytest.mark.interpreted
 def test_calls_that_cannot_end_before_the_process_are_refused_and_others_stay():
     """Calls queued at a stopping node were cut, and their callers were told nothing."""
     queue = make_queue(1)
@@ -196,6 +195,7 @@
     assert queue.n_waiting == 2
 
 
+@pytest.mark.interpreted
 def test_work_per_call_does_not_grow_with_the_queue():
     """A surge at a slow upstream makes the queue long, and all queued calls expire."""
 
