Refuse answers whose head ends with the connection in the node engine

Callers of the own interface could get an answer that an upstream or another node had not finished: a 204 whose head was cut, or a refusal of a node without its later fields. A cut 200 was reported as run, since it had no framing, and not passed on.

Cause: http.client reads the lines of a head, of chunk sizes and of trailers until an empty line or the end of the connection, and takes both for the same.

StrictResponse (LineLimitedResponse before) refuses a line that the connection ends. The call then ends as one whose peer broke off.

--- a/packages/node/src/knapweedspring_node/_calls/_outbound.py
+++ b/packages/node/src/knapweedspring_node/_calls/_outbound.py
@@ -22,9 +22,9 @@
     PeerBrokeOff,
     PeerUnreachable,
 )
-from knapweedspring_node._calls._line_limit import LineLimitedResponse
 from knapweedspring_node._calls._request import CHUNK_BYTES, Body, CallerConnection
 from knapweedspring_node._calls._sockets import set_kernel_timeout
+from knapweedspring_node._calls._strict_response import StrictResponse
 
 __all__ = ["CONNECTION_HEADERS", "Answer", "ConnectionPools", "OutboundCall"]
 
@@ -117,7 +117,7 @@
 class _Connection(HTTPConnection):
     """Connection that can send the head and body of a request in one system call."""
 
-    response_class = LineLimitedResponse
+    response_class = StrictResponse
 
     _buffered: list[bytes] | None = None
 
--- a/packages/node/tests/calls/test_line_limit.py
+++ b/packages/node/tests/calls/test_strict_response.py
@@ -8,9 +8,9 @@
 import pytest
 import urllib3
 
-from knapweedspring_node._calls._line_limit import MAX_LINE_BYTES
 from knapweedspring_node._calls._outbound import ConnectionPools, OutboundCall
 from knapweedspring_node._calls._request import Body, CallerConnection
+from knapweedspring_node._calls._strict_response import MAX_LINE_BYTES
 
 CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
 #: Longest time that a call may take, in seconds; its deadline is later.
