Read the answer that follows an interim answer in the node engine

An upstream may send 102 or 103 before its answer. The node relayed the interim answer as the answer, and the connection, on which the answer itself was still to come, carried the next call.

Cause: http.client skips interim answers with the status 100 only.

StrictResponse skips each interim answer but 101, which no request asked for and which ends the call.

--- a/packages/node/src/knapweedspring_node/_calls/_strict_response.py
+++ b/packages/node/src/knapweedspring_node/_calls/_strict_response.py
@@ -1,7 +1,8 @@
 """Answers read line by line, with the checks that the HTTP libraries lack.
 
-They skip interim answers and trailers of any number, read a trailer of any length, and
-take the end of the connection for the end of a line, and so of a head.
+They skip interim answers and trailers of any number, read a trailer of any length, take
+an interim answer other than 100 for the final one, and take the end of the connection
+for the end of a line, and so of a head.
 """
 
 import http.client
@@ -55,3 +56,13 @@
         super().__init__(sock, *args, **kwargs)
         self.fp.close()
         self.fp = _StrictReader(sock.makefile("rb", buffering=0))
+
+    def _read_status(self) -> tuple[str, int, str]:
+        """Read the status line of the final answer; the base class skips 100 only."""
+        while True:
+            version, status, reason = super()._read_status()  # type: ignore[misc]
+            if status == http.client.SWITCHING_PROTOCOLS:
+                raise http.client.BadStatusLine(f"{status} {reason}")
+            if status == http.client.CONTINUE or status >= http.client.OK:
+                return version, status, reason
+            http.client.parse_headers(self.fp)
--- a/packages/node/tests/calls/test_cut_answers.py
+++ b/packages/node/tests/calls/test_cut_answers.py
@@ -31,7 +31,7 @@
     ),
     "no body": (b"HTTP/1.1 204 No Content\r\nX-A: 1\r\nX-B: 2\r\n\r\n", b""),
     "interim answers": (
-        b"HTTP/1.1 100 Continue\r\nX-A: 1\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n"
+        b"HTTP/1.1 103 Early Hints\r\nX-A: 1\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n"
         b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ndry",
         b"dry",
     ),
@@ -165,3 +165,12 @@
     if is_reset:
         # Only what arrived before the reset may have been read, and no end.
         assert all(answer is None for answer, _ in outcomes)
+
+
+# Guards against an interim answer that is taken for the answer: the connection was then
+# used again while the answer itself was still to come.
+@pytest.mark.parametrize("status", [b"102 Processing", b"103 Early Hints"])
+def test_interim_answer_is_not_the_answer(status):
+    whole = b"HTTP/1.1 %b\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ndry"
+    *_, (answer, body) = read_cut_answers(whole % status, is_reset=False)
+    assert (answer.status, body) == (200, b"dry")
