Send each call to an upstream on a connection of its own in the node engine

A caller could get the answer of another call: a second copy of an answer that an upstream sent late, on a kept connection, was read as the answer to the next request on it. The connection of a 503 was closed already, since such a copy makes a call run twice; those of all other answers were kept.

Cause: answers of upstreams carry no id on the own interface, so nothing tells a copy from the answer. OutboundCall.allows_reuse is False for upstreams; the connections between nodes, which send no answer twice, are kept as before.

Price: one connection on loopback for each call.

--- a/packages/node/src/knapweedspring_node/_calls/_gate_side.py
+++ b/packages/node/src/knapweedspring_node/_calls/_gate_side.py
@@ -201,12 +201,12 @@
             gate_epoch=self._epoch,
         )
         if answer.body is not None:
-            answer.release(_allows_reuse(answer))
+            answer.release(True)
             self._finish_run(run, succeeded=succeeded)
             return replace(relayed, load=self._load_header(run.upstream, run.call))
 
         def close(whole: bool) -> None:
-            answer.release(whole and _allows_reuse(answer))
+            answer.release(whole)
             self._finish_run(run, succeeded=whole and succeeded)
 
         return replace(
@@ -303,16 +303,6 @@
     )
 
 
-def _allows_reuse(answer: Answer) -> bool:
-    """Return whether the next call may use the connection of an answer.
-
-    Answers of upstreams carry no id, so a late copy of this one would be read as the
-    answer to the next call. If it means that a call did not run, that call might run
-    twice.
-    """
-    return answer.status != STATUS_SHED
-
-
 def _until_deadline(chunks: Iterator[bytes], deadline_at: float) -> Iterator[bytes]:
     for chunk in chunks:
         yield chunk
--- a/packages/node/src/knapweedspring_node/_calls/_outbound.py
+++ b/packages/node/src/knapweedspring_node/_calls/_outbound.py
@@ -63,6 +63,10 @@
     #: Connection of the caller that waits for the answer; closing it cancels the
     #: exchange.
     caller_connection: CallerConnection
+    #: Whether the connection may carry a further call after this one. Only for peers
+    #: that send no answer twice: answers carry no id by which a late copy of one could
+    #: be told from the answer to the next call.
+    allows_reuse: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,23 +95,28 @@
     """Returns a connection to its pool or closes it, on the first call of the object.
 
     Calling the object again does nothing.
+
+    :param allows_reuse: whether the connection may carry a further call.
     """
 
-    def __init__(self, pool: "_PeerPool", connection: "_Connection") -> None:
+    def __init__(
+        self, pool: "_PeerPool", connection: "_Connection", allows_reuse: bool
+    ) -> None:
         self._pool = pool
         self._connection: _Connection | None = connection
+        self._allows_reuse = allows_reuse
 
-    def __call__(self, reusable: bool) -> None:
+    def __call__(self, is_complete: bool) -> None:
         """Release the connection.
 
-        :param reusable: whether the exchange is complete; if not, the connection is
+        :param is_complete: whether the exchange is complete; if not, the connection is
             closed.
         """
         connection = self._connection
         self._connection = None
         if connection is None:
             return
-        if reusable:
+        if is_complete and self._allows_reuse:
             self._pool.put_idle(connection)
         else:
             # Closing the connection cancels an exchange that is not complete.
@@ -202,15 +211,15 @@
     def exchange(self, call: OutboundCall) -> Result[Answer, OutboundError]:
         """Send a request and wait for the head of the answer.
 
-        A connection carries one exchange at a time and returns to the pool only
-        after its answer was read to the end, so that a late answer is never read
-        as that of the next request.
+        A connection carries one exchange at a time and returns to the pool only if
+        the call allows it and its answer was read to the end, so that a late answer is
+        never read as that of the next request.
 
         :return: the answer, or an error; :class:`PeerUnreachable` only when the peer
             received no byte of the request.
         """
         pool = self._pool_for(call.address)
-        connection = pool.get_idle()
+        connection = pool.get_idle() if call.allows_reuse else None
         if connection is None:
             timeout_s = min(CONNECT_TIMEOUT_S, call.deadline_at - time.monotonic())
             if timeout_s <= 0:
@@ -223,7 +232,8 @@
         if isinstance(exchanged, Err):
             connection.close()
             return exchanged
-        return _build_answer(exchanged.ok_value, ConnectionRelease(pool, connection))
+        release = ConnectionRelease(pool, connection, call.allows_reuse)
+        return _build_answer(exchanged.ok_value, release)
 
     def close(self) -> None:
         """Close all idle connections."""
--- a/packages/node/src/knapweedspring_node/_calls/_remote.py
+++ b/packages/node/src/knapweedspring_node/_calls/_remote.py
@@ -110,6 +110,7 @@
             body=request.body,
             deadline_at=deadline_at,
             caller_connection=request.caller_connection,
+            allows_reuse=True,
         )
 
 
