End no answer without a length when the node aborts its connection

An answer without a length ends with its connection. When the node itself aborted the connection, because the answer was not usable or its caller had left, asyncio reports an end without an error, and the answer became whole: its request counted as served, which clears the record of crashes it had caused. No caller was seen to get such an answer.

The connection remembers that it was aborted, and its answer fails.

test_answer_without_length_that_the_node_abandons_is_not_whole failed before: is_complete was True.

--- a/packages/relay/src/knapweedspring_relay/_http_client.py
+++ b/packages/relay/src/knapweedspring_relay/_http_client.py
@@ -49,6 +49,7 @@
         self._is_head_request = False
         self._skipping = False
         self._must_close = False
+        self._is_aborted = False
         self._is_reusable = False
         self._reading_paused = False
         self._idle_s = pool.settings.idle_s
@@ -124,6 +125,7 @@
 
     def abort_connection(self) -> None:
         """Abort the connection, so that the server drops the request."""
+        self._is_aborted = True
         if self._transport is not None:
             self._transport.abort()
 
@@ -136,12 +138,12 @@
         set_timeouts(transport, self._pool.settings.unacknowledged_s)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Fail the current call, unless the close ends a body of undeclared length."""
+        """Fail the current call, unless the server ends a body of undeclared length."""
         self._pool.remove_idle(self)
         answer = self._answer
         if answer is not None and not answer.is_complete:
             unframed = answer.declared_length is None and not _is_chunked(answer)
-            if exc is None and unframed:
+            if exc is None and unframed and not self._is_aborted:
                 self._must_close = True
                 self._finish_answer(answer)
                 return
@@ -303,8 +305,7 @@
     def _abort_and_remove(self) -> None:
         self._must_close = True
         self._pool.remove_idle(self)
-        if self._transport is not None:
-            self._transport.abort()
+        self.abort_connection()
 
     def _apply_keep_alive(self, answer: Answer) -> None:
         value = answer.header(b"keep-alive")
