Send no request twice on one connection to an upstream

A call that an upstream makes has an id that follows from the request for which it is made. When that request runs again, the call returns with the same id, and AnswerMatcher let it use the connection that had carried its first answer. A late copy of that answer was then read as the answer of the second run: the upstream got the result of a run that was not its own.

Only requests whose answer reported an error were kept from their connection. A request with another id still uses the connection, so calm calls open none more.

--- a/Makefile
+++ b/Makefile
@@ -2,10 +2,10 @@
 VENV := .venv
 BIN := $(VENV)/bin
 # Tests of the call path that also run against the compiled modules.
-COMPILED_TESTS := $(addprefix packages/relay/tests/,test_admission.py test_balancer.py \
-	test_calls.py test_crash_detector.py test_crashing_requests.py \
-	test_cut_answers.py test_deployment_changes.py test_hop.py \
-	test_leaving_upstreams.py test_rate_limits.py test_retry_budget.py)
+COMPILED_TESTS := $(addprefix packages/relay/tests/,test_admission.py \
+	test_answer_copies.py test_balancer.py test_calls.py test_crash_detector.py \
+	test_crashing_requests.py test_cut_answers.py test_deployment_changes.py \
+	test_hop.py test_leaving_upstreams.py test_rate_limits.py test_retry_budget.py)
 PACKAGES := packages/core packages/node packages/ctl packages/standins packages/relay platform
 
 .PHONY: install demo test lint format
--- a/packages/relay/src/knapweedspring_relay/_http_client.py
+++ b/packages/relay/src/knapweedspring_relay/_http_client.py
@@ -103,7 +103,7 @@
         :raises ConnectionBroke: when the connection ends before the answer arrives.
         :raises BadAnswer: when the received bytes are not a valid answer.
         """
-        self._matcher.begin_request(request_id)
+        self._matcher.begin_request(request_id, now_s())
         self._is_head_request = is_head_request
         self._answer = None
         self._skipping = False
