Answer calls that wait when the node engine reaches its stop deadline

Callers of the own interface got no answer when a node was stopped while their calls waited at, or ran beside, other nodes past its stop deadline: the process ended and cut them. Those with tickets, which may not be repeated, were hit; the waits of others end when the server closes their connections for reading.

Cause: a thread waits for the answer of a peer on its connections and the deadline of the call only, and nothing told it that the process ends.

StopSignal is polled beside them. 1 s before the stop deadline (or a quarter of the drain) the waits end, no call is sent or retried any more, and a run whose reply is not awaited is revoked: if its gate confirms that it never started the caller is told "not-run", else "unknown". The node still exits with 3.

--- a/packages/node/src/knapweedspring_node/_calls/_attempts.py
+++ b/packages/node/src/knapweedspring_node/_calls/_attempts.py
@@ -48,6 +48,8 @@
 _FINAL_REASONS = frozenset(
     {Reason.DEADLINE, Reason.CALLER_LEFT, Reason.BUDGET_SPENT, Reason.TICKET_SPENT}
 )
+#: Reasons with which the reply to an attempt was lost, or is not waited for any more.
+_UNANSWERED_REASONS = frozenset({Reason.PEER_BROKE_OFF, Reason.DRAINING})
 _FAILURE_KINDS = {
     Reason.PEER_UNREACHABLE: FailureKind.CONNECT,
     Reason.PEER_BROKE_OFF: FailureKind.BROKE_OFF,
@@ -81,6 +83,7 @@
     :param revoker: revokes runs whose reply was lost.
     :param retry_ratio: bounds the retries of this node to a share of its calls.
     :param top_priority: returns the highest priority of the classes in force.
+    :param is_stopping: returns whether the process is about to end.
     :param rng: source of the jitter of backoff pauses and of ``Retry-After``.
     """
 
@@ -94,6 +97,7 @@
         revoker: Revoker,
         retry_ratio: RetryRatio,
         top_priority: Callable[[], int],
+        is_stopping: Callable[[], bool],
         events: EventLog,
         counters: Counters,
         rng: random.Random,
@@ -106,6 +110,7 @@
         self._revoker = revoker
         self._retry_ratio = retry_ratio
         self._top_priority = top_priority
+        self._is_stopping = is_stopping
         self._events = events
         self._counters = counters
         self._rng = rng
@@ -268,14 +273,17 @@
     def _revoke_unanswered(
         self, plan: CallPlan, member: Member, reply: RefusedReply, gate_epoch: int
     ) -> RefusedReply:
-        """Revoke a run whose reply was lost with the connection to its gate.
+        """Revoke a run whose reply is lost, or comes after the end of this process.
 
         :param gate_epoch: epoch of the gate process that the attempt was addressed to;
             only this process can confirm that the run never started.
         :return: the refusal, as ``not-run`` when the gate revoked the run.
         """
         key = plan.run_key
-        if key is None or reply.refusal.reason is not Reason.PEER_BROKE_OFF:
+        if key is None or reply.refusal.reason not in _UNANSWERED_REASONS:
+            return reply
+        if member.node_id == self._node_id:
+            # The own gate knows that the run has started.
             return reply
         result = self._revoker.revoke(member, key, gate_epoch)
         self._counters.add("revocations", result)
@@ -287,6 +295,8 @@
         """Decide whether to retry; charge the ratio and the budget for a retry."""
         if reply.refusal.reason in _FINAL_REASONS or not plan.request.body.is_buffered:
             return False
+        if self._is_stopping():
+            return False
         if reply.outcome is not Outcome.NOT_RUN and not plan.repeatable:
             return False
         if self._passthrough:
--- a/packages/node/src/knapweedspring_node/_calls/_call_path.py
+++ b/packages/node/src/knapweedspring_node/_calls/_call_path.py
@@ -112,6 +112,7 @@
             revoker,
             RetryRatio(),
             store.top_priority,
+            lambda: self._pools.is_stopping,
             events,
             counters,
             random.Random(),
@@ -168,6 +169,14 @@
         for upstream in self._upstreams.local_upstreams:
             upstream.gate.set_passthrough(passthrough)
 
+    def end_waits(self) -> None:
+        """End the waits for answers, so that their callers are answered.
+
+        The outcome of such a call is unknown unless its gate confirms that it did not
+        run.
+        """
+        self._pools.end_waits()
+
     def close(self) -> None:
         """Close the idle connections to upstreams and other nodes."""
         self._pools.close()
--- a/packages/node/src/knapweedspring_node/_calls/_errors.py
+++ b/packages/node/src/knapweedspring_node/_calls/_errors.py
@@ -7,6 +7,7 @@
     "BadRequest",
     "CallerLeft",
     "DeadlinePassed",
+    "NodeStopping",
     "OutboundError",
     "PeerBrokeOff",
     "PeerUnreachable",
@@ -58,6 +59,11 @@
     """The exchange was cancelled because the caller closed its connection."""
 
 
+@dataclass(frozen=True, slots=True)
+class NodeStopping(OutboundError):
+    """No answer arrived before this process ends; the peer may run the request."""
+
+
 @dataclass(frozen=True, slots=True)
 class AddressInUse:
     """The call address cannot be bound."""
--- a/packages/node/src/knapweedspring_node/_calls/_gate_side.py
+++ b/packages/node/src/knapweedspring_node/_calls/_gate_side.py
@@ -20,6 +20,7 @@
 from knapweedspring_node._calls._errors import (
     CallerLeft,
     DeadlinePassed,
+    NodeStopping,
     OutboundError,
     PeerUnreachable,
 )
@@ -234,6 +235,8 @@
             reason = Reason.DEADLINE
         elif isinstance(error, CallerLeft):
             reason = Reason.CALLER_LEFT
+        elif isinstance(error, NodeStopping):
+            reason = Reason.DRAINING
         else:
             reason = Reason.UPSTREAM_BROKE_OFF
         return self._refuse_after_send(run, Outcome.UNKNOWN, reason, run.call.hop)
--- a/packages/node/src/knapweedspring_node/_calls/_outbound.py
+++ b/packages/node/src/knapweedspring_node/_calls/_outbound.py
@@ -18,12 +18,14 @@
 from knapweedspring_node._calls._errors import (
     CallerLeft,
     DeadlinePassed,
+    NodeStopping,
     OutboundError,
     PeerBrokeOff,
     PeerUnreachable,
 )
 from knapweedspring_node._calls._request import CHUNK_BYTES, Body, CallerConnection
 from knapweedspring_node._calls._sockets import set_kernel_timeout
+from knapweedspring_node._calls._stop_signal import StopSignal
 from knapweedspring_node._calls._strict_response import StrictResponse
 
 __all__ = ["CONNECTION_HEADERS", "Answer", "ConnectionPools", "OutboundCall"]
@@ -207,6 +209,16 @@
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._pools: dict[str, _PeerPool] = {}
+        self._stop_signal = StopSignal()
+
+    @property
+    def is_stopping(self) -> bool:
+        """Whether no call is sent any more, since the process is about to end."""
+        return self._stop_signal.is_set
+
+    def end_waits(self) -> None:
+        """End all waits for answers, since the process is about to end."""
+        self._stop_signal.set()
 
     def exchange(self, call: OutboundCall) -> Result[Answer, OutboundError]:
         """Send a request and wait for the head of the answer.
@@ -218,6 +230,8 @@
         :return: the answer, or an error; :class:`PeerUnreachable` only when the peer
             received no byte of the request.
         """
+        if self.is_stopping:
+            return Err(PeerUnreachable("this node is stopping"))
         pool = self._pool_for(call.address)
         connection = pool.get_idle() if call.allows_reuse else None
         if connection is None:
@@ -228,7 +242,7 @@
             if isinstance(opened, Err):
                 return opened
             connection = opened.ok_value
-        exchanged = _exchange(connection, call)
+        exchanged = _exchange(connection, call, self._stop_signal)
         if isinstance(exchanged, Err):
             connection.close()
             return exchanged
@@ -252,7 +266,7 @@
 
 
 def _exchange(
-    connection: _Connection, call: OutboundCall
+    connection: _Connection, call: OutboundCall, stop_signal: StopSignal
 ) -> Result[HTTPResponse, OutboundError]:
     sock = connection.sock
     if sock is None:
@@ -264,7 +278,7 @@
         return Err(DeadlinePassed(str(error)))
     except _TRANSPORT_ERRORS as error:
         return _read_early_answer(connection, error)
-    waited = _wait_for_answer(connection, call)
+    waited = _wait_for_answer(connection, call, stop_signal)
     if isinstance(waited, Err):
         return waited
     return _read_answer_head(connection)
@@ -315,14 +329,15 @@
 
 
 def _wait_for_answer(
-    connection: _Connection, call: OutboundCall
+    connection: _Connection, call: OutboundCall, stop_signal: StopSignal
 ) -> Result[None, OutboundError]:
-    """Wait until the answer begins, the caller disconnects or the deadline passes."""
+    """Wait until the answer begins, the caller disconnects or the time is over."""
     sock = connection.sock
     if sock is None:
         return Err(PeerBrokeOff("connection closed"))
     poller = select.poll()
     poller.register(sock, select.POLLIN)
+    poller.register(stop_signal, select.POLLIN)
     caller_socket = call.caller_connection.socket
     if call.caller_connection.pollable:
         poller.register(caller_socket, select.POLLIN)
@@ -333,6 +348,8 @@
         ready = {fd for fd, _ in poller.poll(time_left_s * 1_000)}
         if sock.fileno() in ready:
             return Ok(None)
+        if stop_signal.is_set:
+            return Err(NodeStopping("this node is stopping"))
         if ready:
             if call.caller_connection.is_closed():
                 return Err(CallerLeft("the caller closed its connection"))
--- a/packages/node/src/knapweedspring_node/_calls/_remote.py
+++ b/packages/node/src/knapweedspring_node/_calls/_remote.py
@@ -11,6 +11,7 @@
 from knapweedspring_node._calls._errors import (
     CallerLeft,
     DeadlinePassed,
+    NodeStopping,
     OutboundError,
     PeerUnreachable,
 )
@@ -123,6 +124,8 @@
         return refuse(Outcome.UNKNOWN, Reason.DEADLINE, error.detail)
     if isinstance(error, CallerLeft):
         return refuse(Outcome.UNKNOWN, Reason.CALLER_LEFT, error.detail)
+    if isinstance(error, NodeStopping):
+        return refuse(Outcome.UNKNOWN, Reason.DRAINING, error.detail)
     return refuse(Outcome.UNKNOWN, Reason.PEER_BROKE_OFF, error.detail)
 
 
--- a/packages/node/src/knapweedspring_node/_drain.py
+++ b/packages/node/src/knapweedspring_node/_drain.py
@@ -12,6 +12,11 @@
 POLL_PERIOD_S = 0.05
 #: Shortest drain, in seconds: time for the leaving state to reach the peers.
 MIN_DRAIN_S = 1.0
+#: Time before the stop deadline, in seconds, at which calls without an answer are
+#: answered: twice what a gate may take to confirm that a run never started.
+END_LEAD_S = 1.0
+#: Most of the time until the stop deadline that this may take.
+END_LEAD_SHARE = 0.25
 
 
 class Drain:
@@ -64,19 +69,31 @@
         self._announcements.close_gates()
         self._server.begin_drain()
         began_at = time.monotonic()
-        deadline_at = began_at + stop_deadline_ms / 1_000
+        drain_s = stop_deadline_ms / 1_000
+        ends_at = began_at + drain_s - min(END_LEAD_S, END_LEAD_SHARE * drain_s)
         while self._must_wait(began_at):
-            if time.monotonic() >= deadline_at:
+            if time.monotonic() >= ends_at:
                 self._events.record(
                     "node:stop-deadline-hit",
                     n_requests=self._server.n_busy,
                     n_tickets=self._calls.tickets.n_unfinished,
                 )
+                self._answer_waiting_calls(began_at + drain_s)
                 return False
             time.sleep(POLL_PERIOD_S)
         self._events.record("node:drained")
         return True
 
+    def _answer_waiting_calls(self, deadline_at: float) -> None:
+        """End the waits of calls, and wait until their callers are answered.
+
+        :param deadline_at: end of the drain, on the monotonic clock, in seconds.
+        """
+        self._calls.end_waits()
+        while self._server.n_busy > 0 and time.monotonic() < deadline_at:
+            time.sleep(POLL_PERIOD_S)
+        self._events.record("node:calls-ended", n_cut=self._server.n_busy)
+
     def _must_wait(self, began_at: float) -> bool:
         # Peers whose view is not updated yet still send calls. A not-run answer
         # lets them use another node; a closed connection leaves the outcome open.
--- a/packages/standins/tests/test_planned_stop.py
+++ b/packages/standins/tests/test_planned_stop.py
@@ -42,6 +42,9 @@
 SEED = 7
 #: Exit code of a node whose stop deadline passed before its drain was complete.
 EXIT_STOP_DEADLINE = 3
+#: Calls under way when a node stops, and least number of these that have to wait.
+N_CALLS = 30
+N_WAITING_MIN = 5
 ARRIVALS_PER_S = 25.0
 OBJECTS = (
     DeclaredObject("spice-order", RequestClass(100, False, 4_000, 2)),
@@ -200,6 +203,57 @@
     caller.join(30)
 
 
+# Guards against callers that a stopping node leaves without an answer, because their
+# calls wait at the gates of other nodes or run there when its stop deadline comes.
+def test_calls_that_wait_at_the_stop_deadline_are_answered(mesh):
+    (vm,) = mesh.vms_of("recipes")
+    for orders_vm in mesh.vms_of("orders"):
+        mesh.set_faults(orders_vm, UpstreamFaults(slow_factor=1_000.0))
+    calls = [("GET", "look", "")] * (N_CALLS // 2)
+    calls += [("POST", "spice", _ticket(vm)) for _ in range(N_CALLS // 2)]
+    outcomes = []
+    callers = [
+        threading.Thread(target=lambda c=call: outcomes.append(_outcome_of(vm, *c)))
+        for call in calls
+    ]
+    for caller in callers:
+        caller.start()
+    assert poll_until(lambda: _n_unfinished(mesh, vm) + len(outcomes) >= N_CALLS)
+    intent = UpstreamIntent(Intent.LEAVING, stop_deadline_ms=4_000)
+    mesh.declare(vm.node_file.node_id, intent)
+    assert poll_until(lambda: mesh.node_page(vm, "/status")["draining"])
+    assert N_CALLS - len(outcomes) >= N_WAITING_MIN
+    vm.node.terminate()
+    # A second signal during the stop changes nothing.
+    time.sleep(0.5)
+    assert _stop(vm.node) == EXIT_STOP_DEADLINE
+    for caller in callers:
+        caller.join(10)
+    assert len(outcomes) == N_CALLS
+    assert outcomes.count("no answer") == 0
+
+
+def _call(vm, method, path, ticket=""):
+    headers = {"Kws-Deadline-Ms": "20000"}
+    if ticket:
+        headers["Kws-Ticket"] = ticket
+    url = f"http://{vm.call_address}/orders/{path}"
+    return urllib3.request(method, url, headers=headers, timeout=20, retries=False)
+
+
+def _ticket(vm):
+    """Send an order without a ticket and return the ticket that the node issues."""
+    return _call(vm, "POST", "spice").headers["Kws-Ticket"]
+
+
+def _outcome_of(vm, method, path, ticket):
+    """Return the outcome that a call is answered with."""
+    with contextlib.suppress(urllib3.exceptions.HTTPError):
+        answer = _call(vm, method, path, ticket)
+        return answer.headers.get("Kws-Outcome", "answered")
+    return "no answer"
+
+
 def test_suspended_node_is_marked_dead_and_refutes_after_it_resumes(mesh):
     suspended, *others = [vm for vm in mesh.vms if vm.service.name == "orders"]
     node_id = suspended.node_file.node_id
