Look for folded headers in the head of a request only

Cause: the check for folded headers looked at each piece up to an empty line, and a piece that begins with the rest of the head's end holds none before the body. The body was then taken for a part of the head.

HeadEnd finds the end of a head in any number of pieces. Each head is parsed by itself, so the check sees neither bodies nor parts of them. It also finds the folds of pipelined requests.

--- a/packages/relay/src/knapweedspring_relay/_http_server.py
+++ b/packages/relay/src/knapweedspring_relay/_http_server.py
@@ -11,10 +11,8 @@
 from knapweedspring_relay._errors import MessageError
 from knapweedspring_relay._exchange import AnswerConnection, Exchange, RequestHandler
 from knapweedspring_relay._framing_limit import FramingLimit
-from knapweedspring_relay._messages import (
-    encode_error_answer,
-    has_folded_header,
-)
+from knapweedspring_relay._head_end import HeadEnd
+from knapweedspring_relay._messages import encode_error_answer
 from knapweedspring_relay._requests import MAX_BODIES_BYTES, Header, Request
 from knapweedspring_relay._sockets import BACKLOG
 
@@ -154,6 +152,7 @@
         self._request_error: MessageError | None = None
         self._state_changed_at = now_s()
         self._framing = FramingLimit()
+        self._head_end = HeadEnd()
         self._reset_message()
 
     @property
@@ -174,6 +173,7 @@
         self._n_body_bytes = 0
         self._n_head_bytes = 0
         self._framing.reset()
+        self._head_end.reset()
         self._in_message = False
         self._in_body = False
         #: Whether the head arrives in parts; its time limit runs from the first part.
@@ -200,15 +200,38 @@
         self._wake_writer()
 
     def data_received(self, data: bytes) -> None:
-        """Parse the received bytes."""
-        if self._closing or self._request_error is not None:
-            return
-        was_in_body, n_body_bytes = self._in_body, self._n_body_bytes
-        if not was_in_body:
-            self._n_head_bytes += len(data)
-            if has_folded_header(data):
-                self._reject(MessageError(400, "a header is folded over lines"))
+        """Parse the received bytes, each head by itself."""
+        while data and not self._closing and self._request_error is None:
+            if self._in_body:
+                self._parse_body(data)
                 return
+            end = self._head_end.find(data)
+            self._parse_head(data[:end])
+            data = data[end:]
+
+    def _parse_head(self, data: bytes) -> None:
+        """Parse bytes of a head; none of a body follow."""
+        self._n_head_bytes += len(data)
+        if self._head_end.is_folded:
+            self._reject(MessageError(400, "a header is folded over lines"))
+            return
+        if self._parse(data) and not self._in_body and self._in_message:
+            if not self._is_head_partial:
+                self._is_head_partial = True
+                self._state_changed_at = now_s()
+            self._check_partial_head_size()
+
+    def _parse_body(self, data: bytes) -> None:
+        """Parse bytes of a body, and of requests that follow it."""
+        n_body_bytes = self._n_body_bytes
+        if self._parse(data) and self._in_body:
+            self._check_framing_size(len(data), self._n_body_bytes != n_body_bytes)
+
+    def _parse(self, data: bytes) -> bool:
+        """Pass bytes to the parser, and reject what is no request.
+
+        :return: whether the bytes were parsed.
+        """
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -221,13 +244,8 @@
         except httptools.HttpParserError as error:
             self._reject(MessageError(400, f"not a request: {error}"))
         else:
-            if not self._in_body and self._in_message:
-                if not self._is_head_partial:
-                    self._is_head_partial = True
-                    self._state_changed_at = now_s()
-                self._check_partial_head_size()
-            elif was_in_body and self._in_body:
-                self._check_framing_size(len(data), self._n_body_bytes != n_body_bytes)
+            return True
+        return False
 
     def pause_writing(self) -> None:
         """Wait with answers and further requests while the write buffer is full."""
--- a/packages/relay/src/knapweedspring_relay/_messages.py
+++ b/packages/relay/src/knapweedspring_relay/_messages.py
@@ -13,7 +13,6 @@
     "encode_forwarded_request",
     "encode_request",
     "end_to_end_headers",
-    "has_folded_header",
     "header_lines",
     "to_forwarded_request",
 ]
@@ -147,18 +146,6 @@
     )
 
 
-def has_folded_header(data: bytes) -> bool:
-    """Return whether the head of a message continues a header on a further line.
-
-    :param data: received bytes of the message.
-    """
-    if b"\r\n " not in data and b"\r\n\t" not in data:
-        return False
-    # Only the head counts: the body may contain the same bytes.
-    head = data.partition(b"\r\n\r\n")[0]
-    return b"\r\n " in head or b"\r\n\t" in head
-
-
 def encode_error_answer(error: MessageError) -> bytes:
     """Encode the answer to a message that is refused, after which the server closes.
 
