Ask for a body only after the earlier answers on its connection

Cause: the interim answer was written as soon as the head was parsed.

test_interim_answer_comes_after_the_answer_that_is_being_sent failed before: the body was "aHTTP/1.1 ".

--- a/packages/relay/src/knapweedspring_relay/_http_server.py
+++ b/packages/relay/src/knapweedspring_relay/_http_server.py
@@ -176,6 +176,8 @@
         self._head_end.reset()
         self._in_message = False
         self._in_body = False
+        #: Whether the caller waits for an interim answer before it sends its body.
+        self._owes_continue = False
         #: Whether the head arrives in parts; its time limit runs from the first part.
         self._is_head_partial = False
         self._arrived_at = 0.0
@@ -287,11 +289,12 @@
                 if int(value) > limits.body_bytes:
                     raise MessageError(413, f"the body has {value.decode()} bytes")
             elif key == b"expect" and value.lower() == b"100-continue":
-                self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                self._owes_continue = True
         if n_head_bytes > limits.header_bytes:
             raise MessageError(431, f"the head has {n_head_bytes} bytes")
         if not self._target.startswith(b"/"):
             raise MessageError(400, "the target is not a path")
+        self._send_owed_continue()
 
     def on_body(self, piece: bytes) -> None:
         """Collect a piece of the body."""
@@ -402,6 +405,14 @@
             self._update_reading()
         elif self._request_error is not None:
             self._answer_error(self._request_error)
+        else:
+            self._send_owed_continue()
+
+    def _send_owed_continue(self) -> None:
+        """Ask for a body, unless an earlier answer is still being sent."""
+        if self._owes_continue and self._task is None and not self._requests:
+            self._owes_continue = False
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _update_reading(self) -> None:
         """Receive only while few requests are queued and answers are read."""
--- a/packages/relay/tests/test_http_server.py
+++ b/packages/relay/tests/test_http_server.py
@@ -160,3 +160,59 @@
             assert connection._body.__sizeof__() <= 2 * n_bytes
 
     run(scenario)
+
+
+class SlowDownload(Recorder):
+    """Answers in pieces, and orders at once."""
+
+    async def handle(self, exchange):
+        self.requests.append(exchange.request)
+        if exchange.request.method == b"POST":
+            exchange.send_answer(200, [], b"ok")
+            return
+        exchange.start_streamed_answer(200, b"", 10)
+        for _ in range(10):
+            await exchange.send_body_piece(b"a")
+            await asyncio.sleep(0.01)
+        exchange.finish_streamed_answer()
+
+
+# Guards against "100 Continue" in the body of an answer that is still being sent.
+def test_interim_answer_comes_after_the_answer_that_is_being_sent():
+    async def scenario():
+        handler = SlowDownload()
+        async with listening(handler) as (_, reader, writer):
+            writer.write(GET)
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(
+                b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 9\r\n"
+                b"expect: 100-continue\r\n\r\n"
+            )
+            assert await reader.readexactly(10) == b"a" * 10
+            interim = await reader.readuntil(b"\r\n\r\n")
+            assert interim == b"HTTP/1.1 100 Continue\r\n\r\n"
+            writer.write(b"two boxes")
+            assert (await reader.readuntil(b"ok")).startswith(b"HTTP/1.1 200")
+        assert handler.requests[1].body == b"two boxes"
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("sends_body_at_once", [False, True])
+def test_interim_answer_is_sent_once_and_only_while_the_body_is_due(sends_body_at_once):
+    async def scenario():
+        async with listening(Recorder()) as (_, reader, writer):
+            for _ in range(2):
+                head = (
+                    b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 9\r\n"
+                    b"expect: 100-continue\r\n\r\n"
+                )
+                writer.write(head + (b"two boxes" if sends_body_at_once else b""))
+                if not sends_body_at_once:
+                    await reader.readuntil(b"\r\n\r\n")
+                    writer.write(b"two boxes")
+                answer = await reader.readuntil(b"ok")
+                assert answer.count(b"100 Continue") <= int(sends_body_at_once)
+                assert answer.count(b"200 OK") == 1
+
+    run(scenario)
