Decline offers to upgrade the protocol and run the request whole

CONNECT with a path as its target ran, too.

Cause: the parser skips the body of a request with an offer, reports the request as complete and ends. The listener took that for the whole request.

A request with an offer is now parsed once more, without the offer, and its body after it; HTTP lets a server ignore an offer. CONNECT gets 400 and does not run. A request that is refused gets one answer, whatever else is wrong with it.

--- a/packages/relay/src/knapweedspring_relay/_http_server.py
+++ b/packages/relay/src/knapweedspring_relay/_http_server.py
@@ -12,7 +12,7 @@
 from knapweedspring_relay._exchange import AnswerConnection, Exchange, RequestHandler
 from knapweedspring_relay._framing_limit import FramingLimit
 from knapweedspring_relay._head_end import HeadEnd
-from knapweedspring_relay._messages import encode_error_answer
+from knapweedspring_relay._messages import encode_error_answer, header_lines
 from knapweedspring_relay._requests import MAX_BODIES_BYTES, Header, Request
 from knapweedspring_relay._sockets import BACKLOG
 
@@ -205,39 +205,50 @@
         """Parse the received bytes, each head by itself."""
         while data and not self._closing and self._request_error is None:
             if self._in_body:
-                self._parse_body(data)
-                return
-            end = self._head_end.find(data)
-            self._parse_head(data[:end])
-            data = data[end:]
-
-    def _parse_head(self, data: bytes) -> None:
-        """Parse bytes of a head; none of a body follow."""
+                data = self._parse_body(data)
+            else:
+                end = self._head_end.find(data)
+                data = self._parse_head(data[:end]) + data[end:]
+
+    def _parse_head(self, data: bytes) -> bytes:
+        """Parse bytes of a head; none of a body follow.
+
+        :return: bytes that are still to be parsed.
+        """
         self._n_head_bytes += len(data)
         if self._head_end.is_folded:
             self._reject(MessageError(400, "a header is folded over lines"))
-            return
-        if self._parse(data) and not self._in_body and self._in_message:
+            return b""
+        rest = self._parse(data)
+        if self._request_error is not None:
+            return b""
+        if not self._in_body and self._in_message:
             if not self._is_head_partial:
                 self._is_head_partial = True
                 self._state_changed_at = now_s()
             self._check_partial_head_size()
+        return rest
+
+    def _parse_body(self, data: bytes) -> bytes:
+        """Parse bytes of a body, and of requests that follow it.
 
-    def _parse_body(self, data: bytes) -> None:
-        """Parse bytes of a body, and of requests that follow it."""
+        :return: bytes that are still to be parsed.
+        """
         n_body_bytes = self._n_body_bytes
-        if self._parse(data) and self._in_body:
+        rest = self._parse(data)
+        if self._in_body and self._request_error is None:
             self._check_framing_size(len(data), self._n_body_bytes != n_body_bytes)
+        return rest
 
-    def _parse(self, data: bytes) -> bool:
+    def _parse(self, data: bytes) -> bytes:
         """Pass bytes to the parser, and reject what is no request.
 
-        :return: whether the bytes were parsed.
+        :return: bytes that are still to be parsed.
         """
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(MessageError(400, "upgrades are not supported"))
+        except httptools.HttpParserUpgrade as upgrade:
+            return self._decline_upgrade() + data[upgrade.args[0] :]
         except httptools.HttpParserCallbackError as error:
             cause = error.__context__
             if not isinstance(cause, MessageError):
@@ -245,9 +256,23 @@
             self._reject(cause)
         except httptools.HttpParserError as error:
             self._reject(MessageError(400, f"not a request: {error}"))
-        else:
-            return True
-        return False
+        return b""
+
+    def _decline_upgrade(self) -> bytes:
+        """Begin the request anew without its offer, since its body was not parsed.
+
+        :return: head of the request without the offer to upgrade the protocol.
+        """
+        parser = self._parser
+        if parser.get_method() == b"CONNECT":
+            self._reject(MessageError(400, "CONNECT is not supported"))
+            return b""
+        headers = [header for header in self._headers if header[0] != b"upgrade"]
+        version = parser.get_http_version().encode()
+        line = b"%b %b HTTP/%b\r\n" % (parser.get_method(), self._target, version)
+        self._parser = httptools.HttpRequestParser(self)
+        self._reset_message()
+        return line + header_lines(headers) + b"\r\n"
 
     def pause_writing(self) -> None:
         """Wait with answers and further requests while the write buffer is full."""
@@ -279,6 +304,9 @@
 
     def on_headers_complete(self) -> None:
         """Check the head against the limits."""
+        if self._parser.should_upgrade():
+            # It is parsed once more, without its offer.
+            return
         limits = self._listener.handler.limits
         self._arrived_at = self._state_changed_at = now_s()
         self._in_body = True
@@ -308,6 +336,8 @@
 
     def on_message_complete(self) -> None:
         """Queue the complete request until earlier requests are answered."""
+        if self._parser.should_upgrade():
+            return
         request = Request(
             method=self._parser.get_method(),
             target=self._target,
--- a/packages/relay/tests/test_http_server.py
+++ b/packages/relay/tests/test_http_server.py
@@ -216,3 +216,17 @@
                 assert answer.count(b"200 OK") == 1
 
     run(scenario)
+
+
+# Guards against a second answer to a request that is refused for two reasons.
+@pytest.mark.parametrize("end", [b"\x00\r\n\r\n", b"\x00"])
+def test_refused_request_gets_one_answer(end):
+    async def scenario():
+        async with listening(Recorder()) as (_, reader, writer):
+            writer.write(b"GET / HTTP/1.1\r\nx-a: " + b"a" * 200_000 + b"\r\n" + end)
+            answer = b""
+            with contextlib.suppress(ConnectionError):
+                answer = await reader.read()
+            assert answer.count(b"HTTP/1.1 4") <= 1
+
+    run(scenario)
