Remember a leaving over a restart of the node

Three causes on one path. The leaving was acknowledged before the store had it, so a kill in between lost it. The entry that says "draining" was dropped 2 s after the restart, and a later report then counted as that of a new upstream. And a report that came before the node had read its entry kept the entry from being used.

The acknowledgement waits for the store, for 0.5 s at most, since one that takes a second does not count. An upstream that drained before the restart is kept as departed, and its entry applies although a report came first. A later start of the same upstream is used as before.

--- a/packages/relay/src/knapweedspring_relay/_adapter.py
+++ b/packages/relay/src/knapweedspring_relay/_adapter.py
@@ -56,6 +56,13 @@
         :return: effect of the departure.
         """
 
+    @abstractmethod
+    async def wait_published(self) -> None:
+        """Wait until the store has the state of the upstream, for a short time.
+
+        A leaving that is acknowledged before could be forgotten by a restart.
+        """
+
     @abstractmethod
     def reject_heartbeat(self, reason: str) -> None:
         """Log a heartbeat that cannot be decoded.
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_own_entry.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_own_entry.py
@@ -60,6 +60,7 @@
         self._counters = counters
         self._stored: EntryRecord | None = None
         self._check_needed = asyncio.Event()
+        self._recorded = asyncio.Event()
 
     def request_check(self) -> None:
         """Request a check of the stored entry, as the desired one may have changed."""
@@ -100,6 +101,20 @@
         self._record_success(read.ok_value)
         return read.ok_value.entry
 
+    async def wait_stored(self, timeout_s: float) -> bool:
+        """Wait until the store has the desired entry.
+
+        :param timeout_s: longest wait, in seconds.
+        :return: whether the store has it.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                while self._stored is None or self._stored.entry != self._desired():
+                    await self._recorded.wait()
+        except TimeoutError:
+            return False
+        return True
+
     async def run(self) -> None:
         """Keep the stored entry equal to the desired one until cancelled."""
         while True:
@@ -146,6 +161,8 @@
         self._health.record_result("own entry", None)
         self._health.observe_era(record.position.era)
         self._stored = record
+        recorded, self._recorded = self._recorded, asyncio.Event()
+        recorded.set()
 
     async def _reconcile_after_conflict(self) -> bool:
         await self.read_previous()
--- a/packages/relay/src/knapweedspring_relay/_local_upstream.py
+++ b/packages/relay/src/knapweedspring_relay/_local_upstream.py
@@ -148,27 +148,39 @@
         """State of the upstream; None when no upstream is known."""
         return self._current
 
-    def assume_published(self, upstream: LocalUpstream) -> None:
+    def assume_published(self, upstream: LocalUpstream, now: float) -> None:
         """Restore the state that this node published before a restart.
 
-        A state from heartbeats has precedence.
+        A state from heartbeats has precedence, but a process that drained before the
+        restart does not become ready by a heartbeat that arrives late.
 
         :param upstream: the published state, with sequence ``ASSUMED_SEQUENCE``.
+        :param now: monotonic time, in seconds.
         """
-        if self._current is None:
+        current = self._current
+        if current is None:
             self._current = upstream
+        elif (
+            current.is_ready
+            and not upstream.is_ready
+            and _is_same_process(current, upstream)
+        ):
+            self._current = _as_draining(current, now)
 
     def drop_unconfirmed(self) -> bool:
         """Discard a restored upstream that has sent no heartbeat since the restart.
 
         The upstream may have left after the entry was published: a departure that was
-        acknowledged just before the restart is lost.
+        acknowledged just before the restart is lost. One that drained before the
+        restart never becomes ready again.
 
         :return: whether an upstream was discarded.
         """
         current = self._current
         if current is None or current.sequence != ASSUMED_SEQUENCE:
             return False
+        if not current.is_ready:
+            self._remember_departed(current)
         self._current = None
         return True
 
@@ -202,9 +214,7 @@
         current = self._current
         if current is None or current.instance != instance:
             return HeartbeatVerdict.LATE
-        self._departed[_ProcessKey(instance, current.born_ms)] = None
-        while len(self._departed) > MAX_DEPARTED:
-            del self._departed[next(iter(self._departed))]
+        self._remember_departed(current)
         if not current.is_ready:
             return HeartbeatVerdict.UNCHANGED
         self._current = _as_draining(current, now)
@@ -225,6 +235,11 @@
         self._current = _as_draining(current, now)
         return HeartbeatVerdict.CHANGED
 
+    def _remember_departed(self, upstream: LocalUpstream) -> None:
+        self._departed[_ProcessKey(upstream.instance, upstream.born_ms)] = None
+        while len(self._departed) > MAX_DEPARTED:
+            del self._departed[next(iter(self._departed))]
+
     def _update_current(
         self, current: LocalUpstream, heartbeat: Heartbeat, now: float
     ) -> HeartbeatVerdict:
--- a/packages/relay/src/knapweedspring_relay/_relay.py
+++ b/packages/relay/src/knapweedspring_relay/_relay.py
@@ -59,6 +59,9 @@
 #: restart, in seconds: more than one period of heartbeats, and less than the time for
 #: which an upstream that left without draining continues to serve.
 ASSUMED_TIMEOUT_S = 2.0
+#: Longest time for which the acknowledgement of a leaving waits for the store, in
+#: seconds. An acknowledgement that takes a second does not count.
+MAX_PUBLISH_WAIT_S = 0.5
 #: Container allocations between two runs of the garbage collector.
 GC_THRESHOLD = 20_000
 
@@ -280,6 +283,12 @@
         self._handle_upstream_verdict(verdict)
         return verdict
 
+    async def wait_published(self) -> None:
+        """Wait until the store has the state; see :class:`HeartbeatReceiver`."""
+        own_entry = self._knowledge.own_entry
+        if not await own_entry.wait_stored(MAX_PUBLISH_WAIT_S):
+            self._log.write_state("upstream:not-published", after_s=MAX_PUBLISH_WAIT_S)
+
     def _apply_leaving(self, process: LocalUpstream) -> None:
         """Close the gate for an upstream whose answer says that it leaves."""
         verdict = self._tracker.apply_leaving(process, now_s())
@@ -333,7 +342,7 @@
             own_entry.assume_absent()
         else:
             previous = await own_entry.read_previous()
-            if previous is not None and self._tracker.current is None:
+            if previous is not None:
                 self._assume_published(previous)
         await own_entry.run()
 
@@ -342,8 +351,9 @@
         is_own = previous.gate_address == self._settings.gate_address
         if not is_own or previous.service != self._settings.service:
             return
-        self._tracker.assume_published(published_upstream(previous, now_s()))
-        self._gate.apply_upstream_state(now_s())
+        now = now_s()
+        self._tracker.assume_published(published_upstream(previous, now), now)
+        self._gate.apply_upstream_state(now)
         loop = asyncio.get_running_loop()
         loop.call_later(ASSUMED_TIMEOUT_S, self._drop_unconfirmed)
         self._log.write_state(
--- a/packages/relay/tests/test_local_upstream.py
+++ b/packages/relay/tests/test_local_upstream.py
@@ -81,7 +81,7 @@
 def test_published_state_is_used_until_the_first_heartbeat():
     tracker = UpstreamTracker(ADDRESS)
     tracker.assume_published(
-        LocalUpstream("i-1", "svc", 20, UpstreamState.READY, 1000, -1, 0.0)
+        LocalUpstream("i-1", "svc", 20, UpstreamState.READY, 1000, -1, 0.0), 0.0
     )
     assert tracker.current.is_ready
     newer = replace(BEAT, instance="i-2", born_ms=2000)
@@ -92,15 +92,36 @@
 def test_published_state_is_discarded_without_a_heartbeat():
     tracker = UpstreamTracker(ADDRESS)
     published = LocalUpstream("i-1", "svc", 20, UpstreamState.READY, 1000, -1, 0.0)
-    tracker.assume_published(published)
+    tracker.assume_published(published, 0.0)
     assert tracker.drop_unconfirmed()
     assert tracker.current is None
-    tracker.assume_published(published)
+    tracker.assume_published(published, 0.0)
     tracker.apply_heartbeat(BEAT, 1.0)
     assert not tracker.drop_unconfirmed()
     assert tracker.current.is_ready
 
 
+# Guards against a report that an upstream sent before it left and that puts it in use
+# again after a restart of its node.
+@pytest.mark.parametrize("arrives", ["before the entry", "after it", "after the drop"])
+def test_late_report_does_not_revive_an_upstream_that_drained_before_a_restart(arrives):
+    tracker = UpstreamTracker(ADDRESS)
+    published = LocalUpstream("i-1", "svc", 20, UpstreamState.DRAINING, 1000, -1, 0.0)
+    if arrives == "before the entry":
+        tracker.apply_heartbeat(BEAT, 0.0)
+        tracker.assume_published(published, 0.1)
+    else:
+        tracker.assume_published(published, 0.1)
+        if arrives == "after the drop":
+            assert tracker.drop_unconfirmed()
+        tracker.apply_heartbeat(BEAT, 2.0)
+    assert tracker.current is None or not tracker.current.is_ready
+    # A later start of the same upstream is used.
+    later = replace(BEAT, sequence=0, born_ms=2000)
+    assert tracker.apply_heartbeat(later, 3.0) is HeartbeatVerdict.CHANGED
+    assert tracker.current.is_ready
+
+
 def test_answer_of_a_process_that_leaves_is_final_for_that_process_only(tracker):
     first = tracker.current
     assert tracker.apply_leaving(first, 1.0) is HeartbeatVerdict.CHANGED
