Find the end of a head that begins behind the body of another request

The fix of folded headers left one way to refuse a proper order: a head that begins in one piece with the body before it, and whose end is cut, was not found, and an indented line of its own body then counted as a fold of the head.

HeadEnd takes up the head where the piece ends. test_orders_with_indented_bodies_in_a_row_are_served_wherever_they_are_cut, two orders cut at each byte, failed before (400) and passes.

--- a/packages/relay/src/knapweedspring_relay/_head_end.py
+++ b/packages/relay/src/knapweedspring_relay/_head_end.py
@@ -3,6 +3,8 @@
 __all__ = ["HeadEnd"]
 
 _HEAD_END = b"\r\n\r\n"
+#: Most bytes of the end of a head that may have arrived before its last one.
+N_TAIL_BYTES = len(_HEAD_END) - 1
 #: Bytes with which a header continues on a further line, which is not allowed.
 _FOLDS = (b"\r\n ", b"\r\n\t")
 
@@ -24,6 +26,13 @@
         self._tail = b""
         self._is_folded = False
 
+    def continue_after(self, data: bytes) -> None:
+        """Take up a head that has begun behind the body of an earlier request.
+
+        :param data: bytes that end with the first piece of the head.
+        """
+        self._tail = data[-N_TAIL_BYTES:]
+
     def find(self, data: bytes) -> int:
         """Return the number of bytes that belong to the head.
 
@@ -38,5 +47,5 @@
         for fold in _FOLDS:
             if window.find(fold, 0, n_head_bytes) >= 0:
                 self._is_folded = True
-        self._tail = window[-(len(_HEAD_END) - 1) :] if found < 0 else b""
+        self._tail = window[-N_TAIL_BYTES:] if found < 0 else b""
         return n_head_bytes - n_earlier
--- a/packages/relay/src/knapweedspring_relay/_http_server.py
+++ b/packages/relay/src/knapweedspring_relay/_http_server.py
@@ -238,6 +238,8 @@
         rest = self._parse(data)
         if self._in_body and self._request_error is None:
             self._check_framing_size(len(data), self._n_body_bytes != n_body_bytes)
+        elif self._in_message and not rest:
+            self._head_end.continue_after(data)
         return rest
 
     def _parse(self, data: bytes) -> bytes:
--- a/packages/relay/tests/test_head_end.py
+++ b/packages/relay/tests/test_head_end.py
@@ -42,6 +42,20 @@
     run(scenario)
 
 
+def test_orders_with_indented_bodies_in_a_row_are_served_wherever_they_are_cut():
+    async def scenario():
+        handler = Recorder()
+        async with listening(handler) as (_, reader, writer):
+            for cut in range(2 * len(ORDER)):
+                await send_in_two_pieces(writer, 2 * ORDER, cut)
+                for _ in range(2):
+                    answer = await reader.readuntil(b"ok")
+                    assert answer.startswith(b"HTTP/1.1 200"), cut
+        assert {request.body for request in handler.requests} == {BODY}
+
+    run(scenario)
+
+
 def test_requests_in_one_piece_are_served_in_order():
     async def scenario():
         handler = Recorder()
