Answer refused requests beside calls that break off, in compiled code too

Cause: a compiled coroutine that awaits inside an `except` block leaves its exception current. The parser's error then gets that one as its context, and the listener, which looked for its own error there, raised instead of answering.

The listener keeps its error itself.

A case of test_upgrade_offers had failed so as well.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,9 @@
 COMPILED_TESTS := $(addprefix packages/relay/tests/,test_admission.py \
 	test_answer_copies.py test_balancer.py test_calls.py test_crash_detector.py \
 	test_crashing_requests.py test_cut_answers.py test_deployment_changes.py \
-	test_hop.py test_leaving_upstreams.py test_rate_limits.py test_retry_budget.py)
+	test_head_end.py test_hop.py test_http_server.py test_leaving_upstreams.py \
+	test_rate_limits.py test_refused_requests.py test_retry_budget.py \
+	test_upgrade_offers.py)
 PACKAGES := packages/core packages/node packages/ctl packages/standins packages/relay platform
 
 .PHONY: install demo test lint format
--- a/packages/relay/src/knapweedspring_relay/_http_server.py
+++ b/packages/relay/src/knapweedspring_relay/_http_server.py
@@ -150,6 +150,7 @@
         self._is_reading_paused = False
         self._closing = False
         self._request_error: MessageError | None = None
+        self._refused: MessageError | None = None
         self._state_changed_at = now_s()
         self._framing = FramingLimit()
         self._head_end = HeadEnd()
@@ -251,15 +252,19 @@
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as upgrade:
             return self._decline_upgrade() + data[upgrade.args[0] :]
-        except httptools.HttpParserCallbackError as error:
-            cause = error.__context__
-            if not isinstance(cause, MessageError):
+        except httptools.HttpParserCallbackError:
+            if self._refused is None:
                 raise
-            self._reject(cause)
+            self._reject(self._refused)
         except httptools.HttpParserError as error:
             self._reject(MessageError(400, f"not a request: {error}"))
         return b""
 
+    def _refusal(self, status: int, reason: str) -> MessageError:
+        """Keep an error: compiled code may replace it as the parser's context."""
+        self._refused = error = MessageError(status, reason)
+        return error
+
     def _decline_upgrade(self) -> bytes:
         """Begin the request anew without its offer, since its body was not parsed.
 
@@ -317,22 +322,22 @@
             n_head_bytes += len(key) + len(value) + HEADER_SEPARATOR_BYTES
             if key == b"content-length":
                 if int(value) > limits.body_bytes:
-                    raise MessageError(413, f"the body has {value.decode()} bytes")
+                    raise self._refusal(413, f"the body has {value.decode()} bytes")
             elif key == b"expect" and value.lower() == b"100-continue":
                 self._owes_continue = True
         if n_head_bytes > limits.header_bytes:
-            raise MessageError(431, f"the head has {n_head_bytes} bytes")
+            raise self._refusal(431, f"the head has {n_head_bytes} bytes")
         if not self._target.startswith(b"/"):
-            raise MessageError(400, "the target is not a path")
+            raise self._refusal(400, "the target is not a path")
         self._send_owed_continue()
 
     def on_body(self, piece: bytes) -> None:
         """Collect a piece of the body."""
         limits = self._listener.handler.limits
         if self._n_body_bytes + len(piece) > limits.body_bytes:
-            raise MessageError(413, "the body is too long")
+            raise self._refusal(413, "the body is too long")
         if not self._listener.reserve_body(len(piece)):
-            raise MessageError(503, "too many bodies are held in memory")
+            raise self._refusal(503, "too many bodies are held in memory")
         self._n_body_bytes += len(piece)
         self._body += piece
 
