Read the VM's memory and file descriptors from the settings

Cause: no part of a relay knows how much its VM allows. The users' platform ends a process above its memory, from 200 to 552 MB, and limits its file descriptors, and the deploy file's template passed neither on.

Measured: the tests of the settings pass.

--- a/packages/relay/src/knapweedspring_relay/__init__.py
+++ b/packages/relay/src/knapweedspring_relay/__init__.py
@@ -53,6 +53,7 @@
     RetrySettings,
     ShutdownSettings,
     StoreSettings,
+    VmSettings,
     WorkspaceSettings,
 )
 from knapweedspring_relay._workspace_keys import digest_key
@@ -96,6 +97,7 @@
     "StoreSettings",
     "StoreUnavailable",
     "UpstreamState",
+    "VmSettings",
     "Workspace",
     "WorkspaceSettings",
     "digest_key",
--- a/packages/relay/src/knapweedspring_relay/_relay.py
+++ b/packages/relay/src/knapweedspring_relay/_relay.py
@@ -215,6 +215,8 @@
             data_centre=self._settings.data_centre,
             entry=self._settings.entry_address,
             gate=self._settings.gate_address,
+            memory_mb=self._settings.vm.memory_or_default_bytes // 1_000_000,
+            n_descriptors=self._settings.vm.n_descriptors_or_default,
         )
         self._supervisor.start("own entry", self._run_own_entry)
         self._knowledge.start(self._supervisor, self._timers)
--- a/packages/relay/src/knapweedspring_relay/_settings.py
+++ b/packages/relay/src/knapweedspring_relay/_settings.py
@@ -10,6 +10,7 @@
     "RetrySettings",
     "ShutdownSettings",
     "StoreSettings",
+    "VmSettings",
     "WorkspaceSettings",
 ]
 
@@ -28,6 +29,10 @@
 DEFAULT_QUOTA_EXCESS = 0.0
 DEFAULT_QUOTA_SLACK = 0.0
 DEFAULT_IN_FORCE_S = 2.0
+#: Defaults of a VM's limits on the process: the smallest VM of the deployments, in MB
+#: and in file descriptors.
+DEFAULT_MEMORY_MB = 200
+DEFAULT_N_DESCRIPTORS = 4_100
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +63,27 @@
         return DEFAULT_DRAIN_S if self.drain_s is None else self.drain_s
 
 
+@dataclass(frozen=True, slots=True)
+class VmSettings:
+    """What the VM allows the process; None (null in the file) selects the default."""
+
+    #: Memory above which the process is killed, in MB (10**6 bytes).
+    memory_mb: float | None = None
+    #: Number of file descriptors that the process may have open.
+    n_descriptors: int | None = None
+
+    @property
+    def memory_or_default_bytes(self) -> int:
+        """Memory above which the process is killed, in bytes."""
+        return int(_or_default(self.memory_mb, DEFAULT_MEMORY_MB) * 1_000_000)
+
+    @property
+    def n_descriptors_or_default(self) -> int:
+        """Number of file descriptors that the process may have open."""
+        n_descriptors = self.n_descriptors
+        return DEFAULT_N_DESCRIPTORS if n_descriptors is None else n_descriptors
+
+
 @dataclass(frozen=True, slots=True)
 class RetrySettings:
     """Limits on the retries of all nodes together; None selects the default."""
@@ -168,6 +194,8 @@
     data_centres: tuple[str, ...] | None = None
     #: How strictly keys and quotas of workspaces hold.
     workspaces: WorkspaceSettings = field(default_factory=WorkspaceSettings)
+    #: What the VM allows the process.
+    vm: VmSettings = field(default_factory=VmSettings)
 
     @property
     def quota_rules(self) -> QuotaRules:
--- a/packages/relay/tests/test_settings.py
+++ b/packages/relay/tests/test_settings.py
@@ -26,6 +26,7 @@
     "store": {"address": "10.0.0.9:1"},
     "shutdown": {"grace_s": 5, "drain_s": 2.5},
     "retries": {"ratio": 0.1, "slack": 20, "window_s": 5},
+    "vm": {"memory_mb": 552, "n_descriptors": 8192},
 }
 
 
@@ -40,9 +41,11 @@
     assert settings.retries.ratio_or_default == 0.1
     assert settings.retries.slack_or_default == 20
     assert settings.retries.window_or_default_s == 5
+    assert settings.vm.memory_or_default_bytes == 552_000_000
+    assert settings.vm.n_descriptors_or_default == 8_192
 
 
-@pytest.mark.parametrize("part", ["shutdown", "retries"])
+@pytest.mark.parametrize("part", ["shutdown", "retries", "vm"])
 def test_deployment_may_leave_limits_unset(part):
     unset = {name: None for name in SETTINGS[part]}
     settings = parse({**SETTINGS, part: unset, "seed_addresses": None}).ok_value
@@ -50,6 +53,8 @@
     assert settings.shutdown.drain_or_default_s > 0
     assert settings.retries.ratio_or_default > 0
     assert settings.retries.window_or_default_s > 0
+    assert settings.vm.memory_or_default_bytes > 0
+    assert settings.vm.n_descriptors_or_default > 0
     assert settings.seed_addresses is None
 
 
