Count no more bytes of a head than its caller sent

Callers saw: status 431 for a request of 3,000 header lines 'a:b', whose head has 15 KB under a limit of 16 KB (DENIED). Each line was counted with a space behind its colon, which is optional, so 18 KB were counted.

The check of a head that arrives in parts counts what was received, as before.

--- a/packages/relay/src/knapweedspring_relay/_http_server.py
+++ b/packages/relay/src/knapweedspring_relay/_http_server.py
@@ -25,8 +25,9 @@
 #: Time within which a body must arrive after its head, in seconds; otherwise the
 #: request gets status 408.
 BODY_TIMEOUT_S = 60.0
-#: Bytes of a header line besides name and value: colon, space and line end.
-HEADER_SEPARATOR_BYTES = 4
+#: Least bytes of a header line besides name and value: colon and line end. A space
+#: after the colon is optional, so counting it would refuse heads inside the limit.
+HEADER_SEPARATOR_BYTES = 3
 
 
 class HttpListener:
