Take a status below 100 or above 599 for no answer

Callers saw: nothing until their deadline and then 504, when a server answered with the status 000 or 099; and 600 and 999 as answers.

Cause: the relay skipped each status below 200 as that of an interim answer, and waited for the final one. Nothing limited the status from above, in either engine; http.client, under the node engine, refuses those below 100.

Change: the relay's client of upstreams and the node engine take a number outside 100 to 599 for no answer, so the gate reports the request as lost, and it is tried again or ended with 502 like any other malformed answer. A node of an earlier version passes 600 on; its answer counts as lost, too. '0' and '20' stay 502.

--- a/packages/node/src/knapweedspring_node/_calls/_strict_response.py
+++ b/packages/node/src/knapweedspring_node/_calls/_strict_response.py
@@ -14,6 +14,8 @@
 #: Most bytes of lines between two parts of a body: heads of interim answers and of the
 #: answer, the size line of a chunk, or trailers. Twice what one head may hold.
 MAX_LINE_BYTES = 131_072
+#: Largest status of an answer.
+MAX_STATUS = 599
 
 
 class _StrictReader(io.BufferedReader):
@@ -61,6 +63,8 @@
         """Read the status line of the final answer; the base class skips 100 only."""
         while True:
             version, status, reason = super()._read_status()  # type: ignore[misc]
+            if not http.client.CONTINUE <= status <= MAX_STATUS:
+                raise http.client.BadStatusLine(f"{status} {reason}")
             if status == http.client.SWITCHING_PROTOCOLS:
                 raise http.client.BadStatusLine(f"{status} {reason}")
             if status == http.client.CONTINUE or status >= http.client.OK:
--- a/packages/node/tests/calls/test_strict_response.py
+++ b/packages/node/tests/calls/test_strict_response.py
@@ -80,3 +80,11 @@
     n_chunks = MAX_LINE_BYTES
     body = _read_answer(CHUNKED + b"1\r\nx\r\n" * n_chunks + b"0\r\n\r\n", b"")
     assert body == b"x" * n_chunks
+
+
+@pytest.mark.timeout(20)
+@pytest.mark.parametrize("status", [b"000", b"099", b"0", b"20", b"600", b"999"])
+def test_status_that_is_none_is_no_answer(status):
+    start = b"HTTP/1.1 %b Odd\r\ncontent-length: 0\r\n\r\n" % status
+    with pytest.raises(urllib3.exceptions.HTTPError):
+        _read_answer(start, b"")
--- a/packages/relay/src/knapweedspring_relay/_hop_client.py
+++ b/packages/relay/src/knapweedspring_relay/_hop_client.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from typing import cast
 
+import msgspec
+
 from knapweedspring_relay._addresses import split_address
 from knapweedspring_relay._answer import Answer
 from knapweedspring_relay._clock import now_s
@@ -14,7 +16,7 @@
 )
 from knapweedspring_relay._gate_link import GateLink
 from knapweedspring_relay._gate_result import GateResult
-from knapweedspring_relay._hop import HopCall
+from knapweedspring_relay._hop import HopCall, HopOutcome
 from knapweedspring_relay._hop_frames import (
     AnswerFrame,
     BodyFrame,
@@ -36,6 +38,7 @@
 
 __all__ = ["HopPool", "HopSettings", "RemoteGate"]
 
+from knapweedspring_relay._status_codes import is_final_status
 #: Time after the deadline for which the gate's outcome is still awaited, in seconds.
 OUTCOME_GRACE_S = 0.1
 #: Time without received bytes, while calls are pending, after which a connection is
@@ -271,6 +274,16 @@
         answer.on_read(grant_credit)
         answer.on_abandon(lambda: self._cancel_stream(stream_id))
 
+        if frame.status and not is_final_status(frame.status):
+            # A gate of an earlier version passes it on. The request may have run.
+            self._cancel_stream(frame.stream)
+            report = msgspec.structs.replace(
+                frame.report,
+                outcome=HopOutcome.LOST,
+                reason=f"{frame.status} is no status",
+            )
+            stream.result.set_result(GateResult(report, None))
+            return
     def _handle_end(self, frame: EndFrame) -> None:
         stream = self._streams.pop(frame.stream, None)
         if stream is None or stream.answer is None:
--- a/packages/relay/src/knapweedspring_relay/_http_client.py
+++ b/packages/relay/src/knapweedspring_relay/_http_client.py
@@ -16,6 +16,7 @@
 from knapweedspring_relay._framing_limit import FramingLimit
 from knapweedspring_relay._sockets import set_timeouts
 
+from knapweedspring_relay._status_codes import is_final_status, is_status
 __all__ = ["ConnectionPool", "ConnectionSettings"]
 
 #: Bodies of answers up to this size, in bytes, are buffered whole before they are
@@ -199,7 +200,9 @@
         if self._skipping:
             return
         status = self._parser.get_status_code()
-        if status < 200:
+        if not is_status(status):
+            raise BadAnswer(f"{status} is no status")
+        if not is_final_status(status):
             return
         if self._head.is_merged:
             raise BadAnswer("the head holds the beginning of another answer")
--- a/packages/relay/tests/test_hop.py
+++ b/packages/relay/tests/test_hop.py
@@ -420,3 +420,20 @@
             writer.close()
 
     run(scenario)
+
+
+# Guards against a status that is none, which a gate of an earlier version passes on.
+@pytest.mark.parametrize("status", [99, 600, 999])
+def test_answer_of_a_gate_with_a_status_that_is_none_is_lost(status):
+    async def script(call, request):
+        answer = Answer(status, [], asyncio.get_running_loop())
+        answer.complete()
+        return GateResult(make_report(), answer)
+
+    async def scenario():
+        async with hop(script) as (pool, address, _, _, _):
+            gate_result = await pool.call(address, make_call(), make_request())
+            assert gate_result.report.outcome is HopOutcome.LOST
+            assert gate_result.answer is None
+
+    run(scenario)
