Leave upstreams' slots to others when answers are read slowly

Callers saw: 503 only, while 300 connections read four answers of 8 MB each slowly, and after these had gone, too: 'no slot became free in time', then 'too little time is left'.

Cause: the time for which a gate did not receive an answer, since its reader was behind, counted as the upstream's service time. An average of 8 s or more refused each call with a shorter deadline, and with nobody admitted no call could correct it. Nothing took a slot from an answer that is not read.

Change: an answer counts how long its reader keeps the upstream waiting; that is no service time. An average that no call has changed for 5 s is not used.

--- a/packages/relay/src/knapweedspring_relay/_admission.py
+++ b/packages/relay/src/knapweedspring_relay/_admission.py
@@ -21,6 +21,9 @@
 COLD_SLOTS_SHARE = 0.5
 #: Smoothing factor of the moving averages of service times.
 SERVICE_TIME_SMOOTHING = 0.1
+#: Time after which an average that no call has changed is not used, in seconds. While
+#: it refuses all calls, no call could correct it.
+SERVICE_TIME_LIFETIME_S = 5.0
 #: Time that must be left until a call's deadline, as share of the average service time
 #: of its route. A call with less time left is refused.
 MIN_SERVICE_TIME_LEFT_SHARE = 0.7
@@ -82,6 +85,35 @@
         self._on_decided()
 
 
+class MovingAverage:
+    """Moving average of service times, which expires when none is added."""
+
+    def __init__(self) -> None:
+        self._mean_s = 0.0
+        self._added_at = -SERVICE_TIME_LIFETIME_S
+
+    def value(self, now: float) -> float:
+        """Return the average in seconds; 0 when no time was added lately.
+
+        :param now: monotonic time, in seconds.
+        """
+        if now - self._added_at > SERVICE_TIME_LIFETIME_S:
+            return 0.0
+        return self._mean_s
+
+    def add(self, service_s: float, now: float) -> None:
+        """Add a service time.
+
+        :param service_s: the time, in seconds.
+        :param now: monotonic time, in seconds.
+        """
+        mean_s = self.value(now)
+        if mean_s == 0.0:
+            mean_s = service_s
+        self._mean_s = mean_s + SERVICE_TIME_SMOOTHING * (service_s - mean_s)
+        self._added_at = now
+
+
 class AdmissionQueue:
     """Limits running calls to the upstream's usable slots and queues the others.
 
@@ -99,8 +131,8 @@
         self._n_running = 0
         self._waiting: list[QueuedCall] = []
         self._n_arrived = 0
-        self._service_s: dict[str, float] = {}
-        self._mean_service_s = 0.0
+        self._service_times: dict[str, MovingAverage] = {}
+        self._mean_service_time = MovingAverage()
         self._pacer = CallPacer()
 
     @property
@@ -113,6 +145,11 @@
         """Number of queued calls."""
         return len(self._waiting)
 
+    @property
+    def needs_slot(self) -> bool:
+        """Whether a queued call waits for a slot."""
+        return bool(self._waiting) and self._n_running >= self.limit
+
     @property
     def limit(self) -> int:
         """Number of calls that may run at the same time, at least 1."""
@@ -150,15 +187,18 @@
             limit = max(1, int(limit * COLD_SLOTS_SHARE))
         if rate_per_s is None:
             return limit
-        return max(1, min(limit, math.ceil(rate_per_s * self._mean_service_s)))
+        mean_s = self._mean_service_time.value(now)
+        return max(1, min(limit, math.ceil(rate_per_s * mean_s)))
 
-    def mean_service_s(self, route: str) -> float:
+    def mean_service_s(self, route: str, now: float) -> float:
         """Return the average service time of a route.
 
         :param route: name of the route.
-        :return: the time in seconds; 0 when no call of the route has been served.
+        :param now: monotonic time, in seconds.
+        :return: the time in seconds; 0 when no call of the route was served lately.
         """
-        return self._service_s.get(route, 0.0)
+        average = self._service_times.get(route)
+        return 0.0 if average is None else average.value(now)
 
     def offer_call(self, queued: QueuedCall, now: float) -> None:
         """Admit, queue or refuse a call, and set its state accordingly.
@@ -182,7 +222,13 @@
         else:
             bisect.insort(self._waiting, queued, key=_order_key_of)
 
-    def finish_call(self, queued: QueuedCall, now: float, was_served: bool) -> None:
+    def finish_call(
+        self,
+        queued: QueuedCall,
+        now: float,
+        was_served: bool,
+        reader_wait_s: float = 0.0,
+    ) -> None:
         """Free the slot of a running call and admit queued calls.
 
         Does nothing for a call that is not running.
@@ -190,15 +236,16 @@
         :param queued: the call.
         :param now: monotonic time, in seconds.
         :param was_served: whether its service time counts for the route's average.
+        :param reader_wait_s: time for which the upstream waited until its answer was
+            read, which is no service time, in seconds.
         """
         if queued.state is not AdmissionState.RUNNING:
             return
         queued.state = AdmissionState.ENDED
         self._n_running -= 1
         if was_served:
-            self._update_service_time(
-                queued.admission_request.route, now - queued.started_at
-            )
+            service_s = max(0.0, now - queued.started_at - reader_wait_s)
+            self._update_service_time(queued.admission_request.route, service_s, now)
         self.admit_waiting_calls(now)
 
     def cancel_call(self, queued: QueuedCall) -> None:
@@ -245,7 +292,7 @@
         :param reason: reason of the refusals.
         """
         for queued in tuple(self._waiting):
-            service_s = self.mean_service_s(queued.admission_request.route)
+            service_s = self.mean_service_s(queued.admission_request.route, now)
             if now + self._expected_wait_s(queued, now) + service_s > ends_at:
                 self.refuse_call(queued, reason)
 
@@ -284,7 +331,7 @@
         :param now: monotonic time, in seconds.
         """
         request = queued.admission_request
-        needed_s = MIN_SERVICE_TIME_LEFT_SHARE * self.mean_service_s(request.route)
+        needed_s = MIN_SERVICE_TIME_LEFT_SHARE * self.mean_service_s(request.route, now)
         left_s = max(0.0, request.deadline_at - needed_s - now)
         return min(request.max_wait_s, left_s)
 
@@ -325,7 +372,7 @@
         )
 
     def _would_miss_deadline(self, request: AdmissionRequest, now: float) -> bool:
-        needed_s = MIN_SERVICE_TIME_LEFT_SHARE * self.mean_service_s(request.route)
+        needed_s = MIN_SERVICE_TIME_LEFT_SHARE * self.mean_service_s(request.route, now)
         return request.deadline_at - now <= needed_s
 
     def _expected_wait_s(self, queued: QueuedCall, now: float) -> float:
@@ -334,23 +381,18 @@
         It is estimated from the number of calls ahead in the queue.
         """
         n_ahead = bisect.bisect_left(self._waiting, queued.order_key, key=_order_key_of)
-        slot_wait_s = (n_ahead + 1) * self._mean_service_s / self.limit
+        mean_s = self._mean_service_time.value(now)
+        slot_wait_s = (n_ahead + 1) * mean_s / self.limit
         return max(slot_wait_s, self._pacer.delay_s(now, n_ahead))
 
-    def _update_service_time(self, route: str, service_s: float) -> None:
-        mean_s = self._service_s.get(route)
-        if mean_s is None:
-            if len(self._service_s) >= MAX_ROUTES:
-                self._service_s.clear()
-            self._service_s[route] = service_s
-        else:
-            self._service_s[route] = mean_s + SERVICE_TIME_SMOOTHING * (
-                service_s - mean_s
-            )
-        if self._mean_service_s == 0.0:
-            self._mean_service_s = service_s
-        difference_s = service_s - self._mean_service_s
-        self._mean_service_s += SERVICE_TIME_SMOOTHING * difference_s
+    def _update_service_time(self, route: str, service_s: float, now: float) -> None:
+        average = self._service_times.get(route)
+        if average is None:
+            if len(self._service_times) >= MAX_ROUTES:
+                self._service_times.clear()
+            self._service_times[route] = average = MovingAverage()
+        average.add(service_s, now)
+        self._mean_service_time.add(service_s, now)
 
 
 def _order_key_of(queued: QueuedCall) -> int:
--- a/packages/relay/src/knapweedspring_relay/_answer.py
+++ b/packages/relay/src/knapweedspring_relay/_answer.py
@@ -51,6 +51,10 @@
         self._waiter: asyncio.Future[None] | None = None
         self._on_read: Callable[[int], None] = lambda _: None
         self._on_abandon: Callable[[], None] = lambda: None
+        self._reader_wait_s = 0.0
+        #: Time since which the rest of the body waits for its reader; None when it
+        #: does not wait.
+        self._reader_awaited_at: float | None = None
         self._on_end: Callable[[], None] = lambda: None
         self._loop = loop
 
@@ -109,6 +113,31 @@
 
         :param name: name in lower case.
         """
+    def begin_reader_wait(self, now: float) -> None:
+        """Record that the rest of the body is not received until some of it is read.
+
+        :param now: current time on the monotonic clock, in seconds.
+        """
+        if self._reader_awaited_at is None:
+            self._reader_awaited_at = now
+
+    def end_reader_wait(self, now: float) -> None:
+        """Record that the body is received again.
+
+        :param now: current time on the monotonic clock, in seconds.
+        """
+        self._reader_wait_s = self.reader_wait_s(now)
+        self._reader_awaited_at = None
+
+    def reader_wait_s(self, now: float) -> float:
+        """Return for how long the upstream has waited until the body was read.
+
+        :param now: current time on the monotonic clock, in seconds.
+        """
+        if self._reader_awaited_at is None:
+            return self._reader_wait_s
+        return self._reader_wait_s + now - self._reader_awaited_at
+
         return self._by_name.get(name)
 
     def complete_body(self) -> bytes:
--- a/packages/relay/src/knapweedspring_relay/_gate.py
+++ b/packages/relay/src/knapweedspring_relay/_gate.py
@@ -8,7 +8,7 @@
 
 from knapweedspring_core import Counters
 from knapweedspring_relay._admission import AdmissionQueue, AdmissionState, QueuedCall
-from knapweedspring_relay._admission_request import AdmissionRequest
+from knapweedspring_relay._admission_request import admission_request_of
 from knapweedspring_relay._admission_waiter import AdmissionWaiter
 from knapweedspring_relay._answer import Answer
 from knapweedspring_relay._clock import now_s
@@ -30,6 +30,7 @@
 from knapweedspring_relay._logs import DecisionLog
 from knapweedspring_relay._requests import ForwardedRequest
 from knapweedspring_relay._suspect_runs import SuspectRuns
+from knapweedspring_relay._unread_answers import UnreadAnswers
 from knapweedspring_relay._upstream_caller import UpstreamCaller
 from knapweedspring_relay._upstream_notices import UpstreamNotices
 
@@ -38,9 +39,6 @@
 #: A call is admitted only if more than this time is left until its deadline, in
 #: seconds.
 MIN_LEFT_S = 0.005
-#: Number of priorities that are distinguished among routes, and among the roots of
-#: calls of the same route priority. Priorities beyond it count as the lowest of these.
-N_PRIORITIES = 8
 #: Smoothing factor of the moving failure ratio of calls through this node's entry.
 #: After each call, the ratio moves by this share of its distance to the call's outcome
 #: (1 for a failure, else 0), so a larger factor makes the ratio follow changes faster.
@@ -109,6 +107,7 @@
         self._origins: dict[str, ChainOrigin] = {}
         #: Queued calls by the identity of their descriptions.
         self._waiting_calls: dict[int, QueuedCall] = {}
+        self._unread = UnreadAnswers(self._queue, headers.request_id, log, counters)
 
     @property
     def queue(self) -> AdmissionQueue:
@@ -172,6 +171,7 @@
         upstream = self._tracker.current
         if upstream is not None and self._is_drain_wait_over(upstream, now):
             self._queue.refuse_waiting("the upstream is draining")
+        self._unread.free_slots(now)
 
     def count_entry_call(self, failed: bool) -> None:
         """Record the outcome of a call through the entry on this VM.
@@ -209,6 +209,8 @@
         self._queue.offer_call(waiter.queued, now)
         if waiter.queued.state is AdmissionState.WAITING:
             self._schedule_next_start(now)
+            self._unread.free_slots(now)
+        if waiter.queued.state is AdmissionState.WAITING:
             await self._wait_for_admission(call, waiter, now)
         waited_s = now_s() - now
         if waiter.queued.state is not AdmissionState.RUNNING:
@@ -315,15 +317,8 @@
         return ""
 
     def _new_waiter(self, call: HopCall, now: float) -> AdmissionWaiter:
-        max_wait_s = self._policy.max_wait_share * call.left_s
-        priority = min(call.priority, N_PRIORITIES - 1)
-        root_priority = min(call.root_priority, N_PRIORITIES - 1)
-        route_rank = priority * N_PRIORITIES + root_priority
-        combined_priority = call.workspace_priority * N_PRIORITIES**2 + route_rank
-        request = AdmissionRequest(
-            combined_priority, call.route, now + call.left_s, max_wait_s
-        )
-        return AdmissionWaiter(request)
+        max_wait_share = self._policy.max_wait_share
+        return AdmissionWaiter(admission_request_of(call, now, max_wait_share))
 
     async def _wait_for_admission(
         self, call: HopCall, waiter: AdmissionWaiter, now: float
@@ -381,6 +376,7 @@
             elif answer.has_ended:
                 self._finish_answered_call(call, queued, upstream, answer)
             else:
+                self._unread.add(answer)
                 answer.on_end(
                     lambda: self._finish_answered_call(call, queued, upstream, answer)
                 )
@@ -393,15 +389,19 @@
         answer: Answer,
     ) -> None:
         """Finish a call once its whole answer has arrived or the rest has failed."""
+        self._unread.remove(answer)
         if answer.is_broken_off:
             self._crash_detector.record_broken(upstream, call.fingerprint)
         elif answer.is_complete and answer.status < 300:
             self._crashes.record_success(call.fingerprint)
-        self._free_slot(queued, was_served=answer.status < 500)
+        was_served = answer.status < 500
+        self._free_slot(queued, was_served, answer.reader_wait_s(now_s()))
 
-    def _free_slot(self, queued: QueuedCall, was_served: bool = False) -> None:
+    def _free_slot(
+        self, queued: QueuedCall, was_served: bool = False, reader_wait_s: float = 0.0
+    ) -> None:
         now = now_s()
-        self._queue.finish_call(queued, now, was_served)
+        self._queue.finish_call(queued, now, was_served, reader_wait_s)
         self._schedule_next_start(now)
 
     def _report_answer(
--- a/packages/relay/src/knapweedspring_relay/_http_client.py
+++ b/packages/relay/src/knapweedspring_relay/_http_client.py
@@ -14,6 +14,7 @@
 from knapweedspring_relay._connection_use import ConnectionUse
 from knapweedspring_relay._errors import BadAnswer, ConnectFailed, ConnectionBroke
 from knapweedspring_relay._framing_limit import FramingLimit
+from knapweedspring_relay._keep_alive import idle_timeout_s
 from knapweedspring_relay._sockets import set_timeouts
 
 from knapweedspring_relay._status_codes import is_final_status, is_status
@@ -217,7 +218,10 @@
         answer.set_use(ConnectionUse(self._number, self._n_calls))
         answer.on_read(self._resume_reading)
         answer.on_abandon(self.abort_connection)
-        self._apply_keep_alive(answer)
+        stated_s = idle_timeout_s(answer.header(b"keep-alive"))
+        if stated_s is not None:
+            advertised_s = stated_s - IDLE_MARGIN_S
+            self._idle_s = min(self._pool.settings.idle_s, advertised_s)
         if not self._parser.should_keep_alive() or not self._matcher.allows_reuse:
             self._must_close = True
         if self._is_head_request:
@@ -310,21 +314,13 @@
         self._pool.remove_idle(self)
         self.abort_connection()
 
-    def _apply_keep_alive(self, answer: Answer) -> None:
-        value = answer.header(b"keep-alive")
-        if value is None:
-            return
-        for part in value.split(b","):
-            key, _, number = part.strip().partition(b"=")
-            if key.lower() == b"timeout" and number.isdigit():
-                advertised_s = float(number) - IDLE_MARGIN_S
-                self._idle_s = min(self._pool.settings.idle_s, advertised_s)
-
     def _pause_reading(self) -> None:
         if not self._reading_paused and self.is_open:
             assert self._transport is not None
             self._reading_paused = True
             self._transport.pause_reading()
+            if self._answer is not None:
+                self._answer.begin_reader_wait(now_s())
 
     def _resume_reading(self, n_read_bytes: int) -> None:
         answer = self._answer
@@ -334,6 +330,8 @@
             assert self._transport is not None
             self._reading_paused = False
             self._transport.resume_reading()
+            if answer is not None:
+                answer.end_reader_wait(now_s())
 
 
 class ConnectionPool:
--- a/packages/relay/tests/test_admission.py
+++ b/packages/relay/tests/test_admission.py
@@ -149,7 +149,7 @@
     queued = make_queued_call()
     queue.offer_call(queued, 0.0)
     queue.finish_call(queued, 30.0, was_served=False)
-    assert queue.mean_service_s("r") == 0.0
+    assert queue.mean_service_s("r", 30.0) == 0.0
     assert queue.n_running == 0
 
 
@@ -262,3 +262,42 @@
     assert queue.sustained_limit(0.2) == 95
     queue.set_rate_limit(0.0, 0.2)
     assert queue.sustained_limit(0.2) == 1
+
+
+def serve(queue, began_at, ended_at, reader_wait_s=0.0, route="r"):
+    queued = make_queued_call(route=route, deadline_at=began_at + 100.0)
+    queue.offer_call(queued, began_at)
+    queue.finish_call(queued, ended_at, True, reader_wait_s)
+
+
+def test_time_of_a_slow_reader_is_no_service_time():
+    """Answers read slowly by a crowd: the upstream works as fast as before."""
+    queue = make_queue()
+    serve(queue, 0.0, 10.0, reader_wait_s=9.9)
+    assert queue.mean_service_s("r", 10.0) == pytest.approx(0.1)
+
+
+def test_service_time_that_refuses_all_calls_expires():
+    """An average that no admitted call can correct must not refuse calls for ever."""
+    queue = make_queue()
+    serve(queue, 0.0, 30.0)
+    refused = make_queued_call(deadline_at=36.0)
+    queue.offer_call(refused, 31.0)
+    assert refused.state is AdmissionState.REFUSED
+    queue.expire_overdue(36.0)
+    admitted = make_queued_call(deadline_at=41.0)
+    queue.offer_call(admitted, 36.0)
+    assert admitted.state is AdmissionState.RUNNING
+    queue.finish_call(admitted, 36.1, was_served=True)
+    # The old average has no part in the new one.
+    assert queue.mean_service_s("r", 36.1) == pytest.approx(0.1)
+
+
+def test_queue_needs_a_slot_only_while_calls_wait_for_one():
+    queue = make_queue(slots=2)
+    running = fill(queue)
+    assert not queue.needs_slot
+    queue.offer_call(make_queued_call(), 0.0)
+    assert queue.needs_slot
+    queue.finish_call(running[0], 0.1, was_served=True)
+    assert not queue.needs_slot
