Hold what peers send within a budget of the process

Callers saw: nothing any more, when the VM killed the process for its memory. Heads of 4-byte lines took 0.36 to 0.45 MB of the entry's memory each, whole or unended; nothing counted them, nor requests that wait, nor unread answers, nor connections. Bodies had 32 MiB a listener, whatever the VM and the copies made of them.

Change: MemoryBudget counts all that peers make the process hold, at its cost in memory: parsed heads, bodies, requests that wait or are answered, answers that are passed on or unread, frames and calls of other nodes, and connections, for all listeners together. Its limits come from the VM's memory and descriptors. When it is short, the holder with most bytes times seconds is ended, not the next caller: a request that arrives gets 503, one that waits at a gate is refused as not run, a connection that is answered or unread is aborted, which promises nothing. Connections of other nodes are kept. The decision is logged (peer:ended) and counted.

What took more than it counted is gone, too: copies of long bodies in messages, frames and fingerprints; heads of rejected requests; requests that a cancelled task's error, or an account, kept in a cycle until the garbage collector ran; answers that broke off while their reader was waited for; heaps that long buffers had fragmented (mallopt). Limits are checked once for all chunks of one read. Pages take bodies of 1 MiB.

Tests that named the limit of 32 MiB a listener set a budget or a limit of as many bytes.

--- a/packages/relay/src/knapweedspring_relay/_answer.py
+++ b/packages/relay/src/knapweedspring_relay/_answer.py
@@ -15,6 +15,10 @@
 _NO_NAMES: frozenset[bytes] = frozenset()
 
 
+def _do_nothing() -> None:
+    """Stand for a callback that is not set."""
+
+
 class Answer:
     """An answer whose head has arrived; its body may still be arriving.
 
@@ -47,15 +51,16 @@
         self._complete = False
         self._is_abandoned = False
         self._use: ConnectionUse | None = None
-        self._error: Exception | None = None
-        self._waiter: asyncio.Future[None] | None = None
-        self._on_read: Callable[[int], None] = lambda _: None
-        self._on_abandon: Callable[[], None] = lambda: None
         self._reader_wait_s = 0.0
         #: Time since which the rest of the body waits for its reader; None when it
         #: does not wait.
         self._reader_awaited_at: float | None = None
-        self._on_end: Callable[[], None] = lambda: None
+        self._error: Exception | None = None
+        self._waiter: asyncio.Future[None] | None = None
+        self._on_read: Callable[[int], None] = lambda _: None
+        self._on_abandon: Callable[[], None] = _do_nothing
+        self._on_end: Callable[[], None] = _do_nothing
+        self._on_broken: Callable[[], None] = _do_nothing
         self._loop = loop
 
     @property
@@ -108,11 +113,6 @@
         """Set the use of the connection that receives the answer."""
         self._use = use
 
-    def header(self, name: bytes) -> bytes | None:
-        """Return the value of a header; None when it is absent.
-
-        :param name: name in lower case.
-        """
     def begin_reader_wait(self, now: float) -> None:
         """Record that the rest of the body is not received until some of it is read.
 
@@ -138,6 +138,11 @@
             return self._reader_wait_s
         return self._reader_wait_s + now - self._reader_awaited_at
 
+    def header(self, name: bytes) -> bytes | None:
+        """Return the value of a header; None when it is absent.
+
+        :param name: name in lower case.
+        """
         return self._by_name.get(name)
 
     def complete_body(self) -> bytes:
@@ -191,6 +196,13 @@
         """Set the function that is called when the body is complete or failed."""
         self._on_end = callback
 
+    def on_broken(self, callback: Callable[[], None]) -> None:
+        """Set the function that is called when the body fails or is abandoned.
+
+        Whoever passes the body on may be waiting for its receiver meanwhile.
+        """
+        self._on_broken = callback
+
     def abandon(self) -> None:
         """Discard the rest of an incomplete body and stop receiving it."""
         if not self._complete:
@@ -210,14 +222,24 @@
         """Mark the body as complete."""
         self._complete = True
         self._wake()
-        self._on_end()
+        self._end()
 
     def fail(self, error: Exception) -> None:
         """Mark an incomplete body as failed; reads raise the error."""
         if not self._complete and self._error is None:
             self._error = error
             self._wake()
-            self._on_end()
+            self._end()
+
+    def _end(self) -> None:
+        # Dropped, since a callback that refers to the answer would keep its memory
+        # until the garbage collector runs.
+        on_end, self._on_end = self._on_end, _do_nothing
+        on_broken, self._on_broken = self._on_broken, _do_nothing
+        self._on_abandon = _do_nothing
+        on_end()
+        if not self._complete:
+            on_broken()
 
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
--- a/packages/relay/src/knapweedspring_relay/_event_reporter.py
+++ b/packages/relay/src/knapweedspring_relay/_event_reporter.py
@@ -3,9 +3,11 @@
 import traceback
 
 from knapweedspring_core import Counters
+from knapweedspring_relay._clock import now_s
 from knapweedspring_relay._crash_records import CrashRecord
 from knapweedspring_relay._hop import HopCall
 from knapweedspring_relay._logs import DecisionLog
+from knapweedspring_relay._memory_budget import MemoryAccount
 from knapweedspring_relay._requests import Request
 
 __all__ = ["EventReporter"]
@@ -49,6 +51,47 @@
             traceback="".join(traceback.format_exception(error, limit=-6)),
         )
 
+    def report_ended_connection(
+        self, request: Request | None, phase: str, account: MemoryAccount
+    ) -> None:
+        """Report a connection that was ended since memory or descriptors are short.
+
+        :param request: the request that was being answered, if any.
+        :param phase: what the connection was doing.
+        :param account: account of the connection.
+        """
+        request_id = b"" if request is None else request.header(self._request_id_header)
+        self._report_ended(request_id or b"", phase, account)
+
+    def report_ended_call(
+        self, call: HopCall, phase: str, account: MemoryAccount
+    ) -> None:
+        """Report a call of another node that was ended since memory is short.
+
+        :param call: the call.
+        :param phase: what the node was doing with it.
+        :param account: account of the call.
+        """
+        self._report_ended(call.request_id.encode("latin-1"), phase, account)
+
+    def _report_ended(
+        self, request_id: bytes, phase: str, account: MemoryAccount
+    ) -> None:
+        self._counters.add("peers_ended", phase)
+        if not self._log.admits_call_line(True):
+            return
+        budget = account.budget
+        self._log.write_call(
+            True,
+            "peer:ended",
+            request_id=request_id.decode("latin-1"),
+            phase=phase,
+            n_bytes=account.n_bytes,
+            held_s=round(now_s() - account.since, 2),
+            n_peer_bytes=budget.n_bytes,
+            n_peer_connections=budget.n_connections,
+        )
+
     def report_timer_error(self, error: BaseException) -> None:
         """Report that the callback of a timer raised an error."""
         self._counters.add("timer_failures")
--- a/packages/relay/src/knapweedspring_relay/_exchange.py
+++ b/packages/relay/src/knapweedspring_relay/_exchange.py
@@ -13,6 +13,9 @@
 
 __all__ = ["AnswerConnection", "Exchange", "RequestHandler"]
 
+#: Limits on the requests of pages, such as readiness, metrics and heartbeats.
+PAGE_LIMITS = CallLimits(body_bytes=1_048_576)
+
 
 class AnswerConnection(ABC):
     """Connection of a caller to which answers are written."""
@@ -26,6 +29,13 @@
     def write(self, data: bytes) -> None:
         """Write bytes unless the connection is closed."""
 
+    @abstractmethod
+    def hold_stream(self) -> None:
+        """Hold memory for an answer that is passed on while it arrives.
+
+        The connection is aborted when memory is short.
+        """
+
     @abstractmethod
     async def wait_writable(self) -> None:
         """Wait until the write buffer has room or the connection closes."""
@@ -38,6 +48,10 @@
     def abort(self) -> None:
         """Abort the connection."""
 
+    @abstractmethod
+    def abort_if_unread(self) -> None:
+        """Abort the connection if the caller does not read what was written."""
+
 
 class Exchange:
     """One request and the means to send its answer.
@@ -113,6 +127,7 @@
         """
         self._head_sent = True
         self._chunked = length is None
+        self._connection.hold_stream()
         head = encode_answer_head(status, lines, length, self._keep_alive())
         self._connection.write(head)
 
@@ -136,6 +151,10 @@
         """Abort the connection, so that the answer does not look complete."""
         self._connection.abort()
 
+    def abort_if_unread(self) -> None:
+        """Abort the connection if the caller keeps the answer from being sent."""
+        self._connection.abort_if_unread()
+
     def _keep_alive(self) -> bool:
         return self._request.keep_alive and not self._connection.closes_after_answer
 
@@ -153,5 +172,5 @@
 
     @property
     def limits(self) -> CallLimits:
-        """Limits on the requests of callers."""
-        return CallLimits()
+        """Limits on requests; the default is for pages, which take short bodies."""
+        return PAGE_LIMITS
--- a/packages/relay/src/knapweedspring_relay/_frame_reader.py
+++ b/packages/relay/src/knapweedspring_relay/_frame_reader.py
@@ -6,16 +6,17 @@
 import msgspec
 
 from knapweedspring_relay._hop_frames import LENGTH_PREFIX_BYTES, Frame, FrameError
-from knapweedspring_relay._requests import MAX_BODIES_BYTES
 
 __all__ = ["MAX_FRAME_BYTES", "FrameBudget", "FrameReader"]
 
-#: Longest frame in bytes: room for the 32 MiB of bodies that a node holds in memory at
-#: most, and for a head. A longer frame ends the connection.
+#: Longest frame in bytes: room for a body of 32 MiB, and for a head. A longer frame
+#: ends the connection.
 MAX_FRAME_BYTES = 36 * 1_048_576
-#: Length of a frame, in bytes, from which memory is reserved for it while it arrives.
-#: Shorter ones arrive in a few reads of the socket.
-RESERVED_FRAME_BYTES = 65_536
+#: Length of a frame, in bytes, from which memory is held for it while it arrives. The
+#: memory of the connection covers shorter ones.
+HELD_FRAME_BYTES = 4_096
+#: Length of a frame, in bytes, from which it is decoded in place.
+UNCOPIED_FRAME_BYTES = 65_536
 #: Bytes at the start of a frame that hold the id of its stream.
 STREAM_ID_BYTES = 16
 #: First bytes of a call's frame: an array of four, and the tag of calls.
@@ -28,22 +29,19 @@
 
 
 class FrameBudget(ABC):
-    """Memory for long frames that are still arriving."""
+    """Memory for the frame that is still arriving on a connection."""
 
     @abstractmethod
-    def reserve_bytes(self, n_bytes: int) -> bool:
-        """Reserve memory.
+    def hold_frame(self, n_bytes: int) -> bool:
+        """Hold further bytes of the frame.
 
-        :param n_bytes: bytes to reserve.
-        :return: whether they are reserved.
+        :param n_bytes: bytes to hold.
+        :return: whether they are held.
         """
 
     @abstractmethod
-    def release_bytes(self, n_bytes: int) -> None:
-        """Release memory that was reserved.
-
-        :param n_bytes: bytes to release.
-        """
+    def release_frame(self) -> None:
+        """Release all bytes of the frame."""
 
     @abstractmethod
     def refuse_call(self, stream: int) -> None:
@@ -65,7 +63,7 @@
         #: Length of the pending frame with its prefix; length of the prefix until the
         #: frame's length is known.
         self._n_needed_bytes = LENGTH_PREFIX_BYTES
-        self._n_reserved_bytes = 0
+        self._is_held = False
         #: Bytes that are still to be discarded of a frame without memory.
         self._n_discarded_bytes = 0
 
@@ -79,6 +77,14 @@
         self._pending = bytearray()
         self._release()
 
+    def discard_frame(self) -> None:
+        """Discard the frame that arrives, with what is still to come of it.
+
+        :raises FrameError: when the frame is not that of a call.
+        """
+        if self._is_held:
+            self._discard(self._pending, len(self._pending))
+
     def feed(self, data: bytes) -> Iterator[Frame]:
         """Add received bytes and yield the frames that are complete.
 
@@ -91,8 +97,13 @@
             data = data[n_discarded:]
         received: bytes | bytearray = data
         if self._pending:
+            n_bytes = len(self._pending) + len(data)
+            is_partial = n_bytes < self._n_needed_bytes
+            if is_partial and self._is_held and not self._hold(len(data)):
+                self._discard(self._pending, n_bytes)
+                return
             self._pending += data
-            if len(self._pending) < self._n_needed_bytes:
+            if is_partial:
                 # Copying the pending bytes for each piece would take quadratic time.
                 return
             received, self._pending = self._pending, bytearray()
@@ -105,34 +116,42 @@
             if length > MAX_FRAME_BYTES:
                 raise FrameError(f"frame of {length} bytes exceeds the maximum")
             if body_at + length > n_bytes:
-                if n_bytes - body_at >= STREAM_ID_BYTES and not self._reserve(length):
-                    start = bytes(received[body_at : body_at + STREAM_ID_BYTES])
-                    self._n_discarded_bytes = body_at + length - n_bytes
-                    self._refuse_call(start)
-                    return
                 self._n_needed_bytes = LENGTH_PREFIX_BYTES + length
                 if n_bytes - body_at < STREAM_ID_BYTES and length > STREAM_ID_BYTES:
-                    # Memory is reserved once the id of the stream is known.
+                    # Memory is held once the id of the stream is known.
                     self._n_needed_bytes = LENGTH_PREFIX_BYTES + STREAM_ID_BYTES
+                elif length >= HELD_FRAME_BYTES and not self._hold(n_bytes - begin):
+                    self._discard(
+                        received[begin : body_at + STREAM_ID_BYTES], n_bytes - begin
+                    )
+                    return
                 break
             begin = body_at + length
             # A long frame is decoded in place, since each copy takes as much memory.
-            if length < RESERVED_FRAME_BYTES:
+            if length < UNCOPIED_FRAME_BYTES:
                 yield _decode_frame(received[body_at:begin])
             else:
                 yield _decode_frame(memoryview(received)[body_at:begin])
         if begin < n_bytes:
             self._pending += received[begin:]
 
-    def _reserve(self, n_bytes: int) -> bool:
-        if self._budget is None or n_bytes < RESERVED_FRAME_BYTES:
+    def _hold(self, n_bytes: int) -> bool:
+        if self._budget is None:
             return True
-        # The limit on bodies does not count the head of a call.
-        n_reserved_bytes = min(n_bytes, MAX_BODIES_BYTES)
-        if not self._budget.reserve_bytes(n_reserved_bytes):
-            return False
-        self._n_reserved_bytes = n_reserved_bytes
-        return True
+        self._is_held = True
+        return self._budget.hold_frame(n_bytes)
+
+    def _discard(self, received: bytes | bytearray, n_received: int) -> None:
+        """Discard the frame that arrives and refuse its call.
+
+        :param received: beginning of the frame.
+        :param n_received: bytes of the frame that were received.
+        """
+        start = received[LENGTH_PREFIX_BYTES : LENGTH_PREFIX_BYTES + STREAM_ID_BYTES]
+        self._n_discarded_bytes = self._n_needed_bytes - n_received
+        self._n_needed_bytes = LENGTH_PREFIX_BYTES
+        self.close()
+        self._refuse_call(bytes(start))
 
     def _refuse_call(self, start: bytes) -> None:
         """Refuse a call whose frame has only begun.
@@ -150,9 +169,9 @@
             self._budget.refuse_call(stream)
 
     def _release(self) -> None:
-        if self._budget is not None and self._n_reserved_bytes:
-            self._budget.release_bytes(self._n_reserved_bytes)
-            self._n_reserved_bytes = 0
+        if self._budget is not None and self._is_held:
+            self._is_held = False
+            self._budget.release_frame()
 
 
 def _decode_frame(content: bytes | bytearray | memoryview) -> Frame:
--- a/packages/relay/src/knapweedspring_relay/_hop_client.py
+++ b/packages/relay/src/knapweedspring_relay/_hop_client.py
@@ -10,10 +10,7 @@
 from knapweedspring_relay._answer import Answer
 from knapweedspring_relay._clock import now_s
 from knapweedspring_relay._errors import ConnectFailed, ConnectionBroke
-from knapweedspring_relay._frame_reader import (
-    MAX_FRAME_BYTES,
-    FrameReader,
-)
+from knapweedspring_relay._frame_reader import FrameReader
 from knapweedspring_relay._gate_link import GateLink
 from knapweedspring_relay._gate_result import GateResult
 from knapweedspring_relay._hop import HopCall, HopOutcome
@@ -29,16 +26,17 @@
     GoAwayFrame,
     PingFrame,
     PongFrame,
+    encode_call_frame,
     encode_frame,
 )
 from knapweedspring_relay._knowledge import GateEntry
 from knapweedspring_relay._requests import ForwardedRequest
 from knapweedspring_relay._sockets import set_timeouts
+from knapweedspring_relay._status_codes import is_final_status
 from knapweedspring_relay._withdrawal import Withdrawal
 
 __all__ = ["HopPool", "HopSettings", "RemoteGate"]
 
-from knapweedspring_relay._status_codes import is_final_status
 #: Time after the deadline for which the gate's outcome is still awaited, in seconds.
 OUTCOME_GRACE_S = 0.1
 #: Time without received bytes, while calls are pending, after which a connection is
@@ -51,6 +49,8 @@
 #: Unsent bytes above which new calls use another connection, so that a long body does
 #: not delay them.
 MAX_UNSENT_BYTES = 65_536
+#: Unsent bytes of all connections above which no long body is sent behind them.
+MAX_ALL_UNSENT_BYTES = 16 * 1_048_576
 #: Number of bytes of a streamed body after whose reading the gate gets credit to send
 #: as many more.
 CREDIT_STEP_BYTES = 32_768
@@ -156,9 +156,10 @@
             # An idle connection receives nothing; measure from its first pending call.
             self._received_at = now_s()
         self._streams[stream_id] = _Stream(result)
-        self._send_frame(CallFrame(stream_id, call, request))
         timer = self._loop.call_later(timeout_s, _fail_with_timeout, result)
         try:
+            for part in encode_call_frame(CallFrame(stream_id, call, request)):
+                self._write(part)
             return await result
         except BaseException:
             self._cancel_stream(stream_id)
@@ -249,6 +250,16 @@
             self._cancel_stream(frame.stream)
             return
         answer: Answer | None = None
+        if frame.status and not is_final_status(frame.status):
+            # A gate of an earlier version passes it on. The request may have run.
+            self._cancel_stream(frame.stream)
+            report = msgspec.structs.replace(
+                frame.report,
+                outcome=HopOutcome.LOST,
+                reason=f"{frame.status} is no status",
+            )
+            stream.result.set_result(GateResult(report, None))
+            return
         if frame.status:
             answer = Answer(frame.status, [], self._loop, frame.lines, frame.length)
             if frame.body:
@@ -274,16 +285,6 @@
         answer.on_read(grant_credit)
         answer.on_abandon(lambda: self._cancel_stream(stream_id))
 
-        if frame.status and not is_final_status(frame.status):
-            # A gate of an earlier version passes it on. The request may have run.
-            self._cancel_stream(frame.stream)
-            report = msgspec.structs.replace(
-                frame.report,
-                outcome=HopOutcome.LOST,
-                reason=f"{frame.status} is no status",
-            )
-            stream.result.set_result(GateResult(report, None))
-            return
     def _handle_end(self, frame: EndFrame) -> None:
         stream = self._streams.pop(frame.stream, None)
         if stream is None or stream.answer is None:
@@ -309,8 +310,11 @@
             self._send_frame(CancelFrame(stream_id))
 
     def _send_frame(self, frame: Frame) -> None:
+        self._write(encode_frame(frame))
+
+    def _write(self, data: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(encode_frame(frame))
+            self._transport.write(data)
 
 
 class HopPool:
@@ -368,10 +372,9 @@
         :raises CallWithdrawn: when the call was withdrawn before it was sent.
         :raises ConnectionBroke: when the connection ends before the outcome arrives.
         """
-        n_bytes = len(request.body)
-        if n_bytes > MAX_UNSENT_BYTES and self._n_unsent_bytes + n_bytes > (
-            MAX_FRAME_BYTES
-        ):
+        n_bytes, n_unsent_bytes = len(request.body), self._n_unsent_bytes
+        is_behind = min(n_bytes, n_unsent_bytes) > MAX_UNSENT_BYTES
+        if is_behind and n_unsent_bytes + n_bytes > MAX_ALL_UNSENT_BYTES:
             raise ConnectFailed(f"{address}: too many bytes are still to be sent")
         connection = self._usable_connection(address)
         if connection is None:
@@ -387,8 +390,7 @@
         :raises ConnectFailed: when the node cannot be reached.
         """
         connection = self._usable_connection(address)
-        if connection is None:
-            connection = await self._open_connection(address)
+        connection = connection or await self._open_connection(address)
         connection.notify(frame)
 
     def check_connections(self) -> None:
--- a/packages/relay/src/knapweedspring_relay/_hop_frames.py
+++ b/packages/relay/src/knapweedspring_relay/_hop_frames.py
@@ -1,13 +1,14 @@
 """Frames between nodes, which multiplex concurrent calls over one connection."""
 
 import math
+import struct
 from abc import ABC, abstractmethod
 
 import msgspec
 
 from knapweedspring_relay._errors import RelayError
 from knapweedspring_relay._hop import GateReport, HopCall
-from knapweedspring_relay._requests import ForwardedRequest
+from knapweedspring_relay._requests import COPIED_BODY_BYTES, ForwardedRequest
 from knapweedspring_relay._upstream_process import UpstreamProcess
 
 __all__ = [
@@ -35,6 +36,7 @@
     "QuotaLoanRequestFrame",
     "QuotaRequestFrame",
     "QuotaReturnFrame",
+    "encode_call_frame",
     "encode_frame",
     "require_finite",
 ]
@@ -268,6 +270,9 @@
 
 
 _encoder = msgspec.msgpack.Encoder()
+#: MessagePack's encoding of no bytes, and of the length of up to 4 GiB of bytes.
+_NO_BYTES = b"\xc4\x00"
+_LONG_BYTES, _LONG_BYTES_TAG = struct.Struct(">BI"), 0xC6
 
 
 def encode_frame(frame: Frame) -> bytes:
@@ -276,6 +281,23 @@
     return len(content).to_bytes(LENGTH_PREFIX_BYTES, "big") + content
 
 
+def encode_call_frame(frame: CallFrame) -> list[bytes]:
+    """Encode a call with its length prefix.
+
+    :param frame: the call.
+    :return: the parts to write; a long body is a part of its own, without a copy.
+    """
+    request, body = frame.request, frame.request.body
+    if len(body) <= COPIED_BODY_BYTES:
+        return [encode_frame(frame)]
+    # The body is the last field of the last field, so its bytes end the frame.
+    bodiless = msgspec.structs.replace(request, body=b"")
+    content = _encoder.encode(msgspec.structs.replace(frame, request=bodiless))
+    head = content[: -len(_NO_BYTES)] + _LONG_BYTES.pack(_LONG_BYTES_TAG, len(body))
+    n_bytes = len(head) + len(body)
+    return [n_bytes.to_bytes(LENGTH_PREFIX_BYTES, "big") + head, body]
+
+
 def require_finite(*numbers: float) -> None:
     """Check numbers of a frame.
 
--- a/packages/relay/src/knapweedspring_relay/_hop_listener.py
+++ b/packages/relay/src/knapweedspring_relay/_hop_listener.py
@@ -36,8 +36,11 @@
     encode_frame,
 )
 from knapweedspring_relay._knowledge import FollowHandler
+from knapweedspring_relay._memory_budget import MemoryAccount, MemoryBudget
+from knapweedspring_relay._memory_holder import MemoryHolder
 from knapweedspring_relay._quotas import QuotaHandler
-from knapweedspring_relay._requests import MAX_BODIES_BYTES
+from knapweedspring_relay._running_call import CallOwner, RunningCall
+from knapweedspring_relay._send_window import SendWindow
 from knapweedspring_relay._sockets import BACKLOG, set_timeouts
 
 __all__ = ["HopListener"]
@@ -55,11 +58,9 @@
 #: Unsent bytes on a connection above which no further calls are received on it: answers
 #: of about fifty streamed bodies.
 WRITE_HIGH_WATER_BYTES = 8 * 1_048_576
-#: Number of bytes of a streamed body that are sent before the receiver grants credit.
-WINDOW_BYTES = 131_072
 
 
-class HopListener:
+class HopListener(CallOwner):
     """Accepts connections from other nodes and passes their calls to the local gate.
 
     :param address: address to listen on, ``ip:port``.
@@ -69,6 +70,8 @@
     :param on_peer_version: called with the configuration version in force at a peer.
     :param on_crash: called with the crash that another node reports.
     :param on_error: called with a call whose handling failed and the exception.
+    :param budget: budget of the process for what peers make it hold; None for one of
+        the listener's own.
     """
 
     def __init__(
@@ -80,6 +83,7 @@
         on_peer_version: Callable[[int], None],
         on_crash: Callable[[CrashFrame], None],
         on_error: Callable[[HopCall, Exception], None],
+        budget: MemoryBudget | None = None,
     ) -> None:
         self._address = address
         self._gate = gate
@@ -88,10 +92,11 @@
         self._on_peer_version = on_peer_version
         self._on_crash = on_crash
         self._on_error = on_error
+        self._budget = budget or MemoryBudget.of_smallest_vm()
+        self._on_ended: Callable[[HopCall, str, MemoryAccount], None] | None = None
         self._connections: set[_HopServerConnection] = set()
         self._server: asyncio.Server | None = None
         self._draining = False
-        self._n_body_bytes = 0
 
     @property
     def address(self) -> str:
@@ -163,20 +168,26 @@
         """
         self._gate.withdraw(call)
 
-    def reserve_bytes(self, n_bytes: int) -> bool:
-        """Reserve memory for a call that arrives or runs."""
-        if self._n_body_bytes + n_bytes > MAX_BODIES_BYTES:
-            return False
-        self._n_body_bytes += n_bytes
-        return True
+    @property
+    def budget(self) -> MemoryBudget:
+        """Budget of the process for what peers make it hold."""
+        return self._budget
+
+    def on_ended(self, callback: Callable[[HopCall, str, MemoryAccount], None]) -> None:
+        """Set the callback for calls that are ended since memory is short.
 
-    def release_bytes(self, n_bytes: int) -> None:
-        """Release memory that was reserved for a call."""
-        self._n_body_bytes -= n_bytes
+        It gets the call, what the node was doing with it, and its account.
+        """
+        self._on_ended = callback
+
+    def report_ended(self, call: HopCall, phase: str, account: MemoryAccount) -> None:
+        """Pass a call that is ended since memory is short to the callback."""
+        if self._on_ended is not None:
+            self._on_ended(call, phase, account)
 
     def report_full_memory(self) -> GateReport:
         """Return the report on a call for which there is no memory."""
-        reason = "too many bodies are held in memory"
+        reason = "too much is held in memory"
         return self._gate.make_report(HopOutcome.REFUSED, reason)
 
     async def run_call(self, frame: CallFrame) -> GateResult:
@@ -195,40 +206,28 @@
             report = self._gate.make_report(HopOutcome.LOST, f"defect: {error!r}")
             return GateResult(report, None)
 
-    def finish_call(self, frame: CallFrame) -> None:
+    def finish_call(self, frame: CallFrame, account: MemoryAccount) -> None:
         """Release the memory of a call once nothing holds its request any more."""
-        n_bytes = len(frame.request.body)
         detached = self._gate.detached_call(frame.request)
+        account.close()
         if detached is None:
-            self.release_bytes(n_bytes)
+            account.release(account.n_bytes)
         else:
-            detached.add_done_callback(lambda _: self.release_bytes(n_bytes))
+            detached.add_done_callback(lambda _: account.release(account.n_bytes))
 
 
-class _SendWindow:
-    """Flow control window of one streamed body."""
+class _ArrivingFrame(MemoryHolder):
+    """The frame that arrives on a connection."""
 
-    def __init__(self) -> None:
-        self._n_bytes = WINDOW_BYTES
-        self._waiter: asyncio.Future[None] | None = None
+    def __init__(self, connection: "_HopServerConnection") -> None:
+        self._connection = connection
 
-    def add_credit(self, n_bytes: int) -> None:
-        """Add credit for the bytes that the receiver has passed on."""
-        self._n_bytes += n_bytes
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
+    def end_for_memory(self) -> None:
+        """Discard the frame and refuse its call."""
+        self._connection.discard_frame()
 
-    async def consume_credit(
-        self, n_bytes: int, loop: asyncio.AbstractEventLoop
-    ) -> None:
-        """Wait until the window has credit, and deduct the bytes to send from it."""
-        while self._n_bytes <= 0:
-            self._waiter = loop.create_future()
-            await self._waiter
-        self._n_bytes -= n_bytes
 
-
-class _HopServerConnection(asyncio.Protocol, FrameSender, FrameBudget):
+class _HopServerConnection(asyncio.Protocol, FrameSender, FrameBudget, MemoryHolder):
     """One connection from another node."""
 
     def __init__(self, listener: HopListener, loop: asyncio.AbstractEventLoop) -> None:
@@ -236,15 +235,16 @@
         self._loop = loop
         self._transport: asyncio.Transport | None = None
         self._frames = FrameReader(self)
-        self._tasks: dict[int, asyncio.Task[None]] = {}
-        self._calls: dict[int, HopCall] = {}
-        self._windows: dict[int, _SendWindow] = {}
+        self._calls: dict[int, RunningCall] = {}
+        self._account = listener.budget.open_account(self, is_connection=True)
+        self._frame_account: MemoryAccount | None = None
+        self._windows: dict[int, SendWindow] = {}
 
     @property
     def n_active(self) -> int:
         """Number of calls whose answers have not been sent completely."""
         n_unsent = self._transport.get_write_buffer_size() if self._transport else 0
-        return max(len(self._tasks), int(n_unsent > 0))
+        return max(len(self._calls), int(n_unsent > 0))
 
     def send(self, frame: Frame) -> None:
         """Send a frame unless the connection is closed."""
@@ -262,15 +262,19 @@
         set_timeouts(self._transport, UNACKNOWLEDGED_S)
         self._transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
         self._listener.add_connection(self)
+        if self._account.is_ended:
+            self._transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the calls, whose outcomes can no longer be sent."""
         self._listener.remove_connection(self)
         self._frames.close()
+        self._account.close()
         self._listener.follow_handler.remove(self)
         self._listener.quota_handler.remove(self)
-        for task in self._tasks.values():
-            task.cancel()
+        for running in tuple(self._calls.values()):
+            if running.task is not None:
+                running.task.cancel()
 
     def pause_writing(self) -> None:
         """Receive no further calls while the other node does not read the answers."""
@@ -286,19 +290,42 @@
         """Decode the received bytes and handle their frames."""
         try:
             for frame in self._frames.feed(data):
+                # The peer is a node, whose connection is kept.
+                self._account.keep_connection()
                 self._handle_frame(frame)
         except FrameError:
             # Frame boundaries are lost. The peer counts the calls that fail.
-            if self._transport is not None:
-                self._transport.abort()
+            self._abort()
+
+    def hold_frame(self, n_bytes: int) -> bool:
+        """Hold further bytes of the frame that arrives."""
+        if self._frame_account is None:
+            holder = _ArrivingFrame(self)
+            self._frame_account = self._listener.budget.open_account(holder)
+        return self._frame_account.hold(n_bytes)
+
+    def release_frame(self) -> None:
+        """Release the memory of the frame that arrives."""
+        account, self._frame_account = self._frame_account, None
+        if account is not None:
+            account.release(account.n_bytes)
+            account.close()
+
+    def discard_frame(self) -> None:
+        """Discard the frame that arrives, and refuse its call."""
+        try:
+            self._frames.discard_frame()
+        except FrameError:
+            # It is no call of a node.
+            self._abort()
 
-    def reserve_bytes(self, n_bytes: int) -> bool:
-        """Reserve memory for a call that arrives."""
-        return self._listener.reserve_bytes(n_bytes)
+    def end_for_memory(self) -> None:
+        """End the connection of a peer that has sent no frame."""
+        self._abort()
 
-    def release_bytes(self, n_bytes: int) -> None:
-        """Release memory that was reserved for a call that arrives."""
-        self._listener.release_bytes(n_bytes)
+    def _abort(self) -> None:
+        if self._transport is not None:
+            self._transport.abort()
 
     def refuse_call(self, stream: int) -> None:
         """Refuse a call for which there is no memory."""
@@ -306,26 +333,9 @@
 
     def _handle_frame(self, frame: Frame) -> None:
         if isinstance(frame, CallFrame):
-            numbers = (frame.call.left_s, frame.call.rate_limit or 0.0)
-            if not all(math.isfinite(number) for number in numbers):
-                raise FrameError("a number of the call is not finite")
-            n_bytes = len(frame.request.body)
-            if not self._listener.reserve_bytes(n_bytes):
-                self.refuse_call(frame.stream)
-                return
-            task = self._loop.create_task(self._serve_call(frame))
-            self._tasks[frame.stream] = task
-            self._calls[frame.stream] = frame.call
-            task.add_done_callback(lambda _: self._finish_call(frame))
-        elif isinstance(frame, CancelFrame) and frame.only_waiting:
-            call = self._calls.get(frame.stream)
-            if call is not None:
-                # Later, since the call is offered to the gate when its task starts.
-                self._loop.call_soon(self._listener.withdraw_call, call)
+            self._begin_call(frame)
         elif isinstance(frame, CancelFrame):
-            cancelled = self._tasks.get(frame.stream)
-            if cancelled is not None:
-                cancelled.cancel()
+            self._cancel_call(frame)
         elif isinstance(frame, CreditFrame):
             window = self._windows.get(frame.stream)
             if window is not None:
@@ -339,7 +349,31 @@
         elif isinstance(frame, QUOTA_FRAMES):
             self._listener.quota_handler.receive(self, frame)
 
-    async def _serve_call(self, frame: CallFrame) -> None:
+    def _begin_call(self, frame: CallFrame) -> None:
+        numbers = (frame.call.left_s, frame.call.rate_limit or 0.0)
+        if not all(math.isfinite(number) for number in numbers):
+            raise FrameError("a number of the call is not finite")
+        running = RunningCall(self._listener, frame)
+        if not running.hold():
+            self.refuse_call(frame.stream)
+            return
+        running.task = self._loop.create_task(self._serve_call(frame, running))
+        self._calls[frame.stream] = running
+        running.task.add_done_callback(
+            lambda _: self._finish_call(frame.stream, running)
+        )
+
+    def _cancel_call(self, frame: CancelFrame) -> None:
+        running = self._calls.get(frame.stream)
+        if running is None or running.task is None:
+            return
+        if frame.only_waiting:
+            # Later, since the call is offered to the gate when its task starts.
+            self._loop.call_soon(self._listener.withdraw_call, running.call)
+        else:
+            running.task.cancel()
+
+    async def _serve_call(self, frame: CallFrame, running: RunningCall) -> None:
         stream_id = frame.stream
         gate_result = await self._listener.run_call(frame)
         answer = gate_result.answer
@@ -350,13 +384,13 @@
         elif answer.is_complete:
             self._send_complete(stream_id, gate_result, answer)
         else:
-            await self._send_streamed(stream_id, gate_result, answer)
+            await self._send_streamed(stream_id, gate_result, answer, running)
 
-    def _finish_call(self, frame: CallFrame) -> None:
+    def _finish_call(self, stream: int, running: RunningCall) -> None:
         """Forget a call; its task may have been cancelled before it began."""
-        self._tasks.pop(frame.stream, None)
-        self._calls.pop(frame.stream, None)
-        self._listener.finish_call(frame)
+        if self._calls.get(stream) is running:
+            del self._calls[stream]
+        running.finish()
 
     def _send_complete(
         self, stream_id: int, gate_result: GateResult, answer: Answer
@@ -375,10 +409,15 @@
         )
 
     async def _send_streamed(
-        self, stream_id: int, gate_result: GateResult, answer: Answer
+        self,
+        stream_id: int,
+        gate_result: GateResult,
+        answer: Answer,
+        running: RunningCall,
     ) -> None:
         """Send a body while it arrives, no faster than the other node reads it."""
-        window = self._windows[stream_id] = _SendWindow()
+        window = self._windows[stream_id] = SendWindow()
+        answer.on_broken(window.close)
         length = answer.declared_length
         head = AnswerFrame(
             stream_id,
@@ -391,6 +430,8 @@
             True,
         )
         self.send(head)
+        if not running.hold_stream(answer):
+            answer.abandon()
         try:
             while piece := await answer.read():
                 await window.consume_credit(len(piece), self._loop)
--- a/packages/relay/src/knapweedspring_relay/_http_client.py
+++ b/packages/relay/src/knapweedspring_relay/_http_client.py
@@ -16,8 +16,8 @@
 from knapweedspring_relay._framing_limit import FramingLimit
 from knapweedspring_relay._keep_alive import idle_timeout_s
 from knapweedspring_relay._sockets import set_timeouts
-
 from knapweedspring_relay._status_codes import is_final_status, is_status
+
 __all__ = ["ConnectionPool", "ConnectionSettings"]
 
 #: Bodies of answers up to this size, in bytes, are buffered whole before they are
@@ -89,14 +89,14 @@
 
     async def call(
         self,
-        data: bytes,
+        parts: list[bytes],
         request_id: bytes | None,
         is_head_request: bool,
         timeout_s: float,
     ) -> Answer:
         """Send a request and wait for its answer; a long body may still be arriving.
 
-        :param data: encoded request.
+        :param parts: encoded request, in parts.
         :param request_id: id that the answer must carry; None accepts any answer.
         :param is_head_request: whether the method is HEAD, so the answer has no body.
         :param timeout_s: longest wait, in seconds.
@@ -116,7 +116,8 @@
         if not self.is_open:
             raise ConnectionBroke("the connection was closed while it was idle")
         assert self._transport is not None
-        self._transport.write(data)
+        for part in parts:
+            self._transport.write(part)
         # Not asyncio.timeout, which makes several system calls for the process id
         # in each call.
         timer = self._loop.call_later(timeout_s, _fail_with_timeout, result)
@@ -318,9 +319,9 @@
         if not self._reading_paused and self.is_open:
             assert self._transport is not None
             self._reading_paused = True
-            self._transport.pause_reading()
             if self._answer is not None:
                 self._answer.begin_reader_wait(now_s())
+            self._transport.pause_reading()
 
     def _resume_reading(self, n_read_bytes: int) -> None:
         answer = self._answer
@@ -329,9 +330,9 @@
         if self._reading_paused and self.is_open:
             assert self._transport is not None
             self._reading_paused = False
-            self._transport.resume_reading()
             if answer is not None:
                 answer.end_reader_wait(now_s())
+            self._transport.resume_reading()
 
 
 class ConnectionPool:
@@ -374,7 +375,7 @@
     async def call(
         self,
         address: str,
-        data: bytes,
+        data: bytes | list[bytes],
         request_id: bytes | None = None,
         is_head_request: bool = False,
         max_idle_s: float = float("inf"),
@@ -385,7 +386,7 @@
         Cancellation aborts the connection, so that the server drops the request.
 
         :param address: ``ip:port`` of the server.
-        :param data: encoded request.
+        :param data: encoded request, whole or in parts.
         :param request_id: id that the answer must carry; None accepts any answer.
         :param is_head_request: whether the method is HEAD, so the answer has no body.
         :param max_idle_s: use only connections idle for less than this, in seconds.
@@ -396,11 +397,11 @@
         :raises ConnectionBroke: when the connection ends before the answer does.
         :raises BadAnswer: when the received bytes are not a valid answer.
         """
+        parts = data if isinstance(data, list) else [data]
         connection = self._pop_idle(address, request_id, max_idle_s)
-        if connection is None:
-            connection = await self._open_connection(address)
+        connection = connection or await self._open_connection(address)
         try:
-            return await connection.call(data, request_id, is_head_request, timeout_s)
+            return await connection.call(parts, request_id, is_head_request, timeout_s)
         except BaseException:
             connection.abort_connection()
             raise
--- a/packages/relay/src/knapweedspring_relay/_messages.py
+++ b/packages/relay/src/knapweedspring_relay/_messages.py
@@ -2,9 +2,15 @@
 
 from collections.abc import Iterable, Sequence
 from http import HTTPStatus
+from typing import cast
 
 from knapweedspring_relay._errors import MessageError
-from knapweedspring_relay._requests import ForwardedRequest, Header, Request
+from knapweedspring_relay._requests import (
+    COPIED_BODY_BYTES,
+    ForwardedRequest,
+    Header,
+    Request,
+)
 
 __all__ = [
     "CONNECTION_HEADERS",
@@ -84,7 +90,7 @@
     :param body: the body.
     """
     forwarded = ForwardedRequest(method, target, header_lines(headers), body)
-    return encode_forwarded_request(forwarded)
+    return b"".join(encode_forwarded_request(forwarded))
 
 
 def to_forwarded_request(
@@ -97,28 +103,34 @@
         lower case.
     """
     lines = header_lines(end_to_end_headers(request.headers, dropped))
-    return ForwardedRequest(request.method, request.target, lines, request.body)
+    return ForwardedRequest(
+        request.method, request.target, lines, cast(bytes, request.body)
+    )
 
 
 def encode_forwarded_request(
     request: ForwardedRequest, added_lines: bytes = b""
-) -> bytes:
+) -> list[bytes]:
     """Encode a request, with ``Content-Length`` for its body.
 
     :param request: the request.
     :param added_lines: further encoded header lines, each with its line end.
+    :return: the parts to write; a long body is a part of its own, without a copy.
     """
+    body = request.body
     length = b""
-    if request.body or request.method not in _METHODS_WITHOUT_BODY:
-        length = b"content-length: %d\r\n" % len(request.body)
-    return b"%b %b HTTP/1.1\r\n%b%b%b\r\n%b" % (
+    if body or request.method not in _METHODS_WITHOUT_BODY:
+        length = b"content-length: %d\r\n" % len(body)
+    is_copied = len(body) <= COPIED_BODY_BYTES
+    head = b"%b %b HTTP/1.1\r\n%b%b%b\r\n%b" % (
         request.method,
         request.target,
         request.lines,
         added_lines,
         length,
-        request.body,
+        body if is_copied else b"",
     )
+    return [head] if is_copied else [head, body]
 
 
 def encode_answer_head(
--- a/packages/relay/src/knapweedspring_relay/_pending_requests.py
+++ b/packages/relay/src/knapweedspring_relay/_pending_requests.py
@@ -63,6 +63,12 @@
                 state.may_have_run = True
         self._cancel()
 
+    def forget_task(self) -> None:
+        """Drop the task, which is ending."""
+        # The error of a cancelled task refers to this object; both would keep the
+        # memory of the request until the garbage collector runs.
+        self._task = None
+
     def _cancel(self) -> None:
         if self._task is not None:
             self._is_ended = True
@@ -88,6 +94,7 @@
     def remove(self, pending: PendingRequest) -> None:
         """Remove a request."""
         self._requests.discard(pending)
+        pending.forget_task()
 
     def withdraw(self, ends_at: float) -> None:
         """Refuse the requests that outlast the process and that no upstream got.
--- a/packages/relay/src/knapweedspring_relay/_relay.py
+++ b/packages/relay/src/knapweedspring_relay/_relay.py
@@ -10,6 +10,7 @@
 
 from knapweedspring_core import Counters, MetricsPage
 from knapweedspring_relay._adapter import DeploymentAdapter, HeartbeatReceiver
+from knapweedspring_relay._allocator import map_long_buffers
 from knapweedspring_relay._call_path import (
     PEER_CONNECT_TIMEOUT_S,
     UNACKNOWLEDGED_S,
@@ -23,7 +24,7 @@
 from knapweedspring_relay._histograms import LatencyHistograms
 from knapweedspring_relay._hop_listener import HopListener
 from knapweedspring_relay._http_client import ConnectionPool, ConnectionSettings
-from knapweedspring_relay._http_server import HttpListener
+from knapweedspring_relay._http_server import HttpListener, RequestHandler
 from knapweedspring_relay._knowledge import (
     ControlHandler,
     GateEntry,
@@ -38,6 +39,7 @@
     published_upstream,
 )
 from knapweedspring_relay._logs import DecisionLog, LineBuffer
+from knapweedspring_relay._memory_budget import BudgetLimits, MemoryBudget
 from knapweedspring_relay._planned_stop import PlannedStop, shutdown_times
 from knapweedspring_relay._readiness import MetricsHandler, ReadinessHandler
 from knapweedspring_relay._settings import RelaySettings
@@ -113,6 +115,12 @@
             log=self._log,
             counters=counters,
         )
+        self._budget = MemoryBudget(
+            BudgetLimits.of_vm(
+                settings.vm.memory_or_default_bytes,
+                settings.vm.n_descriptors_or_default,
+            )
+        )
         self._declared_state = self._knowledge.state
         self._directory = self._knowledge.directory
         self._make_call_path()
@@ -140,7 +148,8 @@
         settings, pages = self._settings, self._knowledge.pages
         self._metrics = MetricsPage(self._counters)
         self._register_gauges()
-        self._entry_listener = HttpListener(settings.entry_address, self._entry)
+        budget = self._budget
+        self._entry_listener = HttpListener(settings.entry_address, self._entry, budget)
         self._gate_listener = HopListener(
             settings.gate_address,
             self._gate,
@@ -149,19 +158,26 @@
             self._declared_state.observe_version,
             self._path.crash_exchange.receive,
             self._reporter.report_hop_error,
+            budget,
         )
-        self._other_listeners = (
-            HttpListener(settings.knowledge_address, PeerPageHandler(pages)),
-            HttpListener(
-                settings.heartbeat_address,
-                ControlHandler(self._adapter.heartbeat_handler(self), pages),
+        self._gate_listener.on_ended(self._reporter.report_ended_call)
+        handlers: dict[str, RequestHandler] = {
+            settings.knowledge_address: PeerPageHandler(pages),
+            settings.heartbeat_address: ControlHandler(
+                self._adapter.heartbeat_handler(self), pages
             ),
-            HttpListener(
-                settings.readiness_address,
-                ReadinessHandler(self._adapter.readiness_path, lambda: self.is_ready),
+            settings.readiness_address: ReadinessHandler(
+                self._adapter.readiness_path, lambda: self.is_ready
             ),
-            HttpListener(settings.metrics_address, MetricsHandler(self._metrics)),
+            settings.metrics_address: MetricsHandler(self._metrics),
+        }
+        self._other_listeners = tuple(
+            HttpListener(address, handler, budget)
+            for address, handler in handlers.items()
         )
+        for listener in self._http_listeners:
+            listener.on_error(self._reporter.report_handler_error)
+            listener.on_ended(self._reporter.report_ended_connection)
 
     def _register_gauges(self) -> None:
         page, queue = self._metrics, self._gate.queue
@@ -177,6 +193,10 @@
         page.add_gauge(
             "hop_bad_frames", lambda: float(self._path.hop_pool.n_bad_frames)
         )
+        budget = self._budget
+        page.add_gauge("peer_bytes", lambda: float(budget.n_bytes))
+        page.add_gauge("peer_connections", lambda: float(budget.n_connections))
+        page.add_gauge("peers_ended", lambda: float(budget.n_ended))
         pool = self._path.upstream_pool
         page.add_gauge("upstream_connections", lambda: float(pool.n_opened))
         page.add_gauge(
@@ -204,8 +224,6 @@
         loop.add_signal_handler(signal.SIGINT, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._settings_mtime = self._read_mtime()
-        for http_listener in self._http_listeners:
-            http_listener.on_error(self._reporter.report_handler_error)
         for listener in self._listeners:
             await listener.start()
         self._start_timers()
@@ -217,6 +235,7 @@
             gate=self._settings.gate_address,
             memory_mb=self._settings.vm.memory_or_default_bytes // 1_000_000,
             n_descriptors=self._settings.vm.n_descriptors_or_default,
+            maps_long_buffers=map_long_buffers(),
         )
         self._supervisor.start("own entry", self._run_own_entry)
         self._knowledge.start(self._supervisor, self._timers)
--- a/packages/relay/src/knapweedspring_relay/_relaying.py
+++ b/packages/relay/src/knapweedspring_relay/_relaying.py
@@ -27,6 +27,8 @@
     exchange.start_streamed_answer(
         answer.status, answer.encoded_headers, answer.declared_length
     )
+    # Otherwise a caller that does not read would keep what has arrived in memory.
+    answer.on_broken(exchange.abort_if_unread)
     try:
         while chunk := await answer.read():
             await exchange.send_body_piece(chunk)
--- a/packages/relay/src/knapweedspring_relay/_request_fingerprint.py
+++ b/packages/relay/src/knapweedspring_relay/_request_fingerprint.py
@@ -41,5 +41,8 @@
             parts += header
         # The lengths separate the parts, so that different requests differ in bytes.
         lengths = b",".join([b"%d" % len(part) for part in parts])
-        data = b"\n".join([lengths, *parts, request.body])
-        return hashlib.blake2b(data, digest_size=FINGERPRINT_BYTES).digest()
+        digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+        digest.update(b"\n".join([lengths, *parts, b""]))
+        # By itself, since a copy of a long body would take its memory once more.
+        digest.update(request.body)
+        return digest.digest()
--- a/packages/relay/src/knapweedspring_relay/_requests.py
+++ b/packages/relay/src/knapweedspring_relay/_requests.py
@@ -4,13 +4,11 @@
 
 import msgspec
 
-__all__ = ["MAX_BODIES_BYTES", "ForwardedRequest", "Header", "Request"]
+__all__ = ["COPIED_BODY_BYTES", "ForwardedRequest", "Header", "Request"]
 
-#: Bytes of request bodies held by one listener: an eighth of the memory of a small VM.
-#: Up to four copies of a body exist while it is sent. Requests are held whole, so that
-#: they can be repeated at another server. A request that would exceed this limit is
-#: refused.
-MAX_BODIES_BYTES = 32 * 1_048_576
+#: Bodies up to this size, in bytes, are copied where that saves a write or a type; a
+#: copy of a longer one would take its memory once more.
+COPIED_BODY_BYTES = 16_384
 
 #: Name in lower case and value of one header.
 Header = tuple[bytes, bytes]
@@ -25,8 +23,8 @@
     target: bytes
     #: All headers; names in lower case.
     headers: Sequence[Header]
-    #: The body.
-    body: bytes
+    #: The body; a long one as the buffer that it arrived in.
+    body: bytes | bytearray
     #: Time at which the head of the request was complete, on the monotonic clock, in
     #: seconds.
     arrived_at: float
@@ -53,5 +51,5 @@
     target: bytes
     #: Encoded header lines, each with its line end.
     lines: bytes
-    #: The body.
+    #: The body; decoded as bytes, but a long one may be the buffer that it arrived in.
     body: bytes
--- a/packages/relay/src/knapweedspring_relay/_settings.py
+++ b/packages/relay/src/knapweedspring_relay/_settings.py
@@ -2,6 +2,10 @@
 
 from dataclasses import dataclass, field
 
+from knapweedspring_relay._memory_budget import (
+    SMALLEST_VM_BYTES,
+    SMALLEST_VM_DESCRIPTORS,
+)
 from knapweedspring_relay._quota_rules import QuotaRules
 from knapweedspring_relay._workspace_access import AccessRules
 
@@ -29,10 +33,6 @@
 DEFAULT_QUOTA_EXCESS = 0.0
 DEFAULT_QUOTA_SLACK = 0.0
 DEFAULT_IN_FORCE_S = 2.0
-#: Defaults of a VM's limits on the process: the smallest VM of the deployments, in MB
-#: and in file descriptors.
-DEFAULT_MEMORY_MB = 200
-DEFAULT_N_DESCRIPTORS = 4_100
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,13 +75,14 @@
     @property
     def memory_or_default_bytes(self) -> int:
         """Memory above which the process is killed, in bytes."""
-        return int(_or_default(self.memory_mb, DEFAULT_MEMORY_MB) * 1_000_000)
+        memory_mb = self.memory_mb
+        return SMALLEST_VM_BYTES if memory_mb is None else int(memory_mb * 1_000_000)
 
     @property
     def n_descriptors_or_default(self) -> int:
         """Number of file descriptors that the process may have open."""
         n_descriptors = self.n_descriptors
-        return DEFAULT_N_DESCRIPTORS if n_descriptors is None else n_descriptors
+        return SMALLEST_VM_DESCRIPTORS if n_descriptors is None else n_descriptors
 
 
 @dataclass(frozen=True, slots=True)
