Pass on bodies of all lengths that callers may send

Callers saw: status 503 in calm for one body of 33 to 63 MB under a limit of 64 MB.

Cause: a listener held 32 MiB of bodies whatever body_bytes said, and a frame between nodes holds 36 MiB. The budget of the process has replaced the first limit.

Change: a body longer than 32 MiB is sent in parts, behind a frame of its call (LongCallFrame), no faster than the gate reads them, and beside other calls. A node is sent such a frame only after its answer to a ping has shown that it reads it; one of an earlier version, which reads the same frames as before, is not offered the request.

--- a/packages/relay/src/knapweedspring_relay/_hop_client.py
+++ b/packages/relay/src/knapweedspring_relay/_hop_client.py
@@ -9,7 +9,11 @@
 from knapweedspring_relay._addresses import split_address
 from knapweedspring_relay._answer import Answer
 from knapweedspring_relay._clock import now_s
-from knapweedspring_relay._errors import ConnectFailed, ConnectionBroke
+from knapweedspring_relay._errors import (
+    CallWithdrawn,
+    ConnectFailed,
+    ConnectionBroke,
+)
 from knapweedspring_relay._frame_reader import FrameReader
 from knapweedspring_relay._gate_link import GateLink
 from knapweedspring_relay._gate_result import GateResult
@@ -30,6 +34,8 @@
     encode_frame,
 )
 from knapweedspring_relay._knowledge import GateEntry
+from knapweedspring_relay._long_body import MAX_CALL_BODY_BYTES
+from knapweedspring_relay._long_call_sender import LongCallSender
 from knapweedspring_relay._requests import ForwardedRequest
 from knapweedspring_relay._sockets import set_timeouts
 from knapweedspring_relay._status_codes import is_final_status
@@ -98,6 +104,7 @@
         self._confirms_withdrawals = False
         self._received_at = now_s()
         self._pinged_at: float | None = None
+        self._long_calls = LongCallSender(self._send_frame, loop)
 
     @property
     def address(self) -> str:
@@ -149,6 +156,9 @@
         :raises ConnectionBroke: when the connection ends before the outcome arrives.
         """
         self._last_stream_id = stream_id = self._last_stream_id + 1
+        is_long = len(request.body) > MAX_CALL_BODY_BYTES
+        if is_long and not await self._long_calls.are_taken(timeout_s):
+            raise CallWithdrawn("the gate takes no body of this length")
         if withdrawal is not None:
             withdrawal.begin_call(lambda: self._withdraw_stream(stream_id))
         result: asyncio.Future[GateResult] = self._loop.create_future()
@@ -158,8 +168,11 @@
         self._streams[stream_id] = _Stream(result)
         timer = self._loop.call_later(timeout_s, _fail_with_timeout, result)
         try:
-            for part in encode_call_frame(CallFrame(stream_id, call, request)):
-                self._write(part)
+            if is_long:
+                await self._long_calls.send(stream_id, call, request, result)
+            else:
+                for part in encode_call_frame(CallFrame(stream_id, call, request)):
+                    self._write(part)
             return await result
         except BaseException:
             self._cancel_stream(stream_id)
@@ -203,9 +216,18 @@
         self._transport = cast(asyncio.Transport, transport)
         set_timeouts(self._transport, self._pool.settings.unacknowledged_s)
 
+    def pause_writing(self) -> None:
+        """Wait with the bodies of long calls."""
+        self._long_calls.pause()
+
+    def resume_writing(self) -> None:
+        """Go on with the bodies of long calls."""
+        self._long_calls.resume()
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the pending calls."""
         self._pool.remove_connection(self)
+        self._long_calls.resume()
         streams, self._streams = self._streams, {}
         detail = str(exc) if exc else "closed by the other node"
         for stream in streams.values():
@@ -240,6 +262,8 @@
             self._received_go_away = True
         elif isinstance(frame, PingFrame):
             self._send_frame(PongFrame())
+        elif isinstance(frame, PongFrame):
+            self._long_calls.set_taken(frame.takes_long_calls)
 
     def _handle_answer(self, frame: AnswerFrame) -> None:
         stream = self._streams.get(frame.stream)
--- a/packages/relay/src/knapweedspring_relay/_hop_frames.py
+++ b/packages/relay/src/knapweedspring_relay/_hop_frames.py
@@ -26,6 +26,7 @@
     "FollowFrame",
     "GoAwayFrame",
     "KnowledgeFrame",
+    "LongCallFrame",
     "PingFrame",
     "PongFrame",
     "QuotaGrantFrame",
@@ -125,6 +126,9 @@
 class PongFrame(msgspec.Struct, frozen=True, array_like=True, gc=False, tag=8):
     """Answers a ping."""
 
+    #: Whether the sender reads long calls. Older nodes do not send it.
+    takes_long_calls: bool = False
+
 
 class GoAwayFrame(msgspec.Struct, frozen=True, array_like=True, gc=False, tag=9):
     """Announces that the sender accepts no further calls on this connection."""
@@ -238,8 +242,25 @@
     loans: tuple[QuotaLoan, ...]
 
 
+class LongCallFrame(msgspec.Struct, frozen=True, array_like=True, gc=False, tag=20):
+    """A call whose body is longer than a frame; body frames with its parts follow.
+
+    Sent only to nodes that have answered a ping with ``PongFrame.takes_long_calls``.
+    """
+
+    #: Id of the call's stream, unique on its connection.
+    stream: int
+    #: Metadata of the call.
+    call: HopCall
+    #: The request to forward, without its body.
+    request: ForwardedRequest
+    #: Length of the body, in bytes.
+    n_body_bytes: int
+
+
 Frame = (
     CallFrame
+    | LongCallFrame
     | AnswerFrame
     | BodyFrame
     | EndFrame
--- a/packages/relay/src/knapweedspring_relay/_hop_listener.py
+++ b/packages/relay/src/knapweedspring_relay/_hop_listener.py
@@ -27,6 +27,7 @@
     FrameError,
     FrameSender,
     GoAwayFrame,
+    LongCallFrame,
     PingFrame,
     PongFrame,
     QuotaLeaseFrame,
@@ -36,6 +37,7 @@
     encode_frame,
 )
 from knapweedspring_relay._knowledge import FollowHandler
+from knapweedspring_relay._long_body import LongBody
 from knapweedspring_relay._memory_budget import MemoryAccount, MemoryBudget
 from knapweedspring_relay._memory_holder import MemoryHolder
 from knapweedspring_relay._quotas import QuotaHandler
@@ -236,6 +238,8 @@
         self._transport: asyncio.Transport | None = None
         self._frames = FrameReader(self)
         self._calls: dict[int, RunningCall] = {}
+        #: Bodies of long calls that are arriving, by stream.
+        self._long_bodies: dict[int, LongBody] = {}
         self._account = listener.budget.open_account(self, is_connection=True)
         self._frame_account: MemoryAccount | None = None
         self._windows: dict[int, SendWindow] = {}
@@ -270,6 +274,8 @@
         self._listener.remove_connection(self)
         self._frames.close()
         self._account.close()
+        for body in self._long_bodies.values():
+            body.release()
         self._listener.follow_handler.remove(self)
         self._listener.quota_handler.remove(self)
         for running in tuple(self._calls.values()):
@@ -334,6 +340,10 @@
     def _handle_frame(self, frame: Frame) -> None:
         if isinstance(frame, CallFrame):
             self._begin_call(frame)
+        elif isinstance(frame, LongCallFrame):
+            self._long_bodies[frame.stream] = LongBody(self._listener.budget, frame)
+        elif isinstance(frame, BodyFrame):
+            self._add_to_body(frame)
         elif isinstance(frame, CancelFrame):
             self._cancel_call(frame)
         elif isinstance(frame, CreditFrame):
@@ -341,7 +351,7 @@
             if window is not None:
                 window.add_credit(frame.n_bytes)
         elif isinstance(frame, PingFrame):
-            self.send(PongFrame())
+            self.send(PongFrame(takes_long_calls=True))
         elif isinstance(frame, CrashFrame):
             self._listener.report_crash(frame)
         elif isinstance(frame, FollowFrame):
@@ -363,7 +373,27 @@
             lambda _: self._finish_call(frame.stream, running)
         )
 
+    def _add_to_body(self, frame: BodyFrame) -> None:
+        """Add a part of a long call's body, and begin the call once it is whole."""
+        body = self._long_bodies.get(frame.stream)
+        if body is None:
+            return
+        body.add(frame.piece)
+        if not (body.is_ended or body.is_whole):
+            return
+        del self._long_bodies[frame.stream]
+        if body.is_ended:
+            self.refuse_call(frame.stream)
+        else:
+            self._begin_call(body.to_call())
+
     def _cancel_call(self, frame: CancelFrame) -> None:
+        body = self._long_bodies.pop(frame.stream, None)
+        if body is not None:
+            body.release()
+            if frame.only_waiting:
+                self.refuse_call(frame.stream)
+            return
         running = self._calls.get(frame.stream)
         if running is None or running.task is None:
             return
