Compile the modules of the budget, and hand long bodies on as buffers

Cause: the call path did not compile any more, since a class that runs on the event loop had two compiled interfaces, and would run interpreted; and compiled code refuses a buffer where bytes are declared, so each request with a body over 16 KB failed in it (TypeError, 502).

Change: the interface of accepted connections is not compiled; bodies have a type of their own, which is bytes when a frame is decoded.

Measured, compiled: test_hop_memory and test_long_calls failed before; with the change 62 tests of these files and the crowds with bodies pass. Interpreted, all 24 crowds and the relay's other tests passed.

--- a/packages/relay/src/knapweedspring_relay/_connection_owner.py
+++ b/packages/relay/src/knapweedspring_relay/_connection_owner.py
@@ -5,30 +5,10 @@
 
 from knapweedspring_relay._exchange import RequestHandler
 from knapweedspring_relay._memory_budget import MemoryAccount
-from knapweedspring_relay._memory_holder import MemoryHolder
+from knapweedspring_relay._owned_connection import OwnedConnection
 from knapweedspring_relay._requests import Request
 
-__all__ = ["ConnectionOwner", "OwnedConnection"]
-
-
-class OwnedConnection(MemoryHolder):
-    """A connection that a listener has accepted."""
-
-    @property
-    @abstractmethod
-    def n_pending(self) -> int:
-        """Number of requests whose answers have not been sent completely."""
-
-    @abstractmethod
-    def close_when_written(self) -> None:
-        """Close the connection once no request is being answered on it."""
-
-    @abstractmethod
-    def check_timeouts(self, now: float) -> None:
-        """Close the connection when it is idle or its request arrives too slowly.
-
-        :param now: current time on the monotonic clock, in seconds.
-        """
+__all__ = ["ConnectionOwner"]
 
 
 class ConnectionOwner(ABC):
--- a/packages/relay/src/knapweedspring_relay/_hop_client.py
+++ b/packages/relay/src/knapweedspring_relay/_hop_client.py
@@ -36,7 +36,7 @@
 from knapweedspring_relay._knowledge import GateEntry
 from knapweedspring_relay._long_body import MAX_CALL_BODY_BYTES
 from knapweedspring_relay._long_call_sender import LongCallSender
-from knapweedspring_relay._requests import ForwardedRequest
+from knapweedspring_relay._requests import Body, ForwardedRequest
 from knapweedspring_relay._sockets import set_timeouts
 from knapweedspring_relay._status_codes import is_final_status
 from knapweedspring_relay._withdrawal import Withdrawal
@@ -336,7 +336,7 @@
     def _send_frame(self, frame: Frame) -> None:
         self._write(encode_frame(frame))
 
-    def _write(self, data: bytes) -> None:
+    def _write(self, data: Body) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
 
--- a/packages/relay/src/knapweedspring_relay/_hop_frames.py
+++ b/packages/relay/src/knapweedspring_relay/_hop_frames.py
@@ -8,7 +8,7 @@
 
 from knapweedspring_relay._errors import RelayError
 from knapweedspring_relay._hop import GateReport, HopCall
-from knapweedspring_relay._requests import COPIED_BODY_BYTES, ForwardedRequest
+from knapweedspring_relay._requests import COPIED_BODY_BYTES, Body, ForwardedRequest
 from knapweedspring_relay._upstream_process import UpstreamProcess
 
 __all__ = [
@@ -302,7 +302,7 @@
     return len(content).to_bytes(LENGTH_PREFIX_BYTES, "big") + content
 
 
-def encode_call_frame(frame: CallFrame) -> list[bytes]:
+def encode_call_frame(frame: CallFrame) -> list[Body]:
     """Encode a call with its length prefix.
 
     :param frame: the call.
--- a/packages/relay/src/knapweedspring_relay/_http_client.py
+++ b/packages/relay/src/knapweedspring_relay/_http_client.py
@@ -15,6 +15,7 @@
 from knapweedspring_relay._errors import BadAnswer, ConnectFailed, ConnectionBroke
 from knapweedspring_relay._framing_limit import FramingLimit
 from knapweedspring_relay._keep_alive import idle_timeout_s
+from knapweedspring_relay._requests import Body
 from knapweedspring_relay._sockets import set_timeouts
 from knapweedspring_relay._status_codes import is_final_status, is_status
 
@@ -89,7 +90,7 @@
 
     async def call(
         self,
-        parts: list[bytes],
+        parts: list[Body],
         request_id: bytes | None,
         is_head_request: bool,
         timeout_s: float,
@@ -375,7 +376,7 @@
     async def call(
         self,
         address: str,
-        data: bytes | list[bytes],
+        data: bytes | list[Body],
         request_id: bytes | None = None,
         is_head_request: bool = False,
         max_idle_s: float = float("inf"),
@@ -397,7 +398,7 @@
         :raises ConnectionBroke: when the connection ends before the answer does.
         :raises BadAnswer: when the received bytes are not a valid answer.
         """
-        parts = data if isinstance(data, list) else [data]
+        parts: list[Body] = data if isinstance(data, list) else [data]
         connection = self._pop_idle(address, request_id, max_idle_s)
         connection = connection or await self._open_connection(address)
         try:
--- a/packages/relay/src/knapweedspring_relay/_http_server.py
+++ b/packages/relay/src/knapweedspring_relay/_http_server.py
@@ -4,9 +4,10 @@
 from collections.abc import Callable
 
 from knapweedspring_relay._clock import now_s
-from knapweedspring_relay._connection_owner import ConnectionOwner, OwnedConnection
+from knapweedspring_relay._connection_owner import ConnectionOwner
 from knapweedspring_relay._exchange import Exchange, RequestHandler
 from knapweedspring_relay._memory_budget import MemoryAccount, MemoryBudget
+from knapweedspring_relay._owned_connection import OwnedConnection
 from knapweedspring_relay._requests import Request
 from knapweedspring_relay._server_connection import ServerConnection
 from knapweedspring_relay._sockets import BACKLOG
--- a/packages/relay/src/knapweedspring_relay/_messages.py
+++ b/packages/relay/src/knapweedspring_relay/_messages.py
@@ -2,11 +2,11 @@
 
 from collections.abc import Iterable, Sequence
 from http import HTTPStatus
-from typing import cast
 
 from knapweedspring_relay._errors import MessageError
 from knapweedspring_relay._requests import (
     COPIED_BODY_BYTES,
+    Body,
     ForwardedRequest,
     Header,
     Request,
@@ -103,14 +103,12 @@
         lower case.
     """
     lines = header_lines(end_to_end_headers(request.headers, dropped))
-    return ForwardedRequest(
-        request.method, request.target, lines, cast(bytes, request.body)
-    )
+    return ForwardedRequest(request.method, request.target, lines, request.body)
 
 
 def encode_forwarded_request(
     request: ForwardedRequest, added_lines: bytes = b""
-) -> list[bytes]:
+) -> list[Body]:
     """Encode a request, with ``Content-Length`` for its body.
 
     :param request: the request.
@@ -121,16 +119,16 @@
     length = b""
     if body or request.method not in _METHODS_WITHOUT_BODY:
         length = b"content-length: %d\r\n" % len(body)
-    is_copied = len(body) <= COPIED_BODY_BYTES
-    head = b"%b %b HTTP/1.1\r\n%b%b%b\r\n%b" % (
+    head = b"%b %b HTTP/1.1\r\n%b%b%b\r\n" % (
         request.method,
         request.target,
         request.lines,
         added_lines,
         length,
-        body if is_copied else b"",
     )
-    return [head] if is_copied else [head, body]
+    if len(body) <= COPIED_BODY_BYTES:
+        return [head + bytes(body)]
+    return [head, body]
 
 
 def encode_answer_head(
--- a/packages/relay/src/knapweedspring_relay/_requests.py
+++ b/packages/relay/src/knapweedspring_relay/_requests.py
@@ -1,10 +1,19 @@
 """HTTP requests as the relay receives and forwards them."""
 
 from collections.abc import Sequence
+from typing import TYPE_CHECKING
 
 import msgspec
 
-__all__ = ["COPIED_BODY_BYTES", "ForwardedRequest", "Header", "Request"]
+__all__ = ["COPIED_BODY_BYTES", "Body", "ForwardedRequest", "Header", "Request"]
+
+if TYPE_CHECKING:
+    #: Body of a request; a long one is the buffer that it arrived in. Compiled code
+    #: accepts no buffer where bytes are declared.
+    Body = bytes | bytearray
+else:
+    # What a body is decoded to.
+    Body = bytes
 
 #: Bodies up to this size, in bytes, are copied where that saves a write or a type; a
 #: copy of a longer one would take its memory once more.
@@ -23,8 +32,8 @@
     target: bytes
     #: All headers; names in lower case.
     headers: Sequence[Header]
-    #: The body; a long one as the buffer that it arrived in.
-    body: bytes | bytearray
+    #: The body.
+    body: Body
     #: Time at which the head of the request was complete, on the monotonic clock, in
     #: seconds.
     arrived_at: float
@@ -51,5 +60,5 @@
     target: bytes
     #: Encoded header lines, each with its line end.
     lines: bytes
-    #: The body; decoded as bytes, but a long one may be the buffer that it arrived in.
-    body: bytes
+    #: The body.
+    body: Body
--- a/packages/relay/src/knapweedspring_relay/_server_connection.py
+++ b/packages/relay/src/knapweedspring_relay/_server_connection.py
@@ -7,7 +7,7 @@
 import httptools
 
 from knapweedspring_relay._clock import now_s
-from knapweedspring_relay._connection_owner import ConnectionOwner, OwnedConnection
+from knapweedspring_relay._connection_owner import ConnectionOwner
 from knapweedspring_relay._errors import MessageError
 from knapweedspring_relay._exchange import AnswerConnection, Exchange
 from knapweedspring_relay._framing_limit import FramingLimit
@@ -15,6 +15,7 @@
 from knapweedspring_relay._held_memory import HeldMemory
 from knapweedspring_relay._memory_budget import HEADER_BYTES, WAITING_REQUEST_BYTES
 from knapweedspring_relay._messages import encode_error_answer, header_lines
+from knapweedspring_relay._owned_connection import OwnedConnection
 from knapweedspring_relay._requests import COPIED_BODY_BYTES, Header, Request
 
 __all__ = ["ServerConnection"]
