End no more connections than those accepted at once need

Cause: found while reading the budget. A listener accepts all queued connections before one that was ended is closed. Each of them ended a tenth of all connections more, since those that were ending still counted as open: a burst of a dozen connections at the limit ended all, ordinary ones too.

Change: connections that were ended and are still open are counted, and leave room.

--- a/packages/relay/src/knapweedspring_relay/_memory_budget.py
+++ b/packages/relay/src/knapweedspring_relay/_memory_budget.py
@@ -149,7 +149,6 @@
 
     def end_holder(self) -> None:
         """End what holds the memory."""
-        self._is_ended = True
         if self._holder is not None:
             self._holder.end_for_memory()
 
@@ -197,6 +196,8 @@
         self._accounts: dict[int, MemoryAccount] = {}
         self._n_bytes = 0
         self._n_connections = 0
+        #: Connections that were ended and are still open.
+        self._n_ending_connections = 0
         self._n_ended = 0
 
     @classmethod
@@ -233,8 +234,10 @@
         :param is_connection: whether the holder also takes a file descriptor.
         """
         if is_connection:
-            if self._n_connections >= self._limits.n_connections:
-                self._end_old_connections()
+            n_over = self._n_connections - self._n_ending_connections
+            n_over -= self._limits.n_connections
+            if n_over >= 0:
+                self._end_old_connections(n_over + 1)
             self._n_connections += 1
             self._n_bytes += CONNECTION_BYTES
         account = MemoryAccount(self, holder, is_connection)
@@ -246,6 +249,7 @@
         found = self._accounts.pop(id(account), None)
         if found is not None and account.is_connection:
             self._n_connections -= 1
+            self._n_ending_connections -= int(account.is_ended)
             self._n_bytes -= CONNECTION_BYTES
 
     def reserve(self, account: MemoryAccount, n_bytes: int) -> bool:
@@ -290,27 +294,33 @@
                 continue
             if chosen is account:
                 # The account itself is next; its holder learns it from the result.
-                account.mark_ended()
-                self._n_ended += 1
+                self._mark_ended(account)
                 return
             n_left -= chosen.n_bytes
             self._end(chosen)
 
-    def _end_old_connections(self) -> None:
-        """End the connections that are as they are for longest."""
+    def _end_old_connections(self, n_least: int) -> None:
+        """End the connections that are as they are for longest.
+
+        :param n_least: number of connections to end at least.
+        """
         connections = [
             (other.since, key)
             for key, other in self._accounts.items()
             if other.may_close
         ]
         connections.sort()
-        n_over = self._n_connections - self._limits.n_connections
-        n_wanted = n_over + 1 + int(FREED_SHARE * self._limits.n_connections)
+        n_wanted = n_least + int(FREED_SHARE * self._limits.n_connections)
         for _, key in connections[:n_wanted]:
             found = self._accounts.get(key)
             if found is not None:
                 self._end(found)
 
     def _end(self, account: MemoryAccount) -> None:
-        self._n_ended += 1
+        self._mark_ended(account)
         account.end_holder()
+
+    def _mark_ended(self, account: MemoryAccount) -> None:
+        account.mark_ended()
+        self._n_ended += 1
+        self._n_ending_connections += int(account.is_connection)
--- a/packages/relay/tests/test_memory_budget.py
+++ b/packages/relay/tests/test_memory_budget.py
@@ -105,6 +105,23 @@
     assert budget.n_bytes == 4 * CONNECTION_BYTES
 
 
+def test_connections_that_are_ending_make_room_for_those_accepted_with_them(clock):
+    """A listener accepts many connections before it can close any."""
+    budget = make_budget(room_bytes=10**6, max_bytes=10**6, n_connections=100)
+    peers = []
+    for _ in range(120):
+        peers.append(Peer(budget, is_connection=True, is_stubborn=True))
+        clock[0] += 1.0
+    assert 20 <= sum(peer.n_ends for peer in peers) <= 20 + 2 * 11
+    assert not any(peer.n_ends for peer in peers[50:])
+    for peer in peers[:50]:
+        peer.account.close()
+    n_ends = sum(peer.n_ends for peer in peers)
+    for _ in range(100 - budget.n_connections):
+        Peer(budget, is_connection=True)
+    assert sum(peer.n_ends for peer in peers) == n_ends
+
+
 def test_connection_of_another_node_is_kept_when_too_many_are_open(clock):
     budget = make_budget(room_bytes=10**6, max_bytes=10**6)
     node = Peer(budget, is_connection=True)
