Make a listener for each address, whatever the addresses are

Change: pairs of address and handler, as the listeners were made before. Behaviour with distinct addresses is the same.

--- a/packages/relay/src/knapweedspring_relay/_relay.py
+++ b/packages/relay/src/knapweedspring_relay/_relay.py
@@ -161,19 +161,20 @@
             budget,
         )
         self._gate_listener.on_ended(self._reporter.report_ended_call)
-        handlers: dict[str, RequestHandler] = {
-            settings.knowledge_address: PeerPageHandler(pages),
-            settings.heartbeat_address: ControlHandler(
-                self._adapter.heartbeat_handler(self), pages
+        handlers: tuple[tuple[str, RequestHandler], ...] = (
+            (settings.knowledge_address, PeerPageHandler(pages)),
+            (
+                settings.heartbeat_address,
+                ControlHandler(self._adapter.heartbeat_handler(self), pages),
             ),
-            settings.readiness_address: ReadinessHandler(
-                self._adapter.readiness_path, lambda: self.is_ready
+            (
+                settings.readiness_address,
+                ReadinessHandler(self._adapter.readiness_path, lambda: self.is_ready),
             ),
-            settings.metrics_address: MetricsHandler(self._metrics),
-        }
+            (settings.metrics_address, MetricsHandler(self._metrics)),
+        )
         self._other_listeners = tuple(
-            HttpListener(address, handler, budget)
-            for address, handler in handlers.items()
+            HttpListener(address, handler, budget) for address, handler in handlers
         )
         for listener in self._http_listeners:
             listener.on_error(self._reporter.report_handler_error)
