--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -523,7 +523,7 @@
 def free_ports_of(_: object, n: int = len(PORTS)) -> list[int]:
     """Return further free ports, none of them twice in this process."""
     if not _ports:
-        _ports.extend(free_ports(200))
+        _ports.extend(free_ports(300))
     taken, _ports[:n] = _ports[:n], []
     return taken
 
