--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,2 +1,3 @@
 #!/bin/sh
-cd "$(dirname "$0")" && exec python3 play.py
+# Plays the case; TROUBLE=0 plays it without its disruption.
+cd "$(dirname "$0")" && exec python3 play.py "${TROUBLE:-1}"
--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -37,8 +37,8 @@
 
 
 def has_trouble() -> bool:
-    """Return whether the disruption is played."""
-    return os.environ.get("TROUBLE", "1") != "0"
+    """Return whether the disruption is played, as ``run.sh`` hands on ``TROUBLE``."""
+    return sys.argv[1:] != ["0"]
 
 
 class CannotRun(Exception):
