Remember departures that reach a node before it knows the process

Cause: a node that is restarted while the store is away knows no upstream. UpstreamTracker.apply_departure had no effect on an unknown process, yet the adapter acknowledged it, and a report that the upstream had sent before counted as one of a new process.

Change: a departure of an unknown process is remembered by its identity and the time of day; only a start after it is a new process, for 15 s. The entry of the previous process is used when the store returns it first, not only at the start, and what other nodes list is used if it says that the process drains. An acknowledgement waits for the store then, too. An entry that says draining is no longer overwritten by a late report, nor dropped when no report confirms it, so that a second restart finds it.

--- a/packages/relay/src/knapweedspring_relay/_clock.py
+++ b/packages/relay/src/knapweedspring_relay/_clock.py
@@ -2,7 +2,7 @@
 
 import time
 
-__all__ = ["SuspensionMeter", "now_s", "suspension_meter"]
+__all__ = ["SuspensionMeter", "now_s", "suspension_meter", "time_of_day_ms"]
 
 #: Shortest suspension detected, in seconds. Smaller differences between the boot clock
 #: and the monotonic clock come from the time between the two readings.
@@ -55,3 +55,8 @@
     """
     # Reads the attribute, not the property: this runs at each step of a call.
     return time.monotonic() + suspension_meter._suspended_s
+
+
+def time_of_day_ms() -> int:
+    """Return the time of day, in milliseconds since the epoch; it may jump."""
+    return time.time_ns() // 1_000_000
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_knowledge.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_knowledge.py
@@ -49,6 +49,8 @@
     :param store: the deployment's store.
     :param pool: connections to the pages of other nodes.
     :param desired_entry: returns the entry that the store should have of this node.
+    :param on_previous_entry: called with the entry that the previous process of this
+        node wrote, when the store returns it.
     :param on_directory_change: called after each change of the directory.
     :param unreachable_duration_s: returns for how long a node has been unreachable at a
         time, in seconds.
@@ -64,6 +66,7 @@
         store: DeploymentStore,
         pool: ConnectionPool,
         desired_entry: Callable[[], GateEntry | None],
+        on_previous_entry: Callable[[GateEntry], None],
         on_directory_change: Callable[[], None],
         unreachable_duration_s: Callable[[str, float], float],
         rng: random.Random,
@@ -81,7 +84,14 @@
         self._followers = Followers(self._snapshot_newer_than, crashes)
         self._pages = PeerPages(self._snapshot_newer_than)
         self._own_entry = OwnEntryPublisher(
-            store, settings.node, desired_entry, self._health, rng, log, counters
+            store,
+            settings.node,
+            desired_entry,
+            on_previous_entry,
+            self._health,
+            rng,
+            log,
+            counters,
         )
         self._cleaner = EntryCleaner(
             store, self._directory, unreachable_duration_s, self._health, rng, log
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_own_entry.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_own_entry.py
@@ -35,6 +35,8 @@
     :param node: name of this node.
     :param desired: returns the desired entry; None when the store should have no entry
         of this node.
+    :param on_previous: called with the entry of the previous process when the store
+        returns it for the first time, before anything is written.
     :param health: records whether the store answers.
     :param rng: source of the jitter.
     :param log: decision log.
@@ -46,6 +48,7 @@
         store: DeploymentStore,
         node: str,
         desired: Callable[[], GateEntry | None],
+        on_previous: Callable[[GateEntry], None],
         health: StoreHealth,
         rng: random.Random,
         log: DecisionLog,
@@ -54,14 +57,21 @@
         self._store = store
         self._node = node
         self._desired = desired
+        self._on_previous = on_previous
         self._health = health
         self._rng = rng
         self._log = log
         self._counters = counters
         self._stored: EntryRecord | None = None
+        self._has_read = False
         self._check_needed = asyncio.Event()
         self._recorded = asyncio.Event()
 
+    @property
+    def stored_entry(self) -> GateEntry | None:
+        """The entry that the store is known to have; None when it is not known."""
+        return self._stored.entry if self._stored is not None else None
+
     def request_check(self) -> None:
         """Request a check of the stored entry, as the desired one may have changed."""
         self._check_needed.set()
@@ -87,19 +97,20 @@
         """
         self._stored = EntryRecord(StorePosition(self._health.era, 0), None)
 
-    async def read_previous(self) -> GateEntry | None:
+    async def read_stored(self) -> None:
         """Read this node's stored entry.
 
-        After a restart, it is the entry that the previous process wrote.
-
-        :return: the entry; None when it does not exist or cannot be read.
+        The first one that is read after a restart is what the previous process wrote.
         """
         read = await self._store.read_entry(self._node)
         if isinstance(read, Err):
             self._health.record_result("own entry", read.err_value)
-            return None
+            return
+        entry, is_first = read.ok_value.entry, not self._has_read
+        self._has_read = True
+        if is_first and entry is not None:
+            self._on_previous(entry)
         self._record_success(read.ok_value)
-        return read.ok_value.entry
 
     async def wait_stored(self, timeout_s: float) -> bool:
         """Wait until the store has the desired entry.
@@ -128,11 +139,11 @@
 
         :return: False when the caller must try again after a pause.
         """
-        desired = self._desired()
         if self._stored is None:
-            await self.read_previous()
+            await self.read_stored()
             if self._stored is None:
                 return False
+        desired = self._desired()
         if desired == self._stored.entry:
             return True
         if desired is None:
@@ -165,6 +176,6 @@
         recorded.set()
 
     async def _reconcile_after_conflict(self) -> bool:
-        await self.read_previous()
+        await self.read_stored()
         self._check_needed.set()
         return self._stored is not None
--- a/packages/relay/src/knapweedspring_relay/_local_upstream.py
+++ b/packages/relay/src/knapweedspring_relay/_local_upstream.py
@@ -1,8 +1,11 @@
 """State of the upstream beside this node, from its heartbeats and departure."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from enum import StrEnum
+from typing import Any
 
+from knapweedspring_relay._clock import time_of_day_ms
 from knapweedspring_relay._knowledge import (
     GateEntry,
     UpstreamState,
@@ -29,6 +32,10 @@
 #: Maximum number of departed processes that are remembered, so that their late
 #: heartbeats have no effect; beyond it, the first to depart is forgotten.
 MAX_DEPARTED = 64
+#: Time for which the departure of a process that was not known is remembered by its
+#: identity, in seconds. Heartbeats arrive seconds late at most, so a process that still
+#: sends some after that time runs, whatever start it states.
+UNKNOWN_DEPARTURE_LIFETIME_S = 15.0
 #: Sequence number of an upstream known only from the entry that this node published.
 ASSUMED_SEQUENCE = -1
 
@@ -129,50 +136,79 @@
     born_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class _UnknownDeparture:
+    """Departure of a process whose start is not known."""
+
+    #: Time of day of the departure, in milliseconds since the epoch. Any process with
+    #: the identity that started before is the one that departed.
+    departed_at_ms: int
+    #: Time until which it is remembered, on the monotonic clock, in seconds.
+    expires_at: float
+
+
 class UpstreamTracker:
     """Tracks the newest state of the upstream at one address.
 
     A process that reported draining or its departure never becomes ready again, even
-    when earlier heartbeats arrive late. Only a process that started later replaces it.
+    when earlier heartbeats arrive late, or when its departure is the first that this
+    node learns of it. Only a process that started later replaces it.
 
     :param address: address of the upstream, as ``ip:port``.
+    :param time_of_day: returns the time of day, in milliseconds since the epoch. The
+        upstream runs on the same VM and states its start by the same clock.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self, address: str, time_of_day: Callable[[], int] = time_of_day_ms
+    ) -> None:
         self._address = address
+        self._time_of_day = time_of_day
         self._current: LocalUpstream | None = None
         self._departed: dict[_ProcessKey, None] = {}
+        self._unknown_departures: dict[str, _UnknownDeparture] = {}
 
     @property
     def current(self) -> LocalUpstream | None:
         """State of the upstream; None when no upstream is known."""
         return self._current
 
-    def assume_published(self, upstream: LocalUpstream, now: float) -> None:
+    def assume_published(
+        self, upstream: LocalUpstream, now: float, may_be_ready: bool = True
+    ) -> HeartbeatVerdict:
         """Restore the state that this node published before a restart.
 
-        A state from heartbeats has precedence, but a process that drained before the
-        restart does not become ready by a heartbeat that arrives late.
+        A state from heartbeats has precedence, except over a process that started later
+        or that had drained before the restart.
 
         :param upstream: the published state, with sequence ``ASSUMED_SEQUENCE``.
         :param now: monotonic time, in seconds.
+        :param may_be_ready: whether a state other than draining is restored.
+        :return: effect on the state.
         """
+        if self._has_departed(upstream.instance, upstream.born_ms, now):
+            self._remember_departed(upstream)
+            if upstream.is_ready:
+                upstream = _as_draining(upstream, now)
+        if upstream.is_ready and not may_be_ready:
+            return HeartbeatVerdict.UNCHANGED
         current = self._current
-        if current is None:
+        if current is None or upstream.born_ms > current.born_ms:
             self._current = upstream
-        elif (
-            current.is_ready
-            and not upstream.is_ready
-            and _is_same_process(current, upstream)
-        ):
-            self._current = _as_draining(current, now)
+            return HeartbeatVerdict.CHANGED
+        if not _is_same_process(current, upstream):
+            return HeartbeatVerdict.SUPERSEDED
+        if upstream.is_ready or not current.is_ready:
+            return HeartbeatVerdict.UNCHANGED
+        self._current = _as_draining(current, now)
+        return HeartbeatVerdict.CHANGED
 
     def drop_unconfirmed(self) -> bool:
         """Discard a restored upstream that has sent no heartbeat since the restart.
 
-        The upstream may have left after the entry was published: a departure that was
-        acknowledged just before the restart is lost. One that drained before the
-        restart never becomes ready again.
+        The upstream may have left after the entry was published. One that drained
+        before the restart is kept: it gets no requests, and the entry that tells later
+        processes of this node of its leaving stays in the store.
 
         :return: whether an upstream was discarded.
         """
@@ -180,7 +216,7 @@
         if current is None or current.sequence != ASSUMED_SEQUENCE:
             return False
         if not current.is_ready:
-            self._remember_departed(current)
+            return False
         self._current = None
         return True
 
@@ -193,7 +229,7 @@
         """
         if heartbeat.address != self._address:
             return HeartbeatVerdict.FOREIGN
-        if _ProcessKey(heartbeat.instance, heartbeat.born_ms) in self._departed:
+        if self._has_departed(heartbeat.instance, heartbeat.born_ms, now):
             return HeartbeatVerdict.LATE
         current = self._current
         if current is not None:
@@ -207,12 +243,18 @@
     def apply_departure(self, instance: str, now: float) -> HeartbeatVerdict:
         """Apply the departure of a process: it drains and never becomes ready again.
 
+        The departure of a process that is not known is remembered by its identity.
+
         :param instance: identity of the process.
         :param now: monotonic time, in seconds.
         :return: effect of the departure.
         """
         current = self._current
         if current is None or current.instance != instance:
+            self._unknown_departures[instance] = _UnknownDeparture(
+                self._time_of_day(), now + UNKNOWN_DEPARTURE_LIFETIME_S
+            )
+            _limit_size(self._unknown_departures, MAX_DEPARTED)
             return HeartbeatVerdict.LATE
         self._remember_departed(current)
         if not current.is_ready:
@@ -235,10 +277,17 @@
         self._current = _as_draining(current, now)
         return HeartbeatVerdict.CHANGED
 
+    def _has_departed(self, instance: str, born_ms: int, now: float) -> bool:
+        if _ProcessKey(instance, born_ms) in self._departed:
+            return True
+        departure = self._unknown_departures.get(instance)
+        if departure is None:
+            return False
+        return now < departure.expires_at and born_ms <= departure.departed_at_ms
+
     def _remember_departed(self, upstream: LocalUpstream) -> None:
         self._departed[_ProcessKey(upstream.instance, upstream.born_ms)] = None
-        while len(self._departed) > MAX_DEPARTED:
-            del self._departed[next(iter(self._departed))]
+        _limit_size(self._departed, MAX_DEPARTED)
 
     def _update_current(
         self, current: LocalUpstream, heartbeat: Heartbeat, now: float
@@ -279,6 +328,12 @@
     )
 
 
+def _limit_size(remembered: dict[Any, Any], max_size: int) -> None:
+    """Remove the entries that were added first."""
+    while len(remembered) > max_size:
+        del remembered[next(iter(remembered))]
+
+
 def _is_same_process(current: LocalUpstream, other: Heartbeat | LocalUpstream) -> bool:
     return current.instance == other.instance and current.born_ms == other.born_ms
 
--- a/packages/relay/src/knapweedspring_relay/_relay.py
+++ b/packages/relay/src/knapweedspring_relay/_relay.py
@@ -96,6 +96,7 @@
         self._supervisor = TaskSupervisor(self._log, counters)
         self._timers = LoopTimers(self._reporter.report_timer_error)
         self._stopping = asyncio.Event()
+        self._started_at = now_s()
         self._stop_at: float | None = None
         self._planned_stop: PlannedStop | None = None
         self._settings_mtime = 0.0
@@ -109,6 +110,7 @@
             store=adapter.store,
             pool=self._peer_pool,
             desired_entry=self._desired_entry,
+            on_previous_entry=self._assume_published,
             on_directory_change=self._handle_directory_change,
             unreachable_duration_s=self._unreachable_duration_s,
             rng=self._rng,
@@ -302,6 +304,10 @@
         self._log.write_state(
             "upstream:departure", instance=instance, verdict=verdict.value
         )
+        if verdict is HeartbeatVerdict.LATE:
+            # The stored entry may be one of the process that departed.
+            self._learn_from_directory()
+            self._knowledge.own_entry.request_check()
         self._handle_upstream_verdict(verdict)
         return verdict
 
@@ -340,7 +346,12 @@
 
     def _desired_entry(self) -> GateEntry | None:
         upstream = self._tracker.current
-        if upstream is None or self._withdraws_entry(upstream):
+        if upstream is None:
+            # An entry of an earlier process tells the next one of this node of a
+            # leaving; only a node that stops has no use for it.
+            is_stopping = self._stop_at is not None
+            return None if is_stopping else self._knowledge.own_entry.stored_entry
+        if self._withdraws_entry(upstream):
             return None
         return GateEntry(
             node=self._settings.node,
@@ -363,32 +374,55 @@
         if self._settings.is_first_start:
             own_entry.assume_absent()
         else:
-            previous = await own_entry.read_previous()
-            if previous is not None:
-                self._assume_published(previous)
+            await own_entry.read_stored()
         await own_entry.run()
 
     def _assume_published(self, previous: GateEntry) -> None:
-        """Restore the upstream published before a restart until the next heartbeat."""
+        """Restore the upstream published before a restart until the next heartbeat.
+
+        Once the time for a heartbeat is over, the node restores it only if it leaves.
+        """
         is_own = previous.gate_address == self._settings.gate_address
         if not is_own or previous.service != self._settings.service:
             return
         now = now_s()
-        self._tracker.assume_published(published_upstream(previous, now), now)
-        self._gate.apply_upstream_state(now)
-        loop = asyncio.get_running_loop()
-        loop.call_later(ASSUMED_TIMEOUT_S, self._drop_unconfirmed)
-        self._log.write_state(
-            "upstream:assumed",
-            instance=previous.instance,
-            state=previous.state.value,
+        is_in_time = now - self._started_at <= ASSUMED_TIMEOUT_S
+        verdict = self._tracker.assume_published(
+            published_upstream(previous, now), now, may_be_ready=is_in_time
         )
+        if verdict is HeartbeatVerdict.CHANGED:
+            self._log.write_state(
+                "upstream:assumed",
+                instance=previous.instance,
+                state=previous.state.value,
+            )
+            loop = asyncio.get_running_loop()
+            loop.call_later(ASSUMED_TIMEOUT_S, self._drop_unconfirmed)
+        self._handle_upstream_verdict(verdict)
+
+    def _learn_from_directory(self) -> None:
+        """Use what the directory says of a leaving of the upstream.
+
+        Other nodes still list the entry of the previous process of this node while the
+        store does not return it. That the upstream is ready counts from the store only.
+        """
+        listed = self._directory.listed_entry(self._settings.node)
+        if listed is None or listed.gate_address != self._settings.gate_address:
+            return
+        now = now_s()
+        verdict = self._tracker.assume_published(
+            published_upstream(listed, now), now, may_be_ready=False
+        )
+        if verdict is HeartbeatVerdict.CHANGED:
+            self._log.write_state("upstream:leaving", instance=listed.instance)
+        self._handle_upstream_verdict(verdict)
 
     def _drop_unconfirmed(self) -> None:
         if self._tracker.drop_unconfirmed():
             self._log.write_state("upstream:unconfirmed", after_s=ASSUMED_TIMEOUT_S)
 
     def _handle_directory_change(self) -> None:
+        self._learn_from_directory()
         self._path.budget.set_n_nodes(self._directory.n_nodes)
         self._path.quotas.update_entries()
 
