Check a call again after each wait until it is sent

Cause: Gate.run compared service and instance with the upstream when a call arrived only; after the wait for a slot it sent the call to whichever process was there. The same held for the wait for a connection, up to 1 s: a process with the same identity, an upstream that had drained for longer than queued calls may be sent to it, a deadline header that stated the time left before the wait, and a caller that had left.

Change: SendChecks holds what is checked, when a call arrives, once it has a slot, and once it has a connection; the request is encoded only then. A process that replaces the upstream ends the waits at once, so that the calls are offered elsewhere. The connection of a call that is not sent is kept. ConnectionPool.call limits connecting, too, by the call's timeout. ClientConnection has its own module; DetachedCalls, too.

--- a/packages/relay/src/knapweedspring_relay/_answer.py
+++ b/packages/relay/src/knapweedspring_relay/_answer.py
@@ -77,6 +77,11 @@
             )
         return self._encoded_headers
 
+    @property
+    def is_chunked(self) -> bool:
+        """Whether the body is sent in chunks."""
+        return self.header(b"transfer-encoding") is not None
+
     @property
     def is_complete(self) -> bool:
         """Whether the whole body has arrived."""
--- a/packages/relay/src/knapweedspring_relay/_gate.py
+++ b/packages/relay/src/knapweedspring_relay/_gate.py
@@ -14,14 +14,16 @@
 from knapweedspring_relay._clock import now_s
 from knapweedspring_relay._crash_detector import CrashDetector
 from knapweedspring_relay._crash_records import CrashRecords
+from knapweedspring_relay._detached_calls import DetachedCalls
 from knapweedspring_relay._errors import (
     CallError,
+    CallWithdrawn,
     ConnectFailed,
     ConnectionBroke,
 )
 from knapweedspring_relay._gate_link import LocalGate
 from knapweedspring_relay._gate_policy import GatePolicy
-from knapweedspring_relay._gate_result import GateResult, abandon_result
+from knapweedspring_relay._gate_result import GateResult
 from knapweedspring_relay._headers import CallHeaders
 from knapweedspring_relay._histograms import LatencyHistograms
 from knapweedspring_relay._hop import ChainOrigin, GateReport, HopCall, HopOutcome
@@ -29,6 +31,7 @@
 from knapweedspring_relay._local_upstream import LocalUpstream, UpstreamTracker
 from knapweedspring_relay._logs import DecisionLog
 from knapweedspring_relay._requests import ForwardedRequest
+from knapweedspring_relay._send_checks import NotSent, SendChecks
 from knapweedspring_relay._suspect_runs import SuspectRuns
 from knapweedspring_relay._unread_answers import UnreadAnswers
 from knapweedspring_relay._upstream_caller import UpstreamCaller
@@ -36,9 +39,8 @@
 
 __all__ = ["Gate"]
 
-#: A call is admitted only if more than this time is left until its deadline, in
-#: seconds.
-MIN_LEFT_S = 0.005
+#: Why a gate that stops accepts no calls.
+STOPPING_REASON = "the node is stopping"
 #: Smoothing factor of the moving failure ratio of calls through this node's entry.
 #: After each call, the ratio moves by this share of its distance to the call's outcome
 #: (1 for a failure, else 0), so a larger factor makes the ratio follow changes faster.
@@ -86,27 +88,28 @@
     ) -> None:
         self._tracker = tracker
         self._headers = headers
-        self._drain_s = drain_s
         self._version = version
         self._log = log
         self._counters = counters
         self._latencies = latencies
-        self._policy = policy or GatePolicy()
+        self._policy = policy = policy or GatePolicy()
         self._queue = AdmissionQueue()
         self._notices = UpstreamNotices(
             tracker, headers, self._apply_rate_limit, on_leaving, log, counters
         )
         self._crashes = crashes
         self._suspects = SuspectRuns(crashes)
+        self._checks = SendChecks(tracker, self._suspects, policy, drain_s)
         self._crash_detector = CrashDetector(pool, address, on_crash, log, counters)
         self._caller = UpstreamCaller(address, pool, headers, self._notices)
         self._pacing_timer: asyncio.TimerHandle | None = None
         self._stopping = False
         self._entry_failure_ratio = 0.0
-        self._detached_calls: dict[int, asyncio.Task[GateResult]] = {}
+        self._detached = DetachedCalls()
         self._origins: dict[str, ChainOrigin] = {}
-        #: Queued calls by the identity of their descriptions.
-        self._waiting_calls: dict[int, QueuedCall] = {}
+        #: Queued calls by the identity of their descriptions, each with the process
+        #: that was checked when it arrived.
+        self._waiting_calls: dict[int, tuple[QueuedCall, LocalUpstream]] = {}
         self._unread = UnreadAnswers(self._queue, headers.request_id, log, counters)
 
     @property
@@ -138,6 +141,10 @@
         :param now: monotonic time, in seconds.
         """
         self._notices.forget_replaced_process(now)
+        for queued, checked in tuple(self._waiting_calls.values()):
+            problem = self._checks.check_process(checked)
+            if problem is not None:
+                self._queue.refuse_call(queued, problem.reason)
         upstream = self._tracker.current
         if upstream is not None:
             self._queue.set_upstream(upstream.slots, upstream.cold_ends_at)
@@ -152,13 +159,13 @@
 
         :param ends_at: end of the process, on the monotonic clock, in seconds.
         """
-        self._queue.refuse_unfinishable(ends_at, now_s(), "the node is stopping")
+        self._queue.refuse_unfinishable(ends_at, now_s(), STOPPING_REASON)
 
     def withdraw(self, call: HopCall) -> None:
         """Refuse a call if it still waits in the queue; see :class:`GateLink`."""
-        queued = self._waiting_calls.get(id(call))
-        if queued is not None:
-            self._queue.refuse_call(queued, "its node is stopping")
+        waiting = self._waiting_calls.get(id(call))
+        if waiting is not None:
+            self._queue.refuse_call(waiting[0], "its node is stopping")
 
     def expire_queued_calls(self) -> None:
         """Refuse queued calls that waited too long or would miss their deadlines.
@@ -168,8 +175,7 @@
         """
         now = now_s()
         self._queue.expire_overdue(now)
-        upstream = self._tracker.current
-        if upstream is not None and self._is_drain_wait_over(upstream, now):
+        if self._checks.is_drain_wait_over(now):
             self._queue.refuse_waiting("the upstream is draining")
         self._unread.free_slots(now)
 
@@ -189,7 +195,7 @@
         """Admit a call and send it to the upstream.
 
         When the caller leaves, a call that may run more than once is cancelled. Any
-        other call continues, since its effects cannot be undone.
+        other call continues once it was sent, since its effects cannot be undone.
 
         :param call: description of the call.
         :param request: the HTTP request to send to the upstream.
@@ -197,57 +203,41 @@
         """
         now = now_s()
         self._notices.adopt_limit(call.rate_limit, call.instance, now)
-        closed_reason = self._closed_reason(call, now)
-        if closed_reason:
-            return self._report_failure(call, HopOutcome.CLOSED, closed_reason, 0.0)
-        if call.left_s <= MIN_LEFT_S:
-            return self._report_refusal(call, "too little time is left", 0.0)
-        crash_reason = self._suspects.refusal_reason(call, now)
-        if crash_reason:
-            return self._report_refusal(call, crash_reason, 0.0)
-        waiter = self._new_waiter(call, now)
+        upstream = self._tracker.current
+        if self._stopping:
+            problem: NotSent | None = NotSent(HopOutcome.CLOSED, STOPPING_REASON)
+        else:
+            problem = self._checks.check_arrival(call, now)
+        if problem is not None or upstream is None:
+            return self._report_not_sent(call, problem, 0.0)
+        max_wait_share = self._policy.max_wait_share
+        waiter = AdmissionWaiter(admission_request_of(call, now, max_wait_share))
         self._queue.offer_call(waiter.queued, now)
         if waiter.queued.state is AdmissionState.WAITING:
             self._schedule_next_start(now)
             self._unread.free_slots(now)
         if waiter.queued.state is AdmissionState.WAITING:
-            await self._wait_for_admission(call, waiter, now)
+            await self._wait_for_admission(call, waiter, upstream, now)
         waited_s = now_s() - now
         if waiter.queued.state is not AdmissionState.RUNNING:
             return self._report_refusal(call, waiter.queued.reason, waited_s)
-        upstream = self._tracker.current
-        if upstream is None:
-            # It was given up while the call waited.
-            self._free_slot(waiter.queued)
-            reason = "no upstream is known"
-            return self._report_failure(call, HopOutcome.CLOSED, reason, waited_s)
-        crash_reason = self._suspects.refusal_reason(call, now_s())
-        if crash_reason:
-            # Crashes became known while the call waited.
+        problem = self._checks.check_admitted(call, upstream, now_s())
+        if problem is not None:
             self._free_slot(waiter.queued)
-            return self._report_refusal(call, crash_reason, waited_s)
+            return self._report_not_sent(call, problem, waited_s)
         if call.kind.is_repeatable:
             return await self._send_admitted_call(
                 call, request, waiter.queued, upstream
             )
-        # The shield keeps the call running when the caller leaves.
-        task = asyncio.ensure_future(
-            self._send_admitted_call(call, request, waiter.queued, upstream)
+        return await self._detached.run(
+            request, self._send_admitted_call(call, request, waiter.queued, upstream)
         )
-        key = id(request)
-        self._detached_calls[key] = task
-        task.add_done_callback(lambda _: self._detached_calls.pop(key, None))
-        try:
-            return await asyncio.shield(task)
-        except asyncio.CancelledError:
-            task.add_done_callback(abandon_result)
-            raise
 
     def detached_call(
         self, request: ForwardedRequest
     ) -> "asyncio.Future[GateResult] | None":
         """Return the call that goes on with a request; see :class:`LocalGate`."""
-        return self._detached_calls.get(id(request))
+        return self._detached.task_of(request)
 
     def make_report(
         self,
@@ -301,34 +291,19 @@
         self._pacing_timer = None
         self._admit_waiting_calls(now_s())
 
-    def _closed_reason(self, call: HopCall, now: float) -> str:
-        """Return why the gate does not accept a call; empty when it accepts it."""
-        upstream = self._tracker.current
-        if self._stopping:
-            return "the node is stopping"
-        if upstream is None:
-            return "no upstream is known"
-        if upstream.service != call.service:
-            return "the upstream runs another service"
-        if call.instance and call.instance != upstream.instance:
-            return "another upstream was expected"
-        if not upstream.is_ready:
-            return "the upstream is draining"
-        return ""
-
-    def _new_waiter(self, call: HopCall, now: float) -> AdmissionWaiter:
-        max_wait_share = self._policy.max_wait_share
-        return AdmissionWaiter(admission_request_of(call, now, max_wait_share))
-
     async def _wait_for_admission(
-        self, call: HopCall, waiter: AdmissionWaiter, now: float
+        self,
+        call: HopCall,
+        waiter: AdmissionWaiter,
+        upstream: LocalUpstream,
+        now: float,
     ) -> None:
         loop = asyncio.get_running_loop()
         # Each call has its own timer: scanning the whole queue for each call would cost
         # more the longer the queue is.
         longest_s = self._queue.longest_wait_s(waiter.queued, now)
         timer = loop.call_later(longest_s, self._queue.expire_call, waiter.queued)
-        self._waiting_calls[id(call)] = waiter.queued
+        self._waiting_calls[id(call)] = waiter.queued, upstream
         try:
             await waiter.wait_for_decision(loop)
         except asyncio.CancelledError:
@@ -352,10 +327,26 @@
         is_suspect = self._suspects.begin(call)
         self._origins[call.request_id] = call.origin
         waited_s = queued.started_at - queued.entered_at
+        not_sent: NotSent | None = None
+
+        def check_connected(now: float) -> None:
+            nonlocal not_sent
+            not_sent = self._checks.check_connected(
+                call, queued.admission_request, upstream, now
+            )
+            if self._detached.is_abandoned(request):
+                not_sent = NotSent(HopOutcome.REFUSED, "its caller has left")
+            if not_sent is not None:
+                raise CallWithdrawn(not_sent.reason)
+
         try:
-            left_s = queued.admission_request.deadline_at - now_s()
-            answer = await self._caller.call(call, request, upstream, left_s)
+            deadline_at = queued.admission_request.deadline_at
+            answer = await self._caller.call(
+                call, request, upstream, deadline_at, check_connected
+            )
             return self._report_answer(call, answer, waited_s, queued.started_at)
+        except CallWithdrawn:
+            return self._report_not_sent(call, not_sent, waited_s)
         except ConnectFailed as error:
             reason = f"the upstream is unreachable: {error}"
             return self._report_failure(call, HopOutcome.CLOSED, reason, waited_s)
@@ -440,6 +431,12 @@
         report = self._report_on(call, HopOutcome.ANSWERED, "", waited_s)
         return GateResult(report, answer)
 
+    def _report_not_sent(
+        self, call: HopCall, problem: NotSent | None, waited_s: float
+    ) -> GateResult:
+        assert problem is not None
+        return self._report_failure(call, problem.outcome, problem.reason, waited_s)
+
     def _report_refusal(
         self, call: HopCall, reason: str, waited_s: float
     ) -> GateResult:
@@ -493,8 +490,3 @@
         if crashes is None:
             return report
         return msgspec.structs.replace(report, crashes=crashes)
-
-    def _is_drain_wait_over(self, upstream: LocalUpstream, now: float) -> bool:
-        drain_started_at = upstream.draining_at
-        max_wait_s = self._policy.drain_share * self._drain_s
-        return drain_started_at is not None and now - drain_started_at > max_wait_s
--- a/packages/relay/src/knapweedspring_relay/_local_upstream.py
+++ b/packages/relay/src/knapweedspring_relay/_local_upstream.py
@@ -125,6 +125,10 @@
         """Whether the upstream accepts new requests."""
         return self.state is UpstreamState.READY
 
+    def is_same_process(self, other: "Heartbeat | LocalUpstream") -> bool:
+        """Return whether a state or a heartbeat is of the same process."""
+        return self.instance == other.instance and self.born_ms == other.born_ms
+
 
 @dataclass(frozen=True, slots=True)
 class _ProcessKey:
@@ -196,7 +200,7 @@
         if current is None or upstream.born_ms > current.born_ms:
             self._current = upstream
             return HeartbeatVerdict.CHANGED
-        if not _is_same_process(current, upstream):
+        if not current.is_same_process(upstream):
             return HeartbeatVerdict.SUPERSEDED
         if upstream.is_ready or not current.is_ready:
             return HeartbeatVerdict.UNCHANGED
@@ -235,7 +239,7 @@
         if current is not None:
             if heartbeat.born_ms < current.born_ms:
                 return HeartbeatVerdict.SUPERSEDED
-            if _is_same_process(current, heartbeat):
+            if current.is_same_process(heartbeat):
                 return self._update_current(current, heartbeat, now)
         self._current = _upstream_from(heartbeat, now)
         return HeartbeatVerdict.CHANGED
@@ -270,7 +274,7 @@
         :return: effect on the state.
         """
         current = self._current
-        if current is None or not _is_same_process(current, process):
+        if current is None or not current.is_same_process(process):
             return HeartbeatVerdict.LATE
         if not current.is_ready:
             return HeartbeatVerdict.UNCHANGED
@@ -334,10 +338,6 @@
         del remembered[next(iter(remembered))]
 
 
-def _is_same_process(current: LocalUpstream, other: Heartbeat | LocalUpstream) -> bool:
-    return current.instance == other.instance and current.born_ms == other.born_ms
-
-
 def _upstream_from(heartbeat: Heartbeat, now: float) -> LocalUpstream:
     is_draining = heartbeat.state is UpstreamState.DRAINING
     return LocalUpstream(
--- a/packages/relay/src/knapweedspring_relay/_suspect_runs.py
+++ b/packages/relay/src/knapweedspring_relay/_suspect_runs.py
@@ -27,12 +27,23 @@
         """
         if call.crashes is not None:
             self._crashes.merge(call.crashes, now)
-        if self._crashes.is_refused(call.fingerprint, now):
-            return "the request ran on several upstreams that ended"
+        reason = self.crash_reason(call, now)
+        if reason:
+            return reason
         if self._is_running and self._crashes.is_likely_cause(call.fingerprint):
             return "another request that may end the upstream is running"
         return ""
 
+    def crash_reason(self, call: HopCall, now: float) -> str:
+        """Return why a call may not run beside any others; empty when it may.
+
+        :param call: the call.
+        :param now: monotonic time, in seconds.
+        """
+        if self._crashes.is_refused(call.fingerprint, now):
+            return "the request ran on several upstreams that ended"
+        return ""
+
     def begin(self, call: HopCall) -> bool:
         """Record the start of a call.
 
--- a/packages/relay/tests/test_kept_connections.py
+++ b/packages/relay/tests/test_kept_connections.py
@@ -9,7 +9,7 @@
 import pytest
 from _deployment import Deployment, answer_of
 
-from knapweedspring_relay._http_client import READ_HIGH_WATER_BYTES
+from knapweedspring_relay._client_connection import READ_HIGH_WATER_BYTES
 
 N_ROUNDS = 5
 
