Don't send queued calls to an upstream that took the address of theirs

A call that waits in a gate's queue was sent to the address that its upstream had announced, although the announcement was replaced or withdrawn meanwhile and another service may have the address.

Change: a gate refuses its queued calls when its upstream is withdrawn or announced at another address; a service whose address another one announces is withdrawn. GateSide checks the address after the wait for a slot, and OutboundCall.may_send once there is a connection.

--- a/packages/node/src/knapweedspring_node/_announcements.py
+++ b/packages/node/src/knapweedspring_node/_announcements.py
@@ -63,6 +63,10 @@
         :param upstream: service, address, capacity and state that were announced.
         """
         with self._lock:
+            for other in tuple(self._announced.values()):
+                is_replaced = other.address == upstream.address
+                if is_replaced and other.service != upstream.service:
+                    self._withdraw(other.service, "upstream:replaced")
             self._announced_at[upstream.service] = time.monotonic()
             self._announced[upstream.service] = upstream
             self._publish_upstream(upstream)
@@ -79,7 +83,7 @@
         with self._lock:
             for service, announced_at in list(self._announced_at.items()):
                 if announced_at < cutoff_at:
-                    self._withdraw_expired(service)
+                    self._withdraw(service, "upstream:silent")
             self._publish_all_upstreams()
 
     def _is_declared_leaving(self) -> bool:
@@ -112,8 +116,8 @@
         self._events.record("upstream:state", service=announced.service, state=state)
         self._membership.announce(wanted)
 
-    def _withdraw_expired(self, service: str) -> None:
-        self._events.record("upstream:silent", service=service)
+    def _withdraw(self, service: str, event: str) -> None:
+        self._events.record(event, service=service)
         del self._announced_at[service]
         self._announced.pop(service, None)
         if self._published.pop(service, None) is not None:
--- a/packages/node/src/knapweedspring_node/_calls/_gate_side.py
+++ b/packages/node/src/knapweedspring_node/_calls/_gate_side.py
@@ -125,6 +125,12 @@
         if isinstance(admitted, Err):
             return self._refuse(hop, upstream, admitted.err_value)
         admission = admitted.ok_value
+        address = upstream.announced.address
+        if not self._upstreams.serves_at(request.service, address):
+            # Another upstream may have its address since the call was queued.
+            admission.finish(0.0, succeeded=False)
+            refusal = Refusal(Outcome.NOT_RUN, Reason.NO_UPSTREAM)
+            return self._refuse(hop, upstream, refusal)
         run_refusal = self._record_start(hop)
         if run_refusal is not None:
             admission.finish(0.0, succeeded=False)
@@ -158,15 +164,17 @@
 
     def _exchange(self, request: CallRequest, run: _Run) -> Reply:
         hop = run.call.hop
+        address = run.upstream.announced.address
         exchanged = self._pools.exchange(
             OutboundCall(
-                address=run.upstream.announced.address,
+                address=address,
                 method=request.method,
                 target=request.target,
                 headers=request.headers + _upstream_headers(run.call),
                 body=request.body,
                 deadline_at=run.call.deadline_at,
                 caller_connection=request.caller_connection,
+                may_send=lambda: self._upstreams.serves_at(request.service, address),
             )
         )
         if isinstance(exchanged, Err):
--- a/packages/node/src/knapweedspring_node/_calls/_outbound.py
+++ b/packages/node/src/knapweedspring_node/_calls/_outbound.py
@@ -5,7 +5,7 @@
 import threading
 import time
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Any
 
@@ -69,6 +69,8 @@
     #: that send no answer twice: answers carry no id by which a late copy of one could
     #: be told from the answer to the next call.
     allows_reuse: bool = False
+    #: Called once there is a connection; the call is sent only if it returns True.
+    may_send: Callable[[], bool] = lambda: True
 
 
 @dataclass(frozen=True, slots=True)
@@ -242,6 +244,9 @@
             if isinstance(opened, Err):
                 return opened
             connection = opened.ok_value
+        if not call.may_send():
+            connection.close()
+            return Err(PeerUnreachable("the peer was replaced while connecting"))
         exchanged = _exchange(connection, call, self._stop_signal)
         if isinstance(exchanged, Err):
             connection.close()
--- a/packages/node/src/knapweedspring_node/_calls/_upstreams.py
+++ b/packages/node/src/knapweedspring_node/_calls/_upstreams.py
@@ -41,6 +41,7 @@
 
         An upstream that is announced with another address, other slots or other
         connections counts as new and gets a new gate, which begins with a slow start.
+        Calls that are queued for an upstream at another address are refused.
 
         :param announced: announcement of an upstream on this VM.
         :return: the upstream and its gate.
@@ -53,12 +54,25 @@
                 gate = self._make_gate(announced)
             current = LocalUpstream(announced, gate)
             self._by_service[announced.service] = current
-            return current
+        if previous is not None and previous.announced.address != announced.address:
+            previous.gate.close()
+        return current
 
     def remove(self, service: str) -> None:
-        """Remove an upstream that is no longer announced."""
+        """Remove an upstream that is not announced, and refuse its queued calls."""
         with self._lock:
-            self._by_service.pop(service, None)
+            previous = self._by_service.pop(service, None)
+        if previous is not None:
+            previous.gate.close()
+
+    def serves_at(self, service: str, address: str) -> bool:
+        """Return whether a service still has its upstream at an address.
+
+        :param service: name of the service.
+        :param address: address of the upstream when a call was checked.
+        """
+        current = self._by_service.get(service)
+        return current is not None and current.announced.address == address
 
     def find(self, service: str) -> LocalUpstream | None:
         """Return the upstream of a service, None when this VM has none."""
