--- a/packages/relay/src/knapweedspring_relay/_gate.py
+++ b/packages/relay/src/knapweedspring_relay/_gate.py
@@ -210,8 +210,7 @@
             problem = self._checks.check_arrival(call, now)
         if problem is not None or upstream is None:
             return self._report_not_sent(call, problem, 0.0)
-        max_wait_share = self._policy.max_wait_share
-        waiter = AdmissionWaiter(admission_request_of(call, now, max_wait_share))
+        waiter = self._new_waiter(call, now)
         self._queue.offer_call(waiter.queued, now)
         if waiter.queued.state is AdmissionState.WAITING:
             self._schedule_next_start(now)
@@ -291,6 +290,10 @@
         self._pacing_timer = None
         self._admit_waiting_calls(now_s())
 
+    def _new_waiter(self, call: HopCall, now: float) -> AdmissionWaiter:
+        max_wait_share = self._policy.max_wait_share
+        return AdmissionWaiter(admission_request_of(call, now, max_wait_share))
+
     async def _wait_for_admission(
         self,
         call: HopCall,
