Check the watches of the store at short intervals, once for all data centres

Cause: a watch may wait for 26.5 s, and counted as working all the while. Its connection returns nothing further once an answer is lost, and TCP shows nothing. Nothing else read the configuration, and the watchers of the data centres followed each other.

Change: only an answer of the store confirms what a node knows (StoreConfirmation). A watcher whose confirmation is older than 1.4 s asks the store for changes, without waiting and over a new connection (StoreChecks). Later data centres ask later. A watch that missed a change, or that began before a check was lost, is replaced; two checks without an answer make the store count as failing, so that another node watches. The directory's watch is checked when it lacks a change for a whole period. The age on which keys are refused counts overdue confirmations.

--- a/packages/relay/src/knapweedspring_relay/_knowledge/_configuration_sync.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_configuration_sync.py
@@ -6,6 +6,7 @@
 from result import Err, Ok, Result
 
 from knapweedspring_core import Counters
+from knapweedspring_relay._clock import now_s
 from knapweedspring_relay._knowledge._backoff import Backoff
 from knapweedspring_relay._knowledge._declared_state import DeclaredState
 from knapweedspring_relay._knowledge._object_store import (
@@ -14,13 +15,18 @@
     StoreError,
     StoreHistoryGone,
 )
-from knapweedspring_relay._knowledge._position import ORIGIN
+from knapweedspring_relay._knowledge._position import ORIGIN, StorePosition
+from knapweedspring_relay._knowledge._store_confirmation import StoreConfirmation
 from knapweedspring_relay._knowledge._store_health import StoreHealth
 from knapweedspring_relay._knowledge._sync_step import WATCH_WAIT_S, SyncStep
 from knapweedspring_relay._logs import DecisionLog
 
 __all__ = ["ConfigurationSync"]
 
+#: Checks in a row without an answer after which the store counts as failing. One answer
+#: may be lost while the store answers others.
+MAX_FAILED_CHECKS = 2
+
 
 class ConfigurationSync:
     """Reads the configuration from the store, then watches it for changes.
@@ -31,6 +37,7 @@
     :param store: store to read from.
     :param state: puts the configuration in force.
     :param health: records whether the store answers.
+    :param confirmation: records when the store answered.
     :param rng: source of the jitter.
     :param log: decision log.
     :param counters: counts failures.
@@ -41,6 +48,7 @@
         store: DeploymentStore,
         state: DeclaredState,
         health: StoreHealth,
+        confirmation: StoreConfirmation,
         rng: random.Random,
         log: DecisionLog,
         counters: Counters,
@@ -48,17 +56,30 @@
         self._store = store
         self._state = state
         self._health = health
+        self._confirmation = confirmation
         self._backoff = Backoff(rng)
         self._log = log
         self._counters = counters
         self._last_problem = ""
         #: Watches in a row for which the store had no history.
         self._n_lost_histories = 0
+        #: Checks in a row that the store left without an answer.
+        self._n_failed_checks = 0
+        #: Set to end the pending watch and to begin another one on a new connection.
+        self._watch_again = asyncio.Event()
+        self._has_pending_watch = False
+
+    @property
+    def has_pending_watch(self) -> bool:
+        """Whether a watch waits for the store."""
+        return self._has_pending_watch
 
     async def run(self) -> None:
         """Apply the store's configuration to this node until the task is cancelled."""
         is_known = self._state.position != ORIGIN
         step = SyncStep.WATCH if is_known else SyncStep.READ
+        self._n_failed_checks = 0
+        self._watch_again.clear()
         while True:
             step = await self._run_step(step)
 
@@ -72,9 +93,46 @@
             self._apply_read(read.ok_value)
         return isinstance(read, Ok)
 
+    async def check_watch(self) -> StorePosition | None:
+        """Ask the store whether the pending watch misses a change, and apply it.
+
+        A watch that missed one, or that began before the store left a check without an
+        answer, is replaced.
+
+        :return: position of the store; None when the store gives no answer.
+        """
+        asked_at, version = now_s(), self._state.version
+        read = await self._store.check_configuration(self._state.position)
+        if isinstance(read, Err) and isinstance(read.err_value, StoreHistoryGone):
+            read = await self._store.read_configuration()
+        if isinstance(read, Err):
+            self._record_failed_check(read.err_value)
+            return None
+        is_suspect = self._n_failed_checks > 0
+        self._n_failed_checks = 0
+        self._health.record_result("configuration", None)
+        self._apply_read(read.ok_value)
+        self._confirmation.record(asked_at)
+        if is_suspect or self._state.version > version:
+            self._log.write_state(
+                "store:watch-replaced", version=self._state.version, previous=version
+            )
+            self._counters.add("store_watches_replaced")
+            self._watch_again.set()
+        return read.ok_value.position
+
+    def _record_failed_check(self, error: StoreError) -> None:
+        self._n_failed_checks += 1
+        self._counters.add("store_failures", "check")
+        if self._n_failed_checks >= MAX_FAILED_CHECKS:
+            self._health.record_result("configuration", error)
+
     async def _run_step(self, step: SyncStep) -> SyncStep:
         if step is SyncStep.READ:
+            asked_at = now_s()
             read = await self._store.read_configuration()
+            if isinstance(read, Ok):
+                self._confirmation.record(asked_at)
         else:
             read = await self._watch_or_reread()
         if isinstance(read, Err):
@@ -106,15 +164,25 @@
             self._store.watch_configuration(self._state.position, WATCH_WAIT_S)
         )
         newer_known = asyncio.ensure_future(self._state.newer_exists.wait())
+        watch_again = asyncio.ensure_future(self._watch_again.wait())
+        self._has_pending_watch = True
         try:
             await asyncio.wait(
-                {watch, newer_known}, return_when=asyncio.FIRST_COMPLETED
+                {watch, newer_known, watch_again}, return_when=asyncio.FIRST_COMPLETED
             )
             if watch.done():
-                return watch.result()
+                watched = watch.result()
+                if isinstance(watched, Ok):
+                    self._confirmation.record(now_s())
+                return watched
         finally:
+            self._has_pending_watch = False
             watch.cancel()
             newer_known.cancel()
+            watch_again.cancel()
+        if self._watch_again.is_set():
+            self._watch_again.clear()
+            return Ok(ConfigurationRead(self._state.position, None))
         return await self._store.read_configuration()
 
     def _apply_read(self, read: ConfigurationRead) -> None:
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_directory_sync.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_directory_sync.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Callable
 
-from result import Err
+from result import Err, Result
 
 from knapweedspring_core import Counters
 from knapweedspring_relay._clock import now_s
@@ -12,6 +12,7 @@
 from knapweedspring_relay._knowledge._directory import Directory
 from knapweedspring_relay._knowledge._object_store import (
     DeploymentStore,
+    DirectoryChanges,
     StoreError,
     StoreHistoryGone,
 )
@@ -64,11 +65,14 @@
         self._backoff = Backoff(rng)
         self._log = log
         self._counters = counters
+        #: Set to end the pending watch and to begin another one on a new connection.
+        self._watch_again = asyncio.Event()
 
     async def run(self) -> None:
         """Apply the store's entries to the directory until the task is cancelled."""
         is_known = self._directory.position != ORIGIN
         step = SyncStep.WATCH if is_known else SyncStep.READ
+        self._watch_again.clear()
         while True:
             error = (
                 await self._list_directory()
@@ -105,13 +109,42 @@
         self._on_change()
         return None
 
+    async def check_watch(self) -> None:
+        """Ask the store whether the pending watch misses changes, and apply them.
+
+        A watch that missed some is replaced.
+        """
+        checked = await self._store.check_directory(self._directory.position)
+        if isinstance(checked, Err):
+            self._counters.add("store_failures", "check")
+            return
+        self._apply(checked.ok_value)
+        if checked.ok_value.updated or checked.ok_value.removed:
+            self._counters.add("store_watches_replaced")
+            self._watch_again.set()
+
     async def _watch_directory(self) -> StoreError | None:
-        watched = await self._store.watch_directory(
-            self._directory.position, WATCH_WAIT_S
+        watch = asyncio.ensure_future(
+            self._store.watch_directory(self._directory.position, WATCH_WAIT_S)
         )
+        watch_again = asyncio.ensure_future(self._watch_again.wait())
+        try:
+            await asyncio.wait(
+                {watch, watch_again}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not watch.done():
+                self._watch_again.clear()
+                return None
+            watched: Result[DirectoryChanges, StoreError] = watch.result()
+        finally:
+            watch.cancel()
+            watch_again.cancel()
         if isinstance(watched, Err):
             return watched.err_value
-        changes = watched.ok_value
+        self._apply(watched.ok_value)
+        return None
+
+    def _apply(self, changes: DirectoryChanges) -> None:
         self._health.observe_era(changes.position.era)
         self._skipped.forget(entry.node for entry in changes.updated)
         self._skipped.report(changes.skipped, "store")
@@ -128,4 +161,3 @@
                 removed=removed,
             )
             self._on_change()
-        return None
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_followers.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_followers.py
@@ -15,6 +15,9 @@
 
 __all__ = ["FollowHandler", "Followers"]
 
+#: Longest time between two frames, in seconds, of followers that get a confirmation of
+#: the store with the next frame. Others get it at once, since it would be too old.
+MAX_PATIENCE_S = 0.5
 #: Time by which a timer may fire before a frame is due, in seconds.
 TIMER_TOLERANCE_S = 0.05
 
@@ -113,12 +116,21 @@
         for follower, progress in tuple(self._progress.items()):
             self._send_due(follower, progress, encoded, now)
 
+    def publish_confirmation(self) -> None:
+        """Tell the followers in other data centres that the store has answered."""
+        now = now_s()
+        encoded: dict[_Known, _Encoded] = {}
+        for follower, progress in tuple(self._progress.items()):
+            if progress.period_s > MAX_PATIENCE_S:
+                self._send_due(follower, progress, encoded, now, is_urgent=True)
+
     def _send_due(
         self,
         follower: FrameSender,
         progress: _Progress,
         encoded: dict[_Known, _Encoded],
         now: float,
+        is_urgent: bool = False,
     ) -> None:
         known = progress.known
         found = encoded.get(known)
@@ -129,7 +141,7 @@
                 snapshot = msgspec.structs.replace(snapshot, refused=())
             found = encoded[known] = _encode(snapshot, known, n_refused_changes)
         is_due = now - progress.sent_at >= progress.period_s - TIMER_TOLERANCE_S
-        if found.known != known or is_due:
+        if found.known != known or is_due or is_urgent:
             follower.send(found.frame)
             progress.known, progress.sent_at = found.known, now
 
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_knowledge.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_knowledge.py
@@ -1,6 +1,7 @@
 """What this node knows of the deployment, and how it stays up to date."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 
@@ -26,6 +27,8 @@
 from knapweedspring_relay._knowledge._position import ORIGIN, StorePosition
 from knapweedspring_relay._knowledge._skipped_entries import SkippedEntryReporter
 from knapweedspring_relay._knowledge._source_sync import LOCAL_PERIOD_S, SourceSync
+from knapweedspring_relay._knowledge._store_checks import StoreChecks
+from knapweedspring_relay._knowledge._store_confirmation import StoreConfirmation
 from knapweedspring_relay._knowledge._store_health import StoreHealth
 from knapweedspring_relay._knowledge._store_watch import StoreWatch
 from knapweedspring_relay._logs import DecisionLog
@@ -96,8 +99,9 @@
         self._cleaner = EntryCleaner(
             store, self._directory, unreachable_duration_s, self._health, rng, log
         )
+        self._confirmation = StoreConfirmation()
         configuration_sync = ConfigurationSync(
-            store, self._state, self._health, rng, log, counters
+            store, self._state, self._health, self._confirmation, rng, log, counters
         )
         skipped = SkippedEntryReporter(log, counters)
         directory_sync = DirectorySync(
@@ -132,6 +136,13 @@
             log,
             counters,
         )
+        store_checks = StoreChecks(
+            configuration_sync,
+            directory_sync,
+            self._directory,
+            self._confirmation,
+            self._followers.publish_confirmation,
+        )
         self._sources = SourceSync(
             settings.node,
             settings.data_centre,
@@ -141,10 +152,13 @@
             skipped,
             self._health,
             store_watch,
+            store_checks,
+            self._confirmation,
             self._peers,
             _other_seeds(settings),
             bool(settings.is_first_start),
             self._handle_directory_change,
+            self._followers.publish_confirmation,
             rng,
             log,
         )
@@ -246,6 +260,7 @@
     def _snapshot_newer_than(
         self, version: int, position: StorePosition
     ) -> PeerSnapshot:
+        age_s = self._confirmation.age_s(now_s())
         return make_peer_snapshot(
             self._state,
             self._directory,
@@ -254,6 +269,7 @@
             position,
             self._sources.is_watching and not self._is_leaving,
             self._settings.gate_address,
+            age_s if math.isfinite(age_s) else None,
         )
 
     def _declare_services(self) -> None:
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_object_store.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_object_store.py
@@ -111,6 +111,18 @@
             when it cannot report the changes after ``position``.
         """
 
+    @abstractmethod
+    async def check_configuration(
+        self, position: StorePosition
+    ) -> Result[ConfigurationRead, StoreError]:
+        """Report at once whether the configuration in the store has changed.
+
+        Uses a new connection, since the others may return nothing further.
+
+        :param position: position of the store after which to look for changes.
+        :return: as for :meth:`watch_configuration`.
+        """
+
     @abstractmethod
     async def read_directory(self) -> Result[DirectorySnapshot, StoreError]:
         """List the directory entries of all nodes.
@@ -130,6 +142,16 @@
             when it cannot report the changes after ``position``.
         """
 
+    @abstractmethod
+    async def check_directory(
+        self, position: StorePosition
+    ) -> Result[DirectoryChanges, StoreError]:
+        """Report at once the changes of directory entries, over a new connection.
+
+        :param position: position of the store after which to look for changes.
+        :return: as for :meth:`watch_directory`.
+        """
+
     @abstractmethod
     async def read_entry(self, node: str) -> Result[EntryRecord, StoreError]:
         """Read the directory entry of one node."""
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_peer_snapshot.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_peer_snapshot.py
@@ -47,6 +47,9 @@
     #: Whether the configuration states its workspaces. Nodes of versions that know none
     #: pass it on without them, which must not open all routes.
     states_workspaces: bool = False
+    #: Time since the store confirmed what the snapshot says, in seconds; None when it
+    #: never did. Nodes of versions that do not check their watches send none.
+    confirmed_age_s: float | None = None
 
 
 def make_peer_snapshot(
@@ -57,6 +60,7 @@
     position: StorePosition,
     is_watching: bool,
     gate_address: str,
+    confirmed_age_s: float | None = None,
 ) -> PeerSnapshot:
     """Return what a node knows beyond what a reader knows.
 
@@ -67,6 +71,8 @@
     :param position: position of the reader's directory.
     :param is_watching: whether the node watches the store.
     :param gate_address: address of the node's gate.
+    :param confirmed_age_s: time since the store confirmed what the node knows, in
+        seconds; None when it never did.
     """
     table = state.table
     configuration = table.configuration if table is not None else None
@@ -93,6 +99,7 @@
         gate_address=gate_address,
         refused=refused,
         states_workspaces=True,
+        confirmed_age_s=confirmed_age_s,
     )
 
 
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_source_link.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_source_link.py
@@ -39,6 +39,7 @@
         self._on_snapshot = on_snapshot
         self._on_end = on_end
         self._not_watching_since: float | None = self._heard_at
+        self._passes_confirmations_on = False
 
     @property
     def period_s(self) -> float:
@@ -50,6 +51,11 @@
         """Whether the last snapshot says that the node watches the store."""
         return self._not_watching_since is None
 
+    @property
+    def passes_confirmations_on(self) -> bool:
+        """Whether the node says when the store confirmed its knowledge."""
+        return self._passes_confirmations_on
+
     def not_watching_s(self, now: float) -> float:
         """Return for how long the node has not been known to watch the store.
 
@@ -68,6 +74,7 @@
         if not isinstance(frame, KnowledgeFrame):
             return
         snapshot = _decoder.decode(frame.content)
+        self._passes_confirmations_on = snapshot.confirmed_age_s is not None
         if snapshot.is_watching:
             self._not_watching_since = None
         elif self._not_watching_since is None:
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_source_sync.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_source_sync.py
@@ -17,6 +17,11 @@
 from knapweedspring_relay._knowledge._skipped_entries import SkippedEntryReporter
 from knapweedspring_relay._knowledge._source_link import SourceLink
 from knapweedspring_relay._knowledge._source_selector import SourceSelector
+from knapweedspring_relay._knowledge._store_checks import (
+    MAX_CONFIRMED_AGE_S,
+    StoreChecks,
+)
+from knapweedspring_relay._knowledge._store_confirmation import StoreConfirmation
 from knapweedspring_relay._knowledge._store_health import StoreHealth
 from knapweedspring_relay._knowledge._store_watch import StoreWatch
 from knapweedspring_relay._logs import DecisionLog
@@ -57,10 +62,13 @@
     :param skipped: reports entries that cannot be used.
     :param health: state of the store.
     :param store_watch: watches the store.
+    :param store_checks: checks the watches of the store.
+    :param confirmation: when the store last confirmed the knowledge of this node.
     :param peers: reads pages of peers.
     :param seed_addresses: heartbeat addresses of a few other nodes.
     :param is_first_start: whether the whole deployment starts for the first time.
     :param on_change: called after each change of the directory.
+    :param on_confirmed: called after a source passed on a confirmation of the store.
     :param rng: chooses the seed.
     :param log: decision log.
     """
@@ -75,10 +83,13 @@
         skipped: SkippedEntryReporter,
         health: StoreHealth,
         store_watch: StoreWatch,
+        store_checks: StoreChecks,
+        confirmation: StoreConfirmation,
         peers: PeerSync,
         seed_addresses: tuple[str, ...],
         is_first_start: bool,
         on_change: Callable[[], None],
+        on_confirmed: Callable[[], None],
         rng: random.Random,
         log: DecisionLog,
     ) -> None:
@@ -90,12 +101,15 @@
         self._skipped = skipped
         self._health = health
         self._store_watch = store_watch
+        self._store_checks = store_checks
+        self._confirmation = confirmation
         self._peers = peers
         self._seed_addresses = seed_addresses
         self._seed_wait_s = (
             FIRST_START_SEED_WAIT_S if is_first_start else RESTART_SEED_WAIT_S
         )
         self._on_change = on_change
+        self._on_confirmed = on_confirmed
         self._rng = rng
         self._log = log
         self._selectors = {data_centre: SourceSelector(node, data_centre)}
@@ -123,10 +137,15 @@
 
         :param now: monotonic time, in seconds.
         """
+        # Between two confirmations, changes arrive at once, so only one that is overdue
+        # makes the knowledge older.
+        overdue_s = max(0.0, self._confirmation.age_s(now) - MAX_CONFIRMED_AGE_S)
         if self.is_watching:
-            return 0.0
+            return overdue_s
         if self._source is not None and self._source.is_watching:
-            return self._source.silent_s(now)
+            if not self._source.passes_confirmations_on:
+                return self._source.silent_s(now)
+            return max(overdue_s, self._source.silent_s(now))
         return self._health.failing_duration_s(now)
 
     def update_entries(self) -> None:
@@ -161,6 +180,9 @@
                 revision=self._directory.position.revision,
             )
             self._store_watch.set_running(watches)
+        if watches:
+            index = sorted(self._selectors).index(self._data_centre)
+            self._store_checks.start_if_due(index, now)
         self._follow(choice.source)
         self._follow_remote(self._remote_choice(now) if watches else None)
 
@@ -172,6 +194,7 @@
         self._source = self._candidate = self._remote = None
         if self._seed_query is not None:
             self._seed_query.cancel()
+        self._store_checks.stop()
         self._store_watch.set_running(False)
 
     def _awaits_seed(self, now: float) -> bool:
@@ -302,6 +325,15 @@
                 is_listing=snapshot.is_listing,
             )
             self._on_change()
+        self._record_confirmation(snapshot)
+
+    def _record_confirmation(self, snapshot: PeerSnapshot) -> None:
+        """Record that the store confirmed what the source knows, and so this node."""
+        age_s = snapshot.confirmed_age_s
+        if age_s is None or not age_s >= 0.0 or snapshot.version > self._state.version:
+            return
+        if self._confirmation.record(now_s() - age_s):
+            self._on_confirmed()
 
 
 def _leads_to(link: SourceLink | None, entry: GateEntry) -> bool:
--- a/packages/relay/tests/_deployment.py
+++ b/packages/relay/tests/_deployment.py
@@ -163,6 +163,20 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    async def check_configuration(self, position):
+        self.calls["check_configuration"] += 1
+        watched = await self._watch(position, 0.0)
+        if isinstance(watched, Err):
+            return watched
+        return Ok(ConfigurationRead(self.position, self.configuration))
+
+    async def check_directory(self, position):
+        self.calls["check_directory"] += 1
+        watched = await self._watch(position, 0.0)
+        if isinstance(watched, Err):
+            return watched
+        return Ok(self._changes_of(set(watched.ok_value) - {"config"}))
+
     async def _watch(self, position, wait_s):
         """Return the names changed after a position, or the failure of the watch."""
         if self.is_down:
@@ -214,10 +228,12 @@
             if names or not watched.ok_value:
                 break
             position = self.position
+        return Ok(self._changes_of(names))
+
+    def _changes_of(self, names):
         updated = tuple(e for n, e in self.entries.items() if n in names)
-        return Ok(
-            DirectoryChanges(self.position, updated, tuple(names - set(self.entries)))
-        )
+        removed = tuple(names - set(self.entries))
+        return DirectoryChanges(self.position, updated, removed)
 
     def _record_of(self, node):
         position = StorePosition(self.era, self.revisions.get(node, 0))
--- a/packages/relay/tests/test_mixed_versions.py
+++ b/packages/relay/tests/test_mixed_versions.py
@@ -208,3 +208,20 @@
             pass
 
     asyncio.run(asyncio.wait_for(scenario(), 20))
+
+
+# Guards against a confirmation of the store that an older node never sent.
+def test_snapshot_of_an_older_node_confirms_nothing():
+    snapshot = make_peer_snapshot(
+        make_state(), Directory(), (), 0, ORIGIN, True, "a:1", 0.5
+    )
+    fields = msgspec.msgpack.decode(msgspec.msgpack.encode(snapshot))
+    assert fields[-1] == 0.5
+    older = msgspec.msgpack.encode(fields[:-1])
+    decoded = msgspec.msgpack.decode(older, type=PeerSnapshot)
+    assert decoded.confirmed_age_s is None
+    assert decoded.is_watching
+    old_type = in_service(PeerSnapshot)
+    assert msgspec.msgpack.decode(
+        msgspec.msgpack.encode(snapshot), type=old_type
+    ).is_watching
