Keep the entry of a leaving upstream until it has ended

Cause: a node that stops beside an upstream that leaves took its entry out of the store, since both were expected to be gone. The entry was the only trace of the leaving: the next process of the node took a report that was 2.6 s late for one of a new upstream.

Change: a stopping node withdraws the entry only once its leaving upstream refuses connections, which it checks each second. A VM that is removed stops its upstream first, so its entry goes at once, as before. Draining entries of VMs that are gone all the same are cleaned, too: the cleaner asks their nodes, since no call shows that they ended. The gauges of the call path have their own module.

--- a/packages/relay/src/knapweedspring_relay/_knowledge/_entry_cleaner.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_entry_cleaner.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from result import Err
 
 from knapweedspring_relay._clock import now_s
-from knapweedspring_relay._knowledge._directory import Directory
+from knapweedspring_relay._knowledge._directory import Directory, UpstreamState
 from knapweedspring_relay._knowledge._object_store import DeploymentStore
 from knapweedspring_relay._knowledge._store_health import StoreHealth
 from knapweedspring_relay._logs import DecisionLog
@@ -31,6 +31,8 @@
     :param directory: the gates.
     :param unreachable_duration_s: returns for how long a node has been unreachable at a
         time, in seconds.
+    :param answers: asks whether a node answers at its knowledge address. Calls show it
+        for gates in use only, not for one whose upstream leaves.
     :param health: state of the store; nothing is deleted while it fails.
     :param rng: decides whether this node deletes in a period.
     :param log: decision log.
@@ -41,6 +43,7 @@
         store: DeploymentStore,
         directory: Directory,
         unreachable_duration_s: Callable[[str, float], float],
+        answers: Callable[[str], Awaitable[bool]],
         health: StoreHealth,
         rng: random.Random,
         log: DecisionLog,
@@ -48,6 +51,10 @@
         self._store = store
         self._directory = directory
         self._unreachable_duration_s = unreachable_duration_s
+        self._answers = answers
+        #: Times since which nodes beside leaving upstreams have not answered, on the
+        #: monotonic clock, in seconds.
+        self._silent_since: dict[str, float] = {}
         self._health = health
         self._rng = rng
         self._log = log
@@ -66,8 +73,11 @@
         An entry that its node has since replaced in the store is kept.
         """
         now = now_s()
+        await self._find_silent_nodes()
         for node, entry in dict(self._directory.entries).items():
-            if self._unreachable_duration_s(node, now) < MIN_UNREACHABLE_S:
+            silent_s = now - self._silent_since.get(node, now)
+            unreachable_s = max(silent_s, self._unreachable_duration_s(node, now))
+            if unreachable_s < MIN_UNREACHABLE_S:
                 continue
             read = await self._store.read_entry(node)
             if isinstance(read, Err) or read.ok_value.entry != entry:
@@ -80,3 +90,13 @@
                 revision=read.ok_value.position.revision,
                 deleted=deleted.is_ok(),
             )
+
+    async def _find_silent_nodes(self) -> None:
+        """Ask the nodes beside leaving upstreams, since no call shows their end."""
+        silent_since = {}
+        for node, entry in dict(self._directory.entries).items():
+            if entry.state is not UpstreamState.DRAINING:
+                continue
+            if not await self._answers(entry.knowledge_address):
+                silent_since[node] = self._silent_since.get(node, now_s())
+        self._silent_since = silent_since
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_knowledge.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_knowledge.py
@@ -96,9 +96,6 @@
             log,
             counters,
         )
-        self._cleaner = EntryCleaner(
-            store, self._directory, unreachable_duration_s, self._health, rng, log
-        )
         self._confirmation = StoreConfirmation()
         configuration_sync = ConfigurationSync(
             store, self._state, self._health, self._confirmation, rng, log, counters
@@ -127,6 +124,15 @@
             rng,
             log,
         )
+        self._cleaner = EntryCleaner(
+            store,
+            self._directory,
+            unreachable_duration_s,
+            self._peers.query,
+            self._health,
+            rng,
+            log,
+        )
         store_watch = StoreWatch(
             {
                 "configuration": configuration_sync.run,
--- a/packages/relay/src/knapweedspring_relay/_local_upstream.py
+++ b/packages/relay/src/knapweedspring_relay/_local_upstream.py
@@ -172,6 +172,11 @@
         self._departed: dict[_ProcessKey, None] = {}
         self._unknown_departures: dict[str, _UnknownDeparture] = {}
 
+    @property
+    def address(self) -> str:
+        """Address of the upstream, as ``ip:port``."""
+        return self._address
+
     @property
     def current(self) -> LocalUpstream | None:
         """State of the upstream; None when no upstream is known."""
--- a/packages/relay/src/knapweedspring_relay/_relay.py
+++ b/packages/relay/src/knapweedspring_relay/_relay.py
@@ -21,6 +21,7 @@
 from knapweedspring_relay._clock import now_s, suspension_meter
 from knapweedspring_relay._crash_records import CrashRecords
 from knapweedspring_relay._event_reporter import EventReporter
+from knapweedspring_relay._gauges import register_gauges
 from knapweedspring_relay._histograms import LatencyHistograms
 from knapweedspring_relay._hop_listener import HopListener
 from knapweedspring_relay._http_client import ConnectionPool, ConnectionSettings
@@ -64,6 +65,9 @@
 #: Longest time for which the acknowledgement of a leaving waits for the store, in
 #: seconds. An acknowledgement that takes a second does not count.
 MAX_PUBLISH_WAIT_S = 0.5
+#: Period in which a node that stops beside an upstream that leaves checks whether the
+#: upstream has ended, in seconds. Each check opens a connection to it.
+UPSTREAM_END_CHECK_PERIOD_S = 1.0
 #: Container allocations between two runs of the garbage collector.
 GC_THRESHOLD = 20_000
 
@@ -98,6 +102,8 @@
         self._stopping = asyncio.Event()
         self._started_at = now_s()
         self._stop_at: float | None = None
+        #: Whether the upstream has ended after it left and the node began to stop.
+        self._has_upstream_ended = False
         self._planned_stop: PlannedStop | None = None
         self._settings_mtime = 0.0
         self._peer_pool = ConnectionPool(
@@ -149,7 +155,9 @@
     def _make_listeners(self) -> None:
         settings, pages = self._settings, self._knowledge.pages
         self._metrics = MetricsPage(self._counters)
-        self._register_gauges()
+        register_gauges(self._metrics, self._path, self._crashes, self._budget)
+        self._knowledge.register_gauges(self._metrics)
+        self._latencies.register(self._metrics)
         budget = self._budget
         self._entry_listener = HttpListener(settings.entry_address, self._entry, budget)
         self._gate_listener = HopListener(
@@ -182,33 +190,6 @@
             listener.on_error(self._reporter.report_handler_error)
             listener.on_ended(self._reporter.report_ended_connection)
 
-    def _register_gauges(self) -> None:
-        page, queue = self._metrics, self._gate.queue
-        page.add_gauge("gate_running", lambda: float(queue.n_running))
-        page.add_gauge("gate_waiting", lambda: float(queue.n_waiting))
-        page.add_gauge("gate_limit", lambda: float(queue.limit))
-        page.add_gauge("upstream_rate_limit", lambda: self._gate.rate_limit or 0.0)
-        page.add_gauge("crash_suspects", lambda: float(self._crashes.n_suspects))
-        page.add_gauge("refused_requests", lambda: float(self._crashes.n_refused))
-        page.add_gauge(
-            "hop_connections", lambda: float(self._path.hop_pool.n_connections)
-        )
-        page.add_gauge(
-            "hop_bad_frames", lambda: float(self._path.hop_pool.n_bad_frames)
-        )
-        budget = self._budget
-        page.add_gauge("peer_bytes", lambda: float(budget.n_bytes))
-        page.add_gauge("peer_connections", lambda: float(budget.n_connections))
-        page.add_gauge("peers_ended", lambda: float(budget.n_ended))
-        pool = self._path.upstream_pool
-        page.add_gauge("upstream_connections", lambda: float(pool.n_opened))
-        page.add_gauge(
-            "upstream_answers_skipped", lambda: float(pool.n_skipped_answers)
-        )
-        self._knowledge.register_gauges(page)
-        self._path.quotas.register_gauges(page)
-        self._latencies.register(page)
-
     @property
     def _listeners(self) -> tuple[HttpListener | HopListener, ...]:
         return (self._gate_listener, *self._http_listeners)
@@ -269,6 +250,7 @@
         self._planned_stop = PlannedStop(
             times, self._entry, self._gate, self._entry_listener, self._gate_listener
         )
+        self._supervisor.start("upstream end", self._wait_for_upstream_end)
         self._knowledge.own_entry.request_check()
         self._knowledge.leave()
         self._stopping.set()
@@ -366,8 +348,25 @@
         )
 
     def _withdraws_entry(self, upstream: LocalUpstream) -> bool:
-        """Return whether node and upstream both leave, so that no entry is desired."""
-        return self._stop_at is not None and not upstream.is_ready
+        """Return whether node and upstream are both gone soon.
+
+        An upstream that leaves may serve for many seconds, and the node may be started
+        again beside it: the entry then tells the next process of the leaving.
+        """
+        is_stopping = self._stop_at is not None
+        return is_stopping and not upstream.is_ready and self._has_upstream_ended
+
+    async def _wait_for_upstream_end(self) -> None:
+        """Withdraw the entry of a stopping node once its leaving upstream has ended."""
+        tracker, pool = self._tracker, self._path.upstream_pool
+        while True:
+            upstream = tracker.current
+            is_leaving = upstream is not None and not upstream.is_ready
+            if is_leaving and await pool.refuses_connections(tracker.address):
+                break
+            await asyncio.sleep(UPSTREAM_END_CHECK_PERIOD_S)
+        self._has_upstream_ended = True
+        self._knowledge.own_entry.request_check()
 
     async def _run_own_entry(self) -> None:
         own_entry = self._knowledge.own_entry
--- a/packages/relay/tests/test_departures_over_restarts.py
+++ b/packages/relay/tests/test_departures_over_restarts.py
@@ -128,3 +128,81 @@
             assert await requests_that_reach(deployment, 0, 20) > 0
 
     run(scenario)
+
+
+class LivingNode:
+    """A node that stops and is started again beside an upstream that leaves."""
+
+    def __init__(self, deployment):
+        self.deployment = deployment
+
+    async def stop(self):
+        self.deployment.relays[0].stop()
+
+    async def wait_ended(self):
+        task = self.deployment.tasks[0]
+        await asyncio.wait((task,), timeout=5.0)
+        assert task.done()
+        started = self.deployment._start_relay(self.deployment.settings[0])
+        self.deployment.relays[0], self.deployment.tasks[0] = started
+        await asyncio.sleep(0.1)
+
+
+def leave(deployment, how, sequence=2):
+    """Let the first upstream leave."""
+    relay = deployment.relays[0]
+    if how == "departure":
+        relay.apply_departure("i-0")
+    elif how == "draining":
+        deployment.send_heartbeat(0, sequence, state=UpstreamState.DRAINING)
+    else:
+        relay._apply_leaving(relay._tracker.current)
+
+
+# Guards against an acknowledged departure that a planned stop of the node takes out of
+# the store (review/8).
+@pytest.mark.parametrize("how", ["departure", "draining", "answer"])
+@pytest.mark.parametrize("left", ["before the stop", "during the stop"])
+@pytest.mark.parametrize("n_stops", [1, 2])
+def test_leaving_outlives_planned_stops_of_the_node(how, left, n_stops):
+    async def scenario():
+        async with Deployment([answer_ok, answer_ok]) as deployment:
+            node = LivingNode(deployment)
+            if left == "before the stop":
+                leave(deployment, how)
+                await deployment.relays[0].wait_published()
+            await node.stop()
+            if left == "during the stop":
+                await asyncio.sleep(0.5)
+                leave(deployment, how)
+                await deployment.relays[0].wait_published()
+            await node.wait_ended()
+            for _ in range(n_stops - 1):
+                await node.stop()
+                await node.wait_ended()
+            # Two reports that were sent before the leaving arrive late.
+            for sequence in (0, 1):
+                deployment.send_heartbeat(0, sequence)
+            await asyncio.sleep(1.0)
+            assert await requests_that_reach(deployment, 0) == 0
+            assert deployment.store.entries["n0"].state is UpstreamState.DRAINING
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("ends", ["before the stop", "during the stop"])
+def test_entry_is_withdrawn_once_node_and_upstream_are_gone(ends):
+    async def scenario():
+        async with Deployment([answer_ok, answer_ok]) as deployment:
+            upstream = deployment.upstreams[0]
+            leave(deployment, "departure")
+            if ends == "before the stop":
+                upstream._server.close()
+            deployment.relays[0].stop()
+            if ends == "during the stop":
+                await asyncio.sleep(0.5)
+                assert "n0" in deployment.store.entries
+                upstream._server.close()
+            await deployment.wait_until(lambda: "n0" not in deployment.store.entries)
+
+    run(scenario)
