Let other nodes know a leaving that the store may not have

A departure or a drain that a node acknowledged while the store was away was forgotten if the node ended then; the same after the store returned from an older copy.

If the store does not confirm the leaving within 0.1 s, three peers are told in the query of their page, too, since links depend on watchers that reach the store. A node that starts again learns of its own upstream's leaving that way. Each is an optional last field or part that older nodes skip.

Tests: test_leavings; its 7 scenarios failed before (departure, draining, an answer that says so; the store away at once and for 2.5 s; an older copy).

--- a/packages/relay/src/knapweedspring_relay/_hop_frames.py
+++ b/packages/relay/src/knapweedspring_relay/_hop_frames.py
@@ -145,6 +145,9 @@
     revision: int
     #: Longest time between two frames that the sender expects, in seconds.
     period_s: float
+    #: Processes that the sender knows to leave although their entries do not say so.
+    #: Older nodes send none.
+    leaving: tuple[UpstreamProcess, ...] = ()
 
 
 class KnowledgeFrame(msgspec.Struct, frozen=True, array_like=True, gc=False, tag=11):
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_directory.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_directory.py
@@ -5,7 +5,9 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from knapweedspring_relay._clock import now_s
 from knapweedspring_relay._knowledge._change_log import ChangeLog
+from knapweedspring_relay._knowledge._leavings import Leavings
 from knapweedspring_relay._knowledge._position import ORIGIN, StorePosition
 from knapweedspring_relay._upstream_process import UpstreamProcess
 
@@ -23,9 +25,6 @@
 #: Number of processes that are remembered as departed. They are needed only when the
 #: store is restored from an older copy, which lists the entries of the last seconds.
 MAX_DEPARTED = 4_096
-#: Number of processes that are remembered as leaving; beyond it, the first one is
-#: forgotten.
-MAX_LEAVING = 4_096
 
 
 class UpstreamState(StrEnum):
@@ -110,7 +109,7 @@
         self._entries: dict[str, GateEntry] = {}
         self._missing_at: dict[str, float] = {}
         self._departed: dict[UpstreamProcess, None] = {}
-        self._leaving: dict[UpstreamProcess, None] = {}
+        self._leavings = Leavings()
         #: Names of the declared services; None before the first configuration.
         self._services: frozenset[str] | None = None
         self._changes = ChangeLog()
@@ -182,20 +181,40 @@
             self._services = services
             self._rebuild_index()
 
-    def record_leaving(self, process: UpstreamProcess) -> None:
-        """Stop using a process that its gate reported as leaving.
+    @property
+    def leavings(self) -> Leavings:
+        """Processes that are known to leave."""
+        return self._leavings
+
+    def record_leaving(self, process: UpstreamProcess) -> bool:
+        """Stop using a process that its gate, or another node, reported as leaving.
 
         The process stays unused whatever its entry says: the gate may be restarted
         before it can publish the leaving.
 
         :param process: the process.
+        :return: whether it was in use, as far as this node knew.
         """
-        if process in self._leaving:
-            return
-        self._leaving[process] = None
-        if len(self._leaving) > MAX_LEAVING:
-            del self._leaving[next(iter(self._leaving))]
+        if not self._leavings.record(process, now_s()):
+            return False
         self._rebuild_index()
+        return True
+
+    def leavings_to_pass_on(self, now: float) -> tuple[UpstreamProcess, ...]:
+        """Return the latest processes that leave without their entries saying so.
+
+        :param now: monotonic time, in seconds.
+        """
+        return tuple(
+            process for process in self._leavings.latest(now) if self._hides(process)
+        )
+
+    def _hides(self, process: UpstreamProcess) -> bool:
+        """Return whether the entry of a node does not tell that a process leaves."""
+        entry = self._entries.get(process.node)
+        if entry is None or entry.born_ms < process.born_ms:
+            return True
+        return entry.process == process and entry.state is UpstreamState.READY
 
     def apply_listing(self, snapshot: DirectorySnapshot, now: float) -> bool:
         """Apply a complete listing, if no newer position has been applied.
@@ -325,7 +344,7 @@
         for node in sorted(entry.node for entry in entry_by_address.values()):
             entry = self._entries[node]
             is_ready = entry.state is UpstreamState.READY
-            if is_ready and entry.process not in self._leaving:
+            if is_ready and entry.process not in self._leavings:
                 by_service.setdefault(entry.service, []).append(entry)
         self._by_service = {name: tuple(found) for name, found in by_service.items()}
         self._by_location.clear()
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_followers.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_followers.py
@@ -1,7 +1,7 @@
 """Passes configuration and directory on to the nodes that follow this one."""
 
 from abc import ABC, abstractmethod
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -10,8 +10,10 @@
 from knapweedspring_relay._clock import now_s
 from knapweedspring_relay._crash_records import CrashRecords
 from knapweedspring_relay._hop_frames import FollowFrame, FrameSender, KnowledgeFrame
+from knapweedspring_relay._knowledge._leavings import Leavings
 from knapweedspring_relay._knowledge._peer_snapshot import PeerSnapshot
 from knapweedspring_relay._knowledge._position import StorePosition
+from knapweedspring_relay._upstream_process import UpstreamProcess
 
 __all__ = ["FollowHandler", "Followers"]
 
@@ -51,6 +53,8 @@
     is_watching: bool
     #: Value of ``CrashRecords.n_changes`` at the last frame; -1 before the first.
     n_refused_changes: int
+    #: Value of ``Leavings.n_changes`` at the last frame; -1 before the first.
+    n_leavings: int
 
 
 class _Encoded(NamedTuple):
@@ -80,15 +84,21 @@
     :param snapshot: returns what this node knows beyond a version of the configuration
         and a position of the directory.
     :param crashes: requests that this node refuses.
+    :param leavings: processes that are known to leave.
+    :param on_leaving: called with the leaving processes that a follower knows.
     """
 
     def __init__(
         self,
         snapshot: Callable[[int, StorePosition], PeerSnapshot],
         crashes: CrashRecords,
+        leavings: Leavings,
+        on_leaving: Callable[[Iterable[UpstreamProcess]], None],
     ) -> None:
         self._snapshot = snapshot
         self._crashes = crashes
+        self._leavings = leavings
+        self._on_leaving = on_leaving
         self._progress: dict[FrameSender, _Progress] = {}
 
     @property
@@ -99,10 +109,11 @@
     def add(self, follower: FrameSender, request: FollowFrame) -> None:
         """Send a follower what it lacks, now and after each change."""
         position = StorePosition(request.era, request.revision)
-        known = _Known(request.version, position, False, -1)
+        known = _Known(request.version, position, False, -1, -1)
         progress = _Progress(known, request.period_s, float("-inf"))
         self._progress[follower] = progress
         self._send_due(follower, progress, {}, now_s())
+        self._on_leaving(request.leaving)
 
     def remove(self, follower: FrameSender) -> None:
         """Remove a follower whose connection has ended."""
@@ -139,20 +150,20 @@
             n_refused_changes = self._crashes.n_changes
             if known.n_refused_changes == n_refused_changes:
                 snapshot = msgspec.structs.replace(snapshot, refused=())
-            found = encoded[known] = _encode(snapshot, known, n_refused_changes)
+            n_leavings = self._leavings.n_changes
+            if known.n_leavings == n_leavings:
+                snapshot = msgspec.structs.replace(snapshot, leaving=())
+            found = encoded[known] = _Encoded(
+                KnowledgeFrame(_encoder.encode(snapshot)),
+                _Known(
+                    max(known.version, snapshot.version),
+                    max(known.position, snapshot.position),
+                    snapshot.is_watching,
+                    n_refused_changes,
+                    n_leavings,
+                ),
+            )
         is_due = now - progress.sent_at >= progress.period_s - TIMER_TOLERANCE_S
         if found.known != known or is_due or is_urgent:
             follower.send(found.frame)
             progress.known, progress.sent_at = found.known, now
-
-
-def _encode(snapshot: PeerSnapshot, known: _Known, n_refused_changes: int) -> _Encoded:
-    return _Encoded(
-        KnowledgeFrame(_encoder.encode(snapshot)),
-        _Known(
-            max(known.version, snapshot.version),
-            max(known.position, snapshot.position),
-            snapshot.is_watching,
-            n_refused_changes,
-        ),
-    )
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_knowledge.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_knowledge.py
@@ -3,7 +3,7 @@
 import asyncio
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from knapweedspring_core import Counters, MetricsPage
 from knapweedspring_relay._clock import now_s
@@ -35,6 +35,7 @@
 from knapweedspring_relay._settings import RelaySettings
 from knapweedspring_relay._task_supervisor import TaskSupervisor
 from knapweedspring_relay._timers import LoopTimers
+from knapweedspring_relay._upstream_process import UpstreamProcess
 
 __all__ = ["Knowledge"]
 
@@ -84,8 +85,13 @@
         self._directory = Directory()
         self._crashes = crashes
         self._health = StoreHealth(log, counters)
-        self._followers = Followers(self._snapshot_newer_than, crashes)
-        self._pages = PeerPages(self._snapshot_newer_than)
+        self._followers = Followers(
+            self._snapshot_newer_than,
+            crashes,
+            self._directory.leavings,
+            self._learn_leavings,
+        )
+        self._pages = PeerPages(self._snapshot_newer_than, self._learn_leavings)
         self._own_entry = OwnEntryPublisher(
             store,
             settings.node,
@@ -246,6 +252,21 @@
         timers.call_every(PUBLISH_PERIOD_S, self._followers.publish)
         self._sources.check()
 
+    def announce_leaving(self, process: UpstreamProcess) -> None:
+        """Tell other nodes that the upstream beside this node leaves.
+
+        The store may be away, or may lose it, and this process may end.
+
+        :param process: the process that leaves.
+        """
+        if self._directory.record_leaving(process):
+            self._followers.publish()
+            self._sources.pass_on_leavings()
+
+    async def tell_leaving(self, process: UpstreamProcess) -> int:
+        """Tell peers of a leaving that the store did not confirm; see ``PeerSync``."""
+        return await self._peers.tell_leaving(process)
+
     def leave(self) -> None:
         """Let the followers find another source, since this node stops soon."""
         self._is_leaving = True
@@ -278,6 +299,14 @@
             age_s if math.isfinite(age_s) else None,
         )
 
+    def _learn_leavings(self, processes: Iterable[UpstreamProcess]) -> None:
+        learnt = [p for p in processes if self._directory.record_leaving(p)]
+        if learnt:
+            self._log.write_state(
+                "directory:leaving", nodes=[process.node for process in learnt]
+            )
+            self._handle_directory_change()
+
     def _declare_services(self) -> None:
         if self._state.table is not None:
             services = self._state.table.configuration.services
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_peer_snapshot.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_peer_snapshot.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from knapweedspring_relay._clock import now_s
 from knapweedspring_relay._configuration import Configuration
 from knapweedspring_relay._crash_records import CrashRecord, CrashRecords
 from knapweedspring_relay._knowledge._declared_state import DeclaredState
@@ -14,6 +15,7 @@
 from knapweedspring_relay._knowledge._entry_rules import problem_of_entry
 from knapweedspring_relay._knowledge._position import StorePosition
 from knapweedspring_relay._knowledge._skipped_entries import SkippedEntryReporter
+from knapweedspring_relay._upstream_process import UpstreamProcess
 
 __all__ = ["PeerSnapshot", "apply_peer_snapshot", "make_peer_snapshot"]
 
@@ -50,6 +52,9 @@
     #: Time since the store confirmed what the snapshot says, in seconds; None when it
     #: never did. Nodes of versions that do not check their watches send none.
     confirmed_age_s: float | None = None
+    #: Processes that leave although their entries do not say so; empty also when the
+    #: reader has received them. Nodes of older versions send none.
+    leaving: tuple[UpstreamProcess, ...] = ()
 
 
 def make_peer_snapshot(
@@ -100,6 +105,7 @@
         refused=refused,
         states_workspaces=True,
         confirmed_age_s=confirmed_age_s,
+        leaving=directory.leavings_to_pass_on(now_s()),
     )
 
 
@@ -133,6 +139,18 @@
             state.observe_version(snapshot.configuration.version)
     if snapshot.version == state.version:
         state.advance(snapshot.configuration_position)
+    learnt = [
+        process for process in snapshot.leaving if directory.record_leaving(process)
+    ]
+    return _apply_entries(snapshot, directory, skipped, now) or bool(learnt)
+
+
+def _apply_entries(
+    snapshot: PeerSnapshot,
+    directory: Directory,
+    skipped: SkippedEntryReporter,
+    now: float,
+) -> bool:
     if snapshot.entries is None:
         return False
     problems = {entry.node: problem_of_entry(entry) for entry in snapshot.entries}
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_peer_sync.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_peer_sync.py
@@ -20,6 +20,7 @@
 from knapweedspring_relay._knowledge._store_health import StoreHealth
 from knapweedspring_relay._logs import DecisionLog
 from knapweedspring_relay._messages import encode_request
+from knapweedspring_relay._upstream_process import UpstreamProcess
 
 __all__ = ["PeerSync"]
 
@@ -33,6 +34,9 @@
 #: Time after which a node reads a configuration from the store that is known to exist
 #: and that no peer has supplied, in seconds.
 OVERDUE_S = 0.6
+#: Number of peers that are told of a leaving which the store did not confirm. Each node
+#: asks a peer in about each 0.7 s while the store is away, and so learns of it.
+N_TOLD_PEERS = 3
 #: Limit on the size of a peer's page, in bytes: a directory of tens of thousands of
 #: nodes and the largest object of a store.
 MAX_PAGE_BYTES = 16 * 1_048_576
@@ -107,13 +111,28 @@
             self._newer_since = now
             await self._read_configuration()
 
-    async def query(self, address: str) -> bool:
+    async def tell_leaving(self, process: UpstreamProcess) -> int:
+        """Tell some peers that the upstream beside this node leaves.
+
+        :param process: the process that leaves.
+        :return: number of peers that answered.
+        """
+        peers = self._directory.entries.values()
+        addresses = [p.knowledge_address for p in peers if p.node != self._node]
+        chosen = self._rng.sample(addresses, min(N_TOLD_PEERS, len(addresses)))
+        answered = await asyncio.gather(*(self.query(a, process) for a in chosen))
+        return sum(answered)
+
+    async def query(self, address: str, leaving: UpstreamProcess | None = None) -> bool:
         """Read the page of a peer and apply it.
 
         :param address: knowledge or heartbeat address of the peer, as ``ip:port``.
+        :param leaving: a process beside this node that leaves, for the peer to know;
+            None when there is none.
         :return: whether the peer answered and knows a directory.
         """
-        path = peer_page_target(self._state.version, self._directory.position)
+        version, position = self._state.version, self._directory.position
+        path = peer_page_target(version, position, leaving)
         data = encode_request(b"GET", path, [(b"host", address.encode())], b"")
         try:
             async with asyncio.timeout(PEER_TIMEOUT_S):
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_source_link.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_source_link.py
@@ -67,6 +67,10 @@
 
     def handle_open(self) -> None:
         """Ask for the knowledge of the node."""
+        self.renew_request()
+
+    def renew_request(self) -> None:
+        """Ask again, since the request also says what this node knows."""
         self.send(self._request(self._period_s))
 
     def handle_frame(self, frame: Frame) -> None:
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_source_sync.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_source_sync.py
@@ -159,6 +159,12 @@
         for selector in self._selectors.values():
             selector.set_entries(entries)
 
+    def pass_on_leavings(self) -> None:
+        """Tell the sources at once which processes leave."""
+        for link in (self._source, self._candidate, self._remote):
+            if link is not None:
+                link.renew_request()
+
     def check(self) -> None:
         """Replace failed sources, and start or stop to watch the store."""
         now = now_s()
@@ -294,7 +300,8 @@
 
     def _make_request(self, period_s: float) -> FollowFrame:
         era, revision = self._directory.position
-        return FollowFrame(self._state.version, era, revision, period_s)
+        leaving = self._directory.leavings_to_pass_on(now_s())
+        return FollowFrame(self._state.version, era, revision, period_s, leaving)
 
     def _apply_snapshot(self, link: SourceLink, snapshot: PeerSnapshot) -> None:
         if link.is_watching:
--- a/packages/relay/src/knapweedspring_relay/_local_upstream.py
+++ b/packages/relay/src/knapweedspring_relay/_local_upstream.py
@@ -196,7 +196,7 @@
         :return: effect on the state.
         """
         if self._has_departed(upstream.instance, upstream.born_ms, now):
-            self._remember_departed(upstream)
+            self._remember_departed(upstream.instance, upstream.born_ms)
             if upstream.is_ready:
                 upstream = _as_draining(upstream, now)
         if upstream.is_ready and not may_be_ready:
@@ -212,6 +212,25 @@
         self._current = _as_draining(current, now)
         return HeartbeatVerdict.CHANGED
 
+    def apply_known_leaving(
+        self, instance: str, born_ms: int, now: float
+    ) -> HeartbeatVerdict:
+        """Apply that another node knows a process to leave.
+
+        :param instance: identity of the process.
+        :param born_ms: start of the process, in milliseconds since the epoch.
+        :param now: monotonic time, in seconds.
+        :return: effect on the state.
+        """
+        self._remember_departed(instance, born_ms)
+        current = self._current
+        if current is None or not current.is_ready:
+            return HeartbeatVerdict.UNCHANGED
+        if (current.instance, current.born_ms) != (instance, born_ms):
+            return HeartbeatVerdict.UNCHANGED
+        self._current = _as_draining(current, now)
+        return HeartbeatVerdict.CHANGED
+
     def drop_unconfirmed(self) -> bool:
         """Discard a restored upstream that has sent no heartbeat since the restart.
 
@@ -265,7 +284,7 @@
             )
             _limit_size(self._unknown_departures, MAX_DEPARTED)
             return HeartbeatVerdict.LATE
-        self._remember_departed(current)
+        self._remember_departed(current.instance, current.born_ms)
         if not current.is_ready:
             return HeartbeatVerdict.UNCHANGED
         self._current = _as_draining(current, now)
@@ -294,8 +313,8 @@
             return False
         return now < departure.expires_at and born_ms <= departure.departed_at_ms
 
-    def _remember_departed(self, upstream: LocalUpstream) -> None:
-        self._departed[_ProcessKey(upstream.instance, upstream.born_ms)] = None
+    def _remember_departed(self, instance: str, born_ms: int) -> None:
+        self._departed[_ProcessKey(instance, born_ms)] = None
         _limit_size(self._departed, MAX_DEPARTED)
 
     def _update_current(
--- a/packages/relay/src/knapweedspring_relay/_relay.py
+++ b/packages/relay/src/knapweedspring_relay/_relay.py
@@ -32,6 +32,7 @@
     Knowledge,
     PeerPageHandler,
 )
+from knapweedspring_relay._leaving_announcer import LeavingAnnouncer
 from knapweedspring_relay._local_upstream import (
     Heartbeat,
     HeartbeatVerdict,
@@ -46,6 +47,7 @@
 from knapweedspring_relay._settings import RelaySettings
 from knapweedspring_relay._task_supervisor import TaskSupervisor
 from knapweedspring_relay._timers import LoopTimers
+from knapweedspring_relay._upstream_end import UpstreamEnd
 from knapweedspring_relay._upstream_process import UpstreamProcess
 
 __all__ = ["Relay"]
@@ -62,12 +64,6 @@
 #: restart, in seconds: more than one period of heartbeats, and less than the time for
 #: which an upstream that left without draining continues to serve.
 ASSUMED_TIMEOUT_S = 2.0
-#: Longest time for which the acknowledgement of a leaving waits for the store, in
-#: seconds. An acknowledgement that takes a second does not count.
-MAX_PUBLISH_WAIT_S = 0.5
-#: Period in which a node that stops beside an upstream that leaves checks whether the
-#: upstream has ended, in seconds. Each check opens a connection to it.
-UPSTREAM_END_CHECK_PERIOD_S = 1.0
 #: Container allocations between two runs of the garbage collector.
 GC_THRESHOLD = 20_000
 
@@ -102,8 +98,6 @@
         self._stopping = asyncio.Event()
         self._started_at = now_s()
         self._stop_at: float | None = None
-        #: Whether the upstream has ended after it left and the node began to stop.
-        self._has_upstream_ended = False
         self._planned_stop: PlannedStop | None = None
         self._settings_mtime = 0.0
         self._peer_pool = ConnectionPool(
@@ -131,6 +125,9 @@
         )
         self._declared_state = self._knowledge.state
         self._directory = self._knowledge.directory
+        self._leaving = LeavingAnnouncer(
+            settings.node, self._tracker, self._knowledge, self._supervisor, self._log
+        )
         self._make_call_path()
         self._make_listeners()
 
@@ -151,6 +148,7 @@
             self._rng,
         )
         self._gate, self._entry = path.gate, path.entry
+        self._upstream_end = UpstreamEnd(self._tracker, path.upstream_pool)
 
     def _make_listeners(self) -> None:
         settings, pages = self._settings, self._knowledge.pages
@@ -250,7 +248,7 @@
         self._planned_stop = PlannedStop(
             times, self._entry, self._gate, self._entry_listener, self._gate_listener
         )
-        self._supervisor.start("upstream end", self._wait_for_upstream_end)
+        self._supervisor.start("upstream end", self._withdraw_after_upstream)
         self._knowledge.own_entry.request_check()
         self._knowledge.leave()
         self._stopping.set()
@@ -295,9 +293,7 @@
 
     async def wait_published(self) -> None:
         """Wait until the store has the state; see :class:`HeartbeatReceiver`."""
-        own_entry = self._knowledge.own_entry
-        if not await own_entry.wait_stored(MAX_PUBLISH_WAIT_S):
-            self._log.write_state("upstream:not-published", after_s=MAX_PUBLISH_WAIT_S)
+        await self._leaving.wait_published()
 
     def _apply_leaving(self, process: LocalUpstream) -> None:
         """Close the gate for an upstream whose answer says that it leaves."""
@@ -320,6 +316,7 @@
 
     def _handle_upstream_verdict(self, verdict: HeartbeatVerdict) -> None:
         if verdict is HeartbeatVerdict.CHANGED:
+            self._leaving.announce()
             self._gate.apply_upstream_state(now_s())
             self._path.upstream_pool.close_idle(self._settings.upstream_address)
             self._knowledge.own_entry.request_check()
@@ -354,18 +351,10 @@
         again beside it: the entry then tells the next process of the leaving.
         """
         is_stopping = self._stop_at is not None
-        return is_stopping and not upstream.is_ready and self._has_upstream_ended
-
-    async def _wait_for_upstream_end(self) -> None:
-        """Withdraw the entry of a stopping node once its leaving upstream has ended."""
-        tracker, pool = self._tracker, self._path.upstream_pool
-        while True:
-            upstream = tracker.current
-            is_leaving = upstream is not None and not upstream.is_ready
-            if is_leaving and await pool.refuses_connections(tracker.address):
-                break
-            await asyncio.sleep(UPSTREAM_END_CHECK_PERIOD_S)
-        self._has_upstream_ended = True
+        return is_stopping and not upstream.is_ready and self._upstream_end.has_ended
+
+    async def _withdraw_after_upstream(self) -> None:
+        await self._upstream_end.wait()
         self._knowledge.own_entry.request_check()
 
     async def _run_own_entry(self) -> None:
@@ -400,15 +389,22 @@
         self._handle_upstream_verdict(verdict)
 
     def _learn_from_directory(self) -> None:
-        """Use what the directory says of a leaving of the upstream.
+        """Use what other nodes know of a leaving of the upstream.
 
-        Other nodes still list the entry of the previous process of this node while the
-        store does not return it. That the upstream is ready counts from the store only.
+        They still list the entry of the previous process of this node while the store
+        does not return it. That the upstream is ready counts from the store only.
         """
-        listed = self._directory.listed_entry(self._settings.node)
+        node, now = self._settings.node, now_s()
+        for process in self._directory.leavings.of_node(node):
+            verdict = self._tracker.apply_known_leaving(
+                process.instance, process.born_ms, now
+            )
+            if verdict is HeartbeatVerdict.CHANGED:
+                self._log.write_state("upstream:leaving", instance=process.instance)
+                self._handle_upstream_verdict(verdict)
+        listed = self._directory.listed_entry(node)
         if listed is None or listed.gate_address != self._settings.gate_address:
             return
-        now = now_s()
         verdict = self._tracker.assume_published(
             published_upstream(listed, now), now, may_be_ready=False
         )
--- a/packages/relay/tests/knowledge/test_directory.py
+++ b/packages/relay/tests/knowledge/test_directory.py
@@ -9,13 +9,13 @@
 import pytest
 
 from knapweedspring_relay._knowledge._directory import (
-    MAX_LEAVING,
     MISSING_GRACE_S,
     Directory,
     DirectorySnapshot,
     GateEntry,
     UpstreamState,
 )
+from knapweedspring_relay._knowledge._leavings import MAX_LEAVING
 from knapweedspring_relay._knowledge._position import StorePosition
 
 ENTRY = GateEntry(
@@ -90,7 +90,7 @@
     directory = make_directory(ENTRY)
     for born_ms in range(MAX_LEAVING + 10):
         directory.record_leaving(replace(ENTRY, born_ms=1_000 + born_ms).process)
-    assert len(directory._leaving) == MAX_LEAVING
+    assert len(directory.leavings._known_at) == MAX_LEAVING
 
 
 def directory_of(*entries):
--- a/packages/relay/tests/test_late_reports.py
+++ b/packages/relay/tests/test_late_reports.py
@@ -11,7 +11,8 @@
 from _deployment import Deployment, answer_ok
 
 from knapweedspring_relay import UpstreamState
-from knapweedspring_relay._relay import ASSUMED_TIMEOUT_S, MAX_PUBLISH_WAIT_S
+from knapweedspring_relay._leaving_announcer import MAX_PUBLISH_WAIT_S
+from knapweedspring_relay._relay import ASSUMED_TIMEOUT_S
 
 
 def run(scenario):
