Ask for a second report where the first one may be late

When neither the store nor another node tells that an upstream left, for example after all nodes were killed at once with the store away, a late report put it in use until it exited. What a new process may infer: an upstream that was running before a restart reports within 1.5 s. The first report of one that arrives over 4 s after the restart may be late, its sender silent since.

Change: such a report is acknowledged with the verdict unconfirmed; a second one, with a greater number and 0.5 s later, shows that the sender runs. Starts after the restart, and upstreams that report in time, are used at once, as before.

Tests: 7 cases of the tracker.

--- a/packages/relay/src/knapweedspring_relay/_local_upstream.py
+++ b/packages/relay/src/knapweedspring_relay/_local_upstream.py
@@ -36,6 +36,12 @@
 #: identity, in seconds. Heartbeats arrive seconds late at most, so a process that still
 #: sends some after that time runs, whatever start it states.
 UNKNOWN_DEPARTURE_LIFETIME_S = 15.0
+#: Time after the start of the node in which an upstream that was running before has
+#: sent its first heartbeat, in seconds: more than two of its periods.
+FIRST_HEARTBEAT_S = 4.0
+#: Shortest time after which a second heartbeat shows that its sender runs, in seconds.
+#: Heartbeats that were held up together arrive together.
+CONFIRMATION_DELAY_S = 0.5
 #: Sequence number of an upstream known only from the entry that this node published.
 ASSUMED_SEQUENCE = -1
 
@@ -95,6 +101,9 @@
     SUPERSEDED = "superseded"
     #: The heartbeat is not from the upstream beside this node.
     FOREIGN = "foreign"
+    #: The heartbeat is the first of a process that should have sent one long before, so
+    #: it may be late and its sender gone; a second one shows that it runs.
+    UNCONFIRMED = "unconfirmed"
 
 
 @dataclass(frozen=True, slots=True)
@@ -171,6 +180,11 @@
         self._current: LocalUpstream | None = None
         self._departed: dict[_ProcessKey, None] = {}
         self._unknown_departures: dict[str, _UnknownDeparture] = {}
+        #: Time at which the node was started again, on the monotonic clock, in seconds.
+        self._restarted_at: float | None = None
+        self._restarted_at_ms = 0
+        self._unconfirmed: Heartbeat | None = None
+        self._unconfirmed_at = 0.0
 
     @property
     def address(self) -> str:
@@ -182,6 +196,14 @@
         """State of the upstream; None when no upstream is known."""
         return self._current
 
+    def record_restart(self, now: float) -> None:
+        """Record that the node was started again, beside an upstream that may run.
+
+        :param now: monotonic time, in seconds.
+        """
+        self._restarted_at = now
+        self._restarted_at_ms = self._time_of_day()
+
     def assume_published(
         self, upstream: LocalUpstream, now: float, may_be_ready: bool = True
     ) -> HeartbeatVerdict:
@@ -265,6 +287,8 @@
                 return HeartbeatVerdict.SUPERSEDED
             if current.is_same_process(heartbeat):
                 return self._update_current(current, heartbeat, now)
+        elif self._may_be_gone(heartbeat, now):
+            return HeartbeatVerdict.UNCONFIRMED
         self._current = _upstream_from(heartbeat, now)
         return HeartbeatVerdict.CHANGED
 
@@ -305,6 +329,30 @@
         self._current = _as_draining(current, now)
         return HeartbeatVerdict.CHANGED
 
+    def _may_be_gone(self, heartbeat: Heartbeat, now: float) -> bool:
+        """Return whether the first heartbeat since a restart may be a late one.
+
+        Its sender was running before the restart, and has been silent since.
+        """
+        is_expected = (
+            self._restarted_at is None
+            or now - self._restarted_at <= FIRST_HEARTBEAT_S
+            or heartbeat.born_ms > self._restarted_at_ms
+            or heartbeat.state is UpstreamState.DRAINING
+        )
+        earlier, waited_s = self._unconfirmed, now - self._unconfirmed_at
+        is_second = (
+            earlier is not None
+            and (earlier.instance, earlier.born_ms)
+            == (heartbeat.instance, heartbeat.born_ms)
+            and heartbeat.sequence > earlier.sequence
+        )
+        if is_expected or (is_second and waited_s >= CONFIRMATION_DELAY_S):
+            return False
+        if not is_second:
+            self._unconfirmed, self._unconfirmed_at = heartbeat, now
+        return True
+
     def _has_departed(self, instance: str, born_ms: int, now: float) -> bool:
         if _ProcessKey(instance, born_ms) in self._departed:
             return True
--- a/packages/relay/src/knapweedspring_relay/_relay.py
+++ b/packages/relay/src/knapweedspring_relay/_relay.py
@@ -219,6 +219,8 @@
             n_descriptors=self._settings.vm.n_descriptors_or_default,
             maps_long_buffers=map_long_buffers(),
         )
+        if not self._settings.is_first_start:
+            self._tracker.record_restart(now_s())
         self._supervisor.start("own entry", self._run_own_entry)
         self._knowledge.start(self._supervisor, self._timers)
         self._path.quotas.start(self._timers)
--- a/packages/relay/tests/test_local_upstream.py
+++ b/packages/relay/tests/test_local_upstream.py
@@ -208,3 +208,49 @@
     older = LocalUpstream("i-9", "svc", 20, UpstreamState.READY, 800, -1, 0.0)
     assert tracker.assume_published(older, 0.2) is HeartbeatVerdict.SUPERSEDED
     assert tracker.current.instance == "i-1"
+
+
+# Guards against a late report when nothing else tells that its sender left: neither
+# the store nor another node. A running upstream would have reported before.
+@pytest.mark.parametrize(
+    ("changes", "verdict"),
+    [
+        ({}, "unconfirmed"),
+        ({"born_ms": 5001}, "changed"),
+        # Draining is final, however late it arrives.
+        ({"state": UpstreamState.DRAINING}, "changed"),
+    ],
+)
+def test_first_report_long_after_a_restart(changes, verdict):
+    tracker = UpstreamTracker(ADDRESS, lambda: 5000)
+    tracker.record_restart(10.0)
+    assert tracker.apply_heartbeat(replace(BEAT, **changes), 14.1) == verdict
+
+
+@pytest.mark.parametrize("restarted_at", [None, 10.0])
+def test_first_report_soon_after_a_start_is_used_at_once(restarted_at):
+    tracker = UpstreamTracker(ADDRESS, lambda: 5000)
+    if restarted_at is not None:
+        tracker.record_restart(restarted_at)
+    assert tracker.apply_heartbeat(BEAT, 13.9) is HeartbeatVerdict.CHANGED
+    assert tracker.current.is_ready
+
+
+def test_second_report_shows_that_a_silent_upstream_runs():
+    tracker = UpstreamTracker(ADDRESS, lambda: 5000)
+    tracker.record_restart(10.0)
+    second = replace(BEAT, sequence=4)
+    assert tracker.apply_heartbeat(BEAT, 20.0) == "unconfirmed"
+    # Reports that were held up together, a copy, and one of another process.
+    assert tracker.apply_heartbeat(second, 20.1) == "unconfirmed"
+    assert tracker.apply_heartbeat(BEAT, 21.0) == "unconfirmed"
+    assert tracker.apply_heartbeat(second, 21.5) is HeartbeatVerdict.CHANGED
+    assert tracker.current.is_ready
+
+
+def test_reports_of_two_silent_processes_do_not_confirm_each_other():
+    tracker = UpstreamTracker(ADDRESS, lambda: 5000)
+    tracker.record_restart(10.0)
+    other = replace(BEAT, instance="i-2", sequence=9)
+    assert tracker.apply_heartbeat(BEAT, 20.0) == "unconfirmed"
+    assert tracker.apply_heartbeat(other, 21.0) == "unconfirmed"
