Don't go back to sources that stand still before others were tried

Cause: a follower tries each for 0.6 to 0.8 s, and took the first as usable again after 1 s, before it had come to the fourth. It read nothing else meanwhile.

Change: a failed source is not chosen for 2.5 s at least. A node that has no source for 0.5 s reads the configuration from the store once, then after growing pauses (OwnReads), unless a node answered that it doesn't watch the store either: then the store is away.

--- a/packages/relay/src/knapweedspring_relay/_knowledge/_knowledge.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_knowledge.py
@@ -167,6 +167,7 @@
             store_checks,
             self._confirmation,
             self._peers,
+            configuration_sync.read_once,
             _other_seeds(settings),
             bool(settings.is_first_start),
             self._handle_directory_change,
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_source_selector.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_source_selector.py
@@ -9,8 +9,10 @@
 __all__ = ["SourceChoice", "SourceSelector", "rank_watchers"]
 
 #: Shortest and longest time for which a node that failed as a source is not chosen, in
-#: seconds. Each further failure doubles the time.
-UNUSABLE_MIN_S = 1.0
+#: seconds. Each further failure doubles the time. Three nodes that stand still take two
+#: seconds to fail one after another; the first of them must not be chosen again before
+#: the fourth.
+UNUSABLE_MIN_S = 2.5
 UNUSABLE_MAX_S = 8.0
 
 
--- a/packages/relay/src/knapweedspring_relay/_knowledge/_source_sync.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_source_sync.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator
 
 from knapweedspring_relay._clock import now_s
 from knapweedspring_relay._crash_records import CrashRecords
 from knapweedspring_relay._hop_frames import FollowFrame
 from knapweedspring_relay._knowledge._declared_state import DeclaredState
 from knapweedspring_relay._knowledge._directory import Directory, GateEntry
+from knapweedspring_relay._knowledge._own_reads import OwnReads
 from knapweedspring_relay._knowledge._peer_snapshot import (
     PeerSnapshot,
     apply_peer_snapshot,
@@ -65,6 +66,7 @@
     :param store_checks: checks the watches of the store.
     :param confirmation: when the store last confirmed the knowledge of this node.
     :param peers: reads pages of peers.
+    :param read_configuration: reads the configuration from the store.
     :param seed_addresses: heartbeat addresses of a few other nodes.
     :param is_first_start: whether the whole deployment starts for the first time.
     :param on_change: called after each change of the directory.
@@ -86,6 +88,7 @@
         store_checks: StoreChecks,
         confirmation: StoreConfirmation,
         peers: PeerSync,
+        read_configuration: Callable[[], Awaitable[bool]],
         seed_addresses: tuple[str, ...],
         is_first_start: bool,
         on_change: Callable[[], None],
@@ -104,6 +107,7 @@
         self._store_checks = store_checks
         self._confirmation = confirmation
         self._peers = peers
+        self._own_reads = OwnReads(read_configuration)
         self._seed_addresses = seed_addresses
         self._seed_wait_s = (
             FIRST_START_SEED_WAIT_S if is_first_start else RESTART_SEED_WAIT_S
@@ -190,6 +194,8 @@
             index = sorted(self._selectors).index(self._data_centre)
             self._store_checks.start_if_due(index, now)
         self._follow(choice.source)
+        has_source = self._source is not None and self._source.is_watching
+        self._own_reads.check(watches or has_source, now)
         self._follow_remote(self._remote_choice(now) if watches else None)
 
     def stop(self) -> None:
@@ -201,6 +207,7 @@
         if self._seed_query is not None:
             self._seed_query.cancel()
         self._store_checks.stop()
+        self._own_reads.stop()
         self._store_watch.set_running(False)
 
     def _awaits_seed(self, now: float) -> bool:
@@ -333,6 +340,8 @@
             )
             self._on_change()
         self._record_confirmation(snapshot)
+        if not snapshot.is_watching:
+            self._own_reads.record_answer(now_s())
 
     def _record_confirmation(self, snapshot: PeerSnapshot) -> None:
         """Record that the store confirmed what the source knows, and so this node."""
--- a/packages/relay/tests/knowledge/test_sources.py
+++ b/packages/relay/tests/knowledge/test_sources.py
@@ -8,9 +8,11 @@
 import random
 from dataclasses import replace
 
+import pytest
 from _deployment import ROUTES, Deployment, answer_ok, make_configuration
 
 from knapweedspring_relay import UpstreamState
+from knapweedspring_relay._knowledge._source_selector import rank_watchers
 
 N_NODES = 8
 
@@ -272,3 +274,39 @@
             )
 
     run(scenario)
+
+
+def stand_still(relay):
+    """Let a relay keep its connections and send nothing, as a frozen process does."""
+    relay._knowledge.followers._send_due = lambda *_, **__: None
+    relay._knowledge.sources._store_watch.set_running(False)
+    relay._knowledge.sources.check = lambda: None
+
+
+# Guards against an old configuration in use while nodes follow some that stand still,
+# one after another and again from the first (review/9).
+@pytest.mark.parametrize("n_still", [2, 3, 4])
+@pytest.mark.parametrize("pause_s", [0.0, 0.5, 1.5])
+def test_followers_of_nodes_that_stand_still_get_the_next_configuration(
+    n_still, pause_s
+):
+    async def scenario():
+        async with make_deployment(9) as deployment:
+            await settle(deployment)
+            entries = deployment.relays[0]._directory.listed_entries()
+            names = [entry.node for entry in rank_watchers(entries, "dc")[:n_still]]
+            by_name = {r._settings.node: r for r in deployment.relays}
+            for name in names:
+                stand_still(by_name[name])
+            others = [r for name, r in by_name.items() if name not in names]
+            await asyncio.sleep(pause_s)
+            calls = deployment.store.calls.total()
+            deployment.store.put_configuration(make_configuration(2))
+            await wait_for_version(deployment, 2, 2.0, others)
+            # A read of the configuration, and two watches of each that tried to watch.
+            assert deployment.store.calls.total() - calls <= 3 * len(others)
+            await asyncio.sleep(2.0)
+            deployment.store.put_configuration(make_configuration(3))
+            await wait_for_version(deployment, 3, 0.5, others)
+
+    run(scenario)
