Say what the record of a leaving returns, and name its question by what it asks

record_leaving returns whether the leaving is new; its page said whether the process was in use, which it does not look at. The private question whether an entry tells a leaving was named as if entries hid it.

--- a/packages/relay/src/knapweedspring_relay/_knowledge/_directory.py
+++ b/packages/relay/src/knapweedspring_relay/_knowledge/_directory.py
@@ -193,7 +193,7 @@
         before it can publish the leaving.
 
         :param process: the process.
-        :return: whether it was in use, as far as this node knew.
+        :return: whether it was not known to leave.
         """
         if not self._leavings.record(process, now_s()):
             return False
@@ -206,10 +206,12 @@
         :param now: monotonic time, in seconds.
         """
         return tuple(
-            process for process in self._leavings.latest(now) if self._hides(process)
+            process
+            for process in self._leavings.latest(now)
+            if self._is_untold(process)
         )
 
-    def _hides(self, process: UpstreamProcess) -> bool:
+    def _is_untold(self, process: UpstreamProcess) -> bool:
         """Return whether the entry of a node does not tell that a process leaves."""
         entry = self._entries.get(process.node)
         if entry is None or entry.born_ms < process.born_ms:
